--- /dev/null
+++ b/limelatch/__init__.py
@@ -0,0 +1,1 @@
+"""limelatch: a dispatcher of notifications to outside receivers."""
--- /dev/null
+++ b/limelatch/interface.py
@@ -0,0 +1,185 @@
+"""What the decision module is told and what it answers, whatever protocol stands before it.
+
+Times are whole tenths of a millisecond on one clock that only increases. Ids of texts and hosts
+are handed back as they came; the module never reads anything out of them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+HostId = bytes
+
+
+class Effect(Enum):
+    """What a repeat of a text does at its destination."""
+
+    RESENDABLE = "resendable"
+    REFERENCED = "referenced"
+    ONCE_ONLY = "once-only"
+
+
+class Result(Enum):
+    """How one submit ended."""
+
+    DELIVERED = "delivered"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT = "connect"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class Listing(Enum):
+    """What the list says of a host; it says nothing of its health."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(slots=True)
+class Product:
+    """One row of the product table."""
+
+    effect: Effect
+    sla_time: int
+    validity_period: int
+    revenue: float
+    late_share: float
+    by_halves: bool
+    repeat_window: int = 0
+    repeats_anywhere: bool = True
+    in_order: bool = False
+
+
+@dataclass(slots=True)
+class HostKind:
+    """One kind of destination."""
+
+    texts_per_call: int = 1
+    routes_apart: bool = False
+
+
+@dataclass(slots=True)
+class Terms:
+    """All that a relay is told when it starts."""
+
+    seed: int
+    relays: int
+    slots: int
+    max_texts: int
+    max_submits: int
+    max_advice: int
+    products: list[Product]
+    kinds: list[HostKind]
+    zone_fees: list[float] = field(default_factory=list)
+    customer_rates: list[float] = field(default_factory=list)
+    may_probe: bool = False
+    second_copies: bool = False
+    rates_listed: bool = False
+    advice_heard: bool = True
+    cold_share: float = 1.0
+    cold_time: int = 0
+    fall_multiple: float = 1.0
+    fall_time: int = 0
+    turn_gap: int = 0
+
+
+@dataclass(slots=True)
+class HostEntry:
+    """One line of the list of hosts."""
+
+    host: HostId
+    destination: int
+    zone: int
+    kind: int
+    rate: float
+    listing: Listing
+
+
+@dataclass(slots=True)
+class Text:
+    """One text taken from a client; it is owed one final answer before `valid_until`."""
+
+    id: int
+    destination: int
+    product: int
+    valid_until: int
+    customer: int = 0
+    key: int = 0
+
+
+@dataclass(slots=True)
+class SubmitReport:
+    """How a submit ended. `over`: the text is finished. `told_wait`: the wait the destination asked for."""
+
+    text: int
+    host: HostId
+    result: Result
+    took: int
+    over: bool = False
+    told_wait: int = 0
+    limit_left: float | None = None
+    limit_rate: float | None = None
+
+
+@dataclass(slots=True)
+class ProbeReport:
+    """How a probe of a host ended."""
+
+    host: HostId
+    result: Result
+    limit_left: float | None = None
+    limit_rate: float | None = None
+
+
+@dataclass(slots=True)
+class Submit:
+    """Send the text to the host; stop waiting after `time_out`."""
+
+    text: int
+    host: HostId
+    time_out: int
+
+
+@dataclass(slots=True)
+class Nack:
+    """Final answer: not delivered, and coming again (after `advice`, if above 0) is harmless."""
+
+    text: int
+    advice: int
+
+
+@dataclass(slots=True)
+class Undeliverable:
+    """Final answer: given up, with no promise about its effect."""
+
+    text: int
+
+
+@dataclass(slots=True)
+class Probe:
+    """Check a host."""
+
+    host: HostId
+
+
+@dataclass(slots=True)
+class Wake:
+    """Call `decide` again after this time."""
+
+    after: int
+
+
+@dataclass(slots=True)
+class LogLine:
+    """One line for the relay's log."""
+
+    line: str
+
+
+Action = Submit | Nack | Undeliverable | Probe | Wake | LogLine
--- /dev/null
+++ b/limelatch/policy.py
@@ -0,0 +1,594 @@
+"""limelatch's decisions: which host gets which text, when, and what a text's final answer is.
+
+How to call it: make one `Policy(terms, now)` a relay, tell it each event (`hosts_listed`, `text_taken`,
+`submit_ended`, `probe_ended`, `client_left`, `woken`), then call `decide(now)` once for the batch and carry
+out the actions it returns, in order. The interface is limelatch/interface.py; docs/design.md gives the
+reasons. Events only change what is known. `_plan` sets the wanted state, `_gate` checks the rules for
+every send, and `_emit` works out the difference to the present state.
+
+Beside the design (token bucket, jittered waits, delay window, slot caps) stand these mechanisms:
+  1. health by symptom: a host whose calls mostly fail or go unanswered gets one trial at a time;
+  2. paced warm-up: a host back from an outage gets what is safe though no other relay holds back;
+  3. limit pacing: first submits are paced by the limit told or listed, lowered by refusals;
+  4. order of held texts: those that can still make their SLA time first, by revenue at stake;
+  5. room: when the relay is nearly full, held texts with the least at stake are nacked with advice.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+
+from limelatch.interface import (Action, Effect, HostEntry, HostId, Listing, LogLine, Nack, Probe, ProbeReport,
+                                 Result, Submit, SubmitReport, Terms, Text, Undeliverable, Wake)
+
+MS = 10
+SECOND = 1000 * MS
+# The design's figures; tokens are counted in tenths.
+BUCKET, REFILL, TOKEN = 200, 1, 10
+BASE, CAP, TIME_OUT = 200 * MS, 2 * SECOND, 3 * SECOND
+RECENT_CALLS = 7  # calls whose median is held against the usual latency
+# Ours.
+PERIOD = 20 * MS  # the one timer
+USUAL_AT_FIRST = 400 * MS
+SICK_SHARE, FAIL_STEP = 0.5, 0.3  # a host is sick when its smoothed share of failures passes this
+OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
+REFUSED_TOO_LONG = 2200 * MS  # refusals without one success for so long are an outage, not a limit
+WARM_MARGIN = 0.7  # part of what a cold host can bear that this relay uses
+PACE_CUT, PACE_GROWTH, PACE_REST, PACE_BURST = 0.75, 0.15, 300 * MS, 0.4
+ROOM_LEFT = 0.92  # share of the room from which held texts are nacked
+MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+
+
+class Chance:
+    """A linear congruential generator; the high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed
+
+    def below(self, bound: int) -> int:
+        """A whole number from 0 to bound - 1."""
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) % (1 << 64)
+        return (self.state >> 33) * max(1, bound) >> 31
+
+
+class Call:
+    """One call out at a host: the texts that share it take one slot until all have their outcomes."""
+
+    __slots__ = ("host", "sent", "texts")
+
+    def __init__(self, host: Host, sent: int) -> None:
+        self.host, self.sent, self.texts = host, sent, 0
+
+
+class Held:
+    """A text that this relay has taken and not finally answered."""
+
+    __slots__ = ("text", "row", "submits", "due", "call", "ran_at", "zone", "wanted", "verdict", "sla_at")
+
+    def __init__(self, text: Text, row) -> None:
+        self.text, self.row = text, row
+        self.submits, self.due, self.zone = 0, 0, None
+        self.call: Call | None = None
+        self.ran_at: int | None = None  # when the first submit that may have run was sent
+        self.wanted: Host | None = None
+        self.verdict: Action | None = None
+        self.sla_at = text.valid_until - row.validity_period + row.sla_time
+
+    def last_send(self) -> int:
+        """When it is too late to send it, as far as its product's window goes."""
+        if self.ran_at is None or self.row.effect is Effect.RESENDABLE:
+            return self.text.valid_until
+        return min(self.text.valid_until, self.ran_at + self.row.repeat_window)
+
+    def may_nack(self) -> bool:
+        """Whether coming again is harmless."""
+        return self.ran_at is None or self.row.effect is Effect.RESENDABLE or (
+            self.row.effect is Effect.REFERENCED and self.row.repeats_anywhere)
+
+
+class Route:
+    """Hosts that share one limit: a whole destination, or one host where routes are apart."""
+
+    __slots__ = ("hosts", "window", "halved_at", "usual", "seen", "recent", "limit", "pace", "credit", "credit_at",
+                 "cut_at", "wait_until", "refused_since", "calls")
+
+    def __init__(self, window: int) -> None:
+        self.hosts: list[Host] = []
+        self.window, self.halved_at, self.calls = window, -1, 0
+        self.usual, self.seen = USUAL_AT_FIRST, 0
+        self.recent: deque[int] = deque(maxlen=RECENT_CALLS)
+        self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
+        self.credit, self.credit_at, self.cut_at = 1.0, 0, 0
+        self.wait_until, self.refused_since = 0, None
+
+    def refill(self, now: int) -> None:
+        """Let the pace recover and its credit grow."""
+        passed, self.credit_at = (now - self.credit_at) / SECOND, now
+        self.pace = min(self.limit, self.pace + PACE_GROWTH * self.limit * passed)
+        self.credit = min(max(1.0, self.pace * PACE_BURST), self.credit + self.pace * passed)
+
+    def learn_limit(self, rate: float) -> None:
+        """The limit told by an answer or the list."""
+        if rate > 0:
+            if not self.limit:
+                self.pace = rate
+            self.limit = rate
+
+    def learn_latency(self, took: int) -> bool:
+        """Follow the usual latency by steps; True when recent calls are twice as slow."""
+        self.seen += 1
+        if self.seen <= 8:
+            self.usual += (took - self.usual) // self.seen
+        else:
+            self.usual += (self.usual >> 6) if took > self.usual else -(self.usual >> 6)
+        self.recent.append(took)
+        if len(self.recent) == RECENT_CALLS and sorted(self.recent)[RECENT_CALLS // 2] > 2 * self.usual:
+            self.recent.clear()
+            return True
+        return False
+
+
+class Host:
+    """One host as this relay sees it."""
+
+    __slots__ = ("id", "zone", "kind", "rate", "listing", "route", "dest", "out", "failing", "sick", "tries",
+                 "trial_at", "back_at", "warm_credit", "warm_at", "probing", "last_ok", "probed")
+
+    def __init__(self, entry: HostEntry, dest: Destination, route: Route) -> None:
+        self.id, self.zone, self.kind, self.rate = entry.host, entry.zone, entry.kind, entry.rate
+        self.listing, self.dest, self.route = entry.listing, dest, route
+        self.out: list[Call] = []
+        self.failing, self.sick, self.tries, self.trial_at = 0.0, False, 0, 0
+        self.back_at: int | None = None
+        self.warm_credit, self.warm_at, self.last_ok = 0.0, 0, -1
+        self.probing = self.probed = False
+
+    def suspect(self, now: int) -> bool:
+        """A call is overdue, none has succeeded since it was sent, and the newest is not overdue yet.
+
+        Guards against filling a host that hangs or went silent with texts that may be lost there: it gets
+        one more call for each span in which an answer was to be expected.
+        """
+        if not self.out or self.last_ok >= self.out[0].sent:
+            return False
+        late = max(OVERDUE_LEAST, OVERDUE_TIMES * self.route.usual)
+        return now - self.out[0].sent > late and now - self.out[-1].sent < late
+
+
+class Destination:
+    """One outside receiver: its token bucket, its hosts, and the texts held for it."""
+
+    __slots__ = ("tokens", "held", "hosts", "routes", "calls", "shared")
+
+    def __init__(self) -> None:
+        self.tokens, self.calls = BUCKET, 0
+        self.held: dict[int, Held] = {}
+        self.hosts: list[Host] = []
+        self.shared: Route | None = None
+
+
+class Policy:
+    """The decisions of one relay."""
+
+    def __init__(self, terms: Terms, now: int) -> None:
+        self.terms, self.chance = terms, Chance(terms.seed)
+        self.texts: dict[int, Held] = {}
+        self.hosts: dict[HostId, Host] = {}
+        self.dests: dict[int, Destination] = {}
+        self.lines: dict[int, deque[int]] = {}  # texts in order, a line a key
+        self.rests: dict[int, int] = {}  # until when a key rests
+        self.expiries: list[tuple[int, int]] = []
+        self.slots_used, self.timer_set = 0, False
+        self.changed: list[Held] = []
+        self.probes: list[Host] = []
+        self.log: list[str] = []
+
+    # What is told.
+
+    def hosts_listed(self, now: int, entries: list[HostEntry], whole: bool) -> None:
+        """News of the list of hosts; what a whole list leaves out is gone."""
+        if whole:
+            named = {entry.host for entry in entries}
+            for host in self.hosts.values():
+                if host.id not in named:
+                    host.listing = Listing.GONE
+        for entry in entries:
+            host = self.hosts.get(entry.host)
+            if host is None or host.dest is not self._dest(entry.destination):
+                host = self._add_host(entry)
+            host.listing, host.rate = entry.listing, entry.rate
+        for dest in self.dests.values():
+            dest.hosts = [host for host in dest.hosts if host.listing is not Listing.GONE]
+            for host in dest.hosts:
+                host.route.hosts = [h for h in dest.hosts if h.route is host.route]
+                if self.terms.rates_listed and not host.route.limit:
+                    host.route.learn_limit(host.rate)
+
+    def text_taken(self, now: int, text: Text) -> None:
+        """A client handed in a text; it is owed one final answer."""
+        held = Held(text, self.terms.products[text.product])
+        self.texts[text.id] = self._dest(text.destination).held[text.id] = held
+        if held.row.in_order and text.key:
+            self.lines.setdefault(text.key, deque()).append(text.id)
+        heapq.heappush(self.expiries, (self._expiry(held), text.id))
+
+    def submit_ended(self, now: int, report: SubmitReport) -> None:
+        """The outcome of one submit."""
+        host, held = self.hosts.get(report.host), self.texts.get(report.text)
+        if host is None or held is None or held.call is None:
+            return
+        call, held.call = held.call, None
+        self._release(call)
+        first_of_call = call.texts == 0 or report.result is Result.DELIVERED
+        self._learn(now, host, call, report, first_of_call)
+        if report.result in MAY_HAVE_RUN:
+            if held.ran_at is None:
+                held.ran_at, held.zone = call.sent, host.zone
+            if report.result is not Result.ERROR and held.row.in_order and held.text.key:
+                self.rests[held.text.key] = now + self.terms.turn_gap
+        if report.over:
+            self._forget(held)
+        else:
+            self._repeat_or_end(now, host, held)
+
+    def probe_ended(self, now: int, report: ProbeReport) -> None:
+        """The outcome of a probe: a sick host that answers may be tried with a text."""
+        host = self.hosts.get(report.host)
+        if host is None:
+            return
+        host.probing = False
+        if report.limit_rate:
+            host.route.learn_limit(report.limit_rate)
+        if report.result is Result.DELIVERED:
+            host.probed, host.trial_at = True, now
+        else:
+            self._next_trial(now, host)
+
+    def client_left(self, now: int, text: int) -> None:
+        """Nobody wants the text any more; no answer is owed."""
+        held = self.texts.get(text)
+        if held is not None and held.call is None:
+            self._forget(held)
+
+    def woken(self, now: int) -> None:
+        """The one timer."""
+        self.timer_set = False
+
+    def decide(self, now: int) -> list[Action]:
+        """The actions that bring the present state to the wanted one."""
+        self._expire(now)
+        self._make_room(now)
+        self._plan(now)
+        return self._emit(now)
+
+    # What is learned.
+
+    def _learn(self, now: int, host: Host, call: Call, report: SubmitReport, counts: bool) -> None:
+        """Take an outcome into the bucket, the window, the pace and the host's health."""
+        route, result = host.route, report.result
+        if report.limit_rate:
+            route.learn_limit(report.limit_rate)
+        if result is Result.DELIVERED:
+            host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
+            host.last_ok, route.refused_since = now, None
+            route.window = min(route.window + 1, self._window_cap(host))
+            if route.learn_latency(report.took):
+                self._halve(now, route, call)
+            self._worked(now, host)
+        elif result is Result.FULL:
+            if report.told_wait:
+                route.wait_until = max(route.wait_until, now + report.told_wait)
+            if counts:
+                self._refused(now, host, call, report.told_wait)
+        elif result not in (Result.MOOT, Result.CANCELLED) and counts:
+            self._halve(now, route, call)
+            self._failed(now, host, result)
+
+    def _halve(self, now: int, route: Route, call: Call) -> None:
+        """Halve the window, once for the calls that were out together."""
+        if call.sent > route.halved_at:
+            route.window, route.halved_at = max(1, route.window // 2), now
+
+    def _worked(self, now: int, host: Host) -> None:
+        host.failing *= 1 - FAIL_STEP
+        if host.sick and (host.trial_at <= now or host.tries):
+            self._come_back(now, host)
+
+    def _failed(self, now: int, host: Host, result: Result) -> None:
+        """A call failed or went unanswered."""
+        host.failing += (1 - host.failing) * FAIL_STEP
+        if host.sick:
+            self._next_trial(now, host)
+        elif host.failing > SICK_SHARE or host.back_at is not None:
+            self._fall_sick(now, host, result.value)
+
+    def _refused(self, now: int, host: Host, call: Call, told: int) -> None:
+        """A refusal lowers the pace; refusals alone for longer than any limit's span are an outage."""
+        route = host.route
+        if route.refused_since is None:
+            route.refused_since = call.sent
+        if route.limit and now - route.cut_at > PACE_REST:
+            route.refill(now)
+            route.pace = max(route.pace * PACE_CUT, route.limit / (2 * self.terms.relays))
+            route.cut_at = now
+        route.credit = min(route.credit, 0.0)
+        if host.sick:
+            self._next_trial(now, host)
+        elif now - route.refused_since > REFUSED_TOO_LONG or told > REFUSED_TOO_LONG:
+            for each in route.hosts:
+                if not each.sick:
+                    self._fall_sick(now, each, "refusals")
+
+    def _fall_sick(self, now: int, host: Host, cause: str) -> None:
+        host.sick, host.tries, host.probed, host.back_at = True, 0, False, None
+        self._next_trial(now, host)
+        self.log.append(f"host {host.id.hex()} sick: {cause}, failing {host.failing:.2f}, out {len(host.out)}")
+
+    def _next_trial(self, now: int, host: Host) -> None:
+        """The next trial call comes after a wait of the design's kind, from a told wait's end on."""
+        host.tries, host.probed = host.tries + 1, False
+        host.trial_at = max(now, host.route.wait_until) + 100 * MS + self._jitter(host.tries + 1)
+
+    def _come_back(self, now: int, host: Host) -> None:
+        """A trial worked: the host is cold, and gets what it can bear."""
+        host.sick, host.back_at, host.failing = False, now, 0.0
+        host.warm_credit, host.warm_at = 0.0, now
+        self.log.append(f"host {host.id.hex()} back after {host.tries} trials, warming")
+
+    def _repeat_or_end(self, now: int, host: Host, held: Held) -> None:
+        """The design's test for a repeat, its token last; else the final answer at once."""
+        wait = self._jitter(held.submits)
+        once_ran = held.row.effect is Effect.ONCE_ONLY and held.ran_at is not None
+        in_time = now + wait < held.last_send() - (host.route.usual if held.ran_at is None else 0)
+        allowed = held.submits < self.terms.max_submits and not once_ran and in_time
+        if allowed and host.dest.tokens >= TOKEN:
+            host.dest.tokens -= TOKEN
+            held.due = now + wait
+            heapq.heappush(self.expiries, (self._expiry(held), held.text.id))
+        else:
+            self._end(now, held)
+
+    # What is wanted.
+
+    def _plan(self, now: int) -> None:
+        """Set the wanted state: for each destination in the order of what is at stake, its best texts out."""
+        queue = []
+        for number, dest in self.dests.items():
+            if dest.held and (best := self._ready(now, dest)):
+                queue.append((self._rank(now, best[0]), number, best))
+        heapq.heapify(queue)
+        while queue and self.slots_used < self.terms.slots:
+            _, number, ready = heapq.heappop(queue)
+            ready = self._fill_call(now, self.dests[number], ready)
+            if ready:
+                heapq.heappush(queue, (self._rank(now, ready[0]), number, ready))
+        if self.terms.may_probe:
+            self.probes = [host for dest in self.dests.values() if dest.held for host in dest.hosts
+                           if host.sick and not host.probed and not host.probing and host.trial_at <= now
+                           and host.route.wait_until <= now and host.listing is Listing.READY and not host.out]
+
+    def _ready(self, now: int, dest: Destination) -> list[Held]:
+        """The held texts of a destination whose turn and time have come, the best first."""
+        if not any(self._host_open(now, host) for host in dest.hosts):
+            return []
+        ready = [held for held in dest.held.values()
+                 if held.call is None and held.verdict is None and held.due <= now and self._has_turn(now, held)]
+        ready.sort(key=lambda held: self._rank(now, held))
+        return ready
+
+    def _rank(self, now: int, held: Held) -> tuple:
+        """Texts that can still make their SLA time go first, the nearest before the others."""
+        late = now + USUAL_AT_FIRST > held.sla_at
+        return (late, held.sla_at, held.text.id)
+
+    def _fill_call(self, now: int, dest: Destination, ready: list[Held]) -> list[Held]:
+        """Choose a host for the best text and fill its call; return the texts still to be placed."""
+        while ready:
+            host = self._choose(now, dest, ready[0])
+            if host is not None:
+                break
+            ready = ready[1:]
+        if not ready:
+            return []
+        call, most, rest = Call(host, now), self.terms.kinds[host.kind].texts_per_call, []
+        for held in ready:
+            if call.texts < most and self._gate(now, held, host):
+                held.call, held.wanted = call, host
+                call.texts += 1
+                self.changed.append(held)
+            else:
+                rest.append(held)
+        self._occupy(now, call)
+        return rest
+
+    def _choose(self, now: int, dest: Destination, held: Held) -> Host | None:
+        """Two hosts drawn at random, the one that this relay's own counts favour."""
+        able = [host for host in dest.hosts if self._gate(now, held, host) and self._host_open(now, host)]
+        if not able:
+            return None
+        first = able.pop(self.chance.below(len(able)))
+        if not able:
+            return first
+        second = able[self.chance.below(len(able))]
+        return min(first, second, key=self._favour)
+
+    def _favour(self, host: Host) -> tuple:
+        fees = self.terms.zone_fees
+        fee = fees[host.zone] if host.zone < len(fees) and self.terms.kinds[host.kind].routes_apart else 0.0
+        return (len(host.out), fee, host.failing)
+
+    def _gate(self, now: int, held: Held, host: Host) -> bool:
+        """The rules, for every send: no text twice out, no effect twice, drains, waits and order kept."""
+        if held.verdict is not None or held.call is not None or held.submits >= self.terms.max_submits:
+            return False
+        if host.listing is not Listing.READY or host.route.wait_until > now:
+            return False
+        if held.ran_at is not None and held.row.effect is not Effect.RESENDABLE:
+            if held.row.effect is Effect.ONCE_ONLY or now >= held.last_send():
+                return False
+            if not held.row.repeats_anywhere and host.zone != held.zone:
+                return False
+        if host.sick and held.row.effect is Effect.ONCE_ONLY and not host.probed and self._other_trial(now, host):
+            return False
+        return self._has_turn(now, held)
+
+    def _other_trial(self, now: int, host: Host) -> bool:
+        """Whether a text that may be repeated can make the trial in place of a once-only one."""
+        return any(held.row.effect is not Effect.ONCE_ONLY for held in host.dest.held.values())
+
+    def _has_turn(self, now: int, held: Held) -> bool:
+        """A product in order: only the first text of its key, and after the key's rest."""
+        if not held.row.in_order or not held.text.key:
+            return True
+        if self.lines[held.text.key][0] != held.text.id:
+            return False
+        return held.submits > 0 or self.rests.get(held.text.key, 0) <= now
+
+    def _host_open(self, now: int, host: Host) -> bool:
+        """Whether the host takes one more call of this relay now: slots, window, pace, health, warm-up."""
+        route, dest, slots = host.route, host.dest, self.terms.slots
+        if host.listing is not Listing.READY or route.wait_until > now or self.slots_used >= slots:
+            return False
+        cap = self._window_cap(host)
+        if dest.calls >= cap or route.calls >= min(cap, route.window):
+            return False
+        if host.sick:
+            if host.trial_at > now or host.out or (self.terms.may_probe and not host.probed):
+                return False
+            return not any(other.sick and other.out for other in route.hosts)
+        if host.suspect(now):
+            return False
+        if route.limit:
+            route.refill(now)
+            if route.credit < 1.0:
+                return False
+        return host.back_at is None or self._warm_credit(now, host) >= 1.0
+
+    def _window_cap(self, host: Host) -> int:
+        """Three quarters of the slots for a healthy destination, half otherwise; one at the least."""
+        slots = self.terms.slots
+        unwell = any(each.sick or each.back_at is not None for each in host.dest.hosts)
+        return max(1, slots // 2 if unwell else slots * 3 // 4)
+
+    def _warm_credit(self, now: int, host: Host) -> float:
+        """What a host back from an outage can bear from this relay, if all relays send their part.
+
+        Guards against pushing over a returning destination; after the cold time it ends.
+        """
+        terms, since = self.terms, now - host.back_at
+        if since >= terms.cold_time:
+            host.back_at = None
+            self.log.append(f"host {host.id.hex()} warm after {since // SECOND} s")
+            return 1.0
+        share = terms.cold_share + (1 - terms.cold_share) * since / terms.cold_time
+        whole = host.route.limit / max(1, len(host.route.hosts)) or 1.0
+        rate = whole * share * terms.fall_multiple * WARM_MARGIN / terms.relays
+        host.warm_credit = min(1.0, host.warm_credit + rate * (now - host.warm_at) / SECOND)
+        host.warm_at = now
+        return host.warm_credit
+
+    # What is given up.
+
+    def _expiry(self, held: Held) -> int:
+        """When a held text can no longer be sent in time."""
+        return held.last_send() - 100 * MS
+
+    def _expire(self, now: int) -> None:
+        """End held texts that can no longer be delivered or repeated."""
+        while self.expiries and self.expiries[0][0] <= now:
+            held = self.texts.get(heapq.heappop(self.expiries)[1])
+            if held is not None and held.call is None and held.verdict is None and self._expiry(held) <= now:
+                self._end(now, held)
+
+    def _make_room(self, now: int) -> None:
+        """Nearly full: nack the held texts with the least at stake, so that others are not turned away."""
+        over = len(self.texts) - int(self.terms.max_texts * ROOM_LEFT)
+        if over <= 0:
+            return
+        idle = [h for h in self.texts.values() if h.call is None and h.verdict is None and h.may_nack()]
+        idle.sort(key=lambda held: self._rank(now, held), reverse=True)
+        for held in idle[:over]:
+            self._end(now, held)
+
+    def _end(self, now: int, held: Held) -> None:
+        """The final answer: a nack with advice where coming again is harmless, else undeliverable."""
+        if held.may_nack():
+            advice = self.terms.max_advice if self.terms.advice_heard else 0
+            held.verdict = Nack(held.text.id, advice)
+        else:
+            held.verdict = Undeliverable(held.text.id)
+        self.changed.append(held)
+
+    # What is done.
+
+    def _emit(self, now: int) -> list[Action]:
+        """The difference between the wanted and the present state, as actions."""
+        actions: list[Action] = []
+        for held in self.changed:
+            if held.verdict is not None:
+                actions.append(held.verdict)
+                self._forget(held)
+            elif held.wanted is not None:
+                left = held.text.valid_until - now
+                actions.append(Submit(held.text.id, held.wanted.id, min(TIME_OUT, left)))
+                held.submits, held.wanted = held.submits + 1, None
+        for host in self.probes:
+            host.probing = True
+            actions.append(Probe(host.id))
+        actions += [LogLine(line) for line in self.log]
+        if not self.timer_set:
+            self.timer_set = True
+            actions.append(Wake(PERIOD))
+        self.changed, self.probes, self.log = [], [], []
+        return actions
+
+    # Small change.
+
+    def _dest(self, number: int) -> Destination:
+        if number not in self.dests:
+            self.dests[number] = Destination()
+        return self.dests[number]
+
+    def _add_host(self, entry: HostEntry) -> Host:
+        dest, window = self._dest(entry.destination), max(1, self.terms.slots // 2)
+        if self.terms.kinds[entry.kind].routes_apart:
+            route = Route(window)
+        else:
+            route = dest.shared = dest.shared or Route(window)
+        host = self.hosts[entry.host] = Host(entry, dest, route)
+        dest.hosts.append(host)
+        return host
+
+    def _jitter(self, submits: int) -> int:
+        """Full jitter under a capped, doubling ceiling."""
+        return self.chance.below(min(CAP, BASE << min(submits - 1, 20)) + 1)
+
+    def _occupy(self, now: int, call: Call) -> None:
+        host = call.host
+        host.out.append(call)
+        host.route.calls += 1
+        host.dest.calls += 1
+        self.slots_used += 1
+        host.route.credit -= 1.0
+        host.warm_credit -= 1.0
+
+    def _release(self, call: Call) -> None:
+        call.texts -= 1
+        if call.texts == 0:
+            call.host.out.remove(call)
+            call.host.route.calls -= 1
+            call.host.dest.calls -= 1
+            self.slots_used -= 1
+
+    def _forget(self, held: Held) -> None:
+        """A text is finished."""
+        text = held.text
+        self.texts.pop(text.id, None)
+        self._dest(text.destination).held.pop(text.id, None)
+        if held.row.in_order and text.key and text.key in self.lines:
+            line = self.lines[text.key]
+            if text.id in line:
+                line.remove(text.id)
+            if not line:
+                del self.lines[text.key]
