Limit pacing: slower growth shared over the relays, false outages from refusals fewer

Pace recovers by a tenth of (own pace + fair share) a second, is cut to 0.6; refusals are an outage only after 3 s and five of them, or a told wait of over 3 s.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -33,9 +33,9 @@
 USUAL_AT_FIRST = 400 * MS
 SICK_SHARE, FAIL_STEP = 0.5, 0.3  # a host is sick when its smoothed share of failures passes this
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
-REFUSED_TOO_LONG = 2200 * MS  # refusals without one success for so long are an outage, not a limit
+REFUSED_TOO_LONG, REFUSED_OFTEN = 3 * SECOND, 5  # refusals alone for so long and so often are an outage
 WARM_MARGIN = 0.7  # part of what a cold host can bear that this relay uses
-PACE_CUT, PACE_GROWTH, PACE_REST, PACE_BURST = 0.75, 0.15, 300 * MS, 0.4
+PACE_CUT, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.1, 300 * MS, 0.4
 ROOM_LEFT = 0.92  # share of the room from which held texts are nacked
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
@@ -91,7 +91,7 @@
     """Hosts that share one limit: a whole destination, or one host where routes are apart."""
 
     __slots__ = ("hosts", "window", "halved_at", "usual", "seen", "recent", "limit", "pace", "credit", "credit_at",
-                 "cut_at", "wait_until", "refused_since", "calls")
+                 "cut_at", "wait_until", "refused_since", "refusals", "calls")
 
     def __init__(self, window: int) -> None:
         self.hosts: list[Host] = []
@@ -100,12 +100,12 @@
         self.recent: deque[int] = deque(maxlen=RECENT_CALLS)
         self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
         self.credit, self.credit_at, self.cut_at = 1.0, 0, 0
-        self.wait_until, self.refused_since = 0, None
+        self.wait_until, self.refused_since, self.refusals = 0, None, 0
 
-    def refill(self, now: int) -> None:
+    def refill(self, now: int, relays: int) -> None:
         """Let the pace recover and its credit grow."""
         passed, self.credit_at = (now - self.credit_at) / SECOND, now
-        self.pace = min(self.limit, self.pace + PACE_GROWTH * self.limit * passed)
+        self.pace = min(self.limit, self.pace + PACE_GROWTH * (self.pace + self.limit / relays) * passed)
         self.credit = min(max(1.0, self.pace * PACE_BURST), self.credit + self.pace * passed)
 
     def learn_limit(self, rate: float) -> None:
@@ -271,7 +271,7 @@
             route.learn_limit(report.limit_rate)
         if result is Result.DELIVERED:
             host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
-            host.last_ok, route.refused_since = now, None
+            host.last_ok, route.refused_since, route.refusals = now, None, 0
             route.window = min(route.window + 1, self._window_cap(host))
             if route.learn_latency(report.took):
                 self._halve(now, route, call)
@@ -308,14 +308,16 @@
         route = host.route
         if route.refused_since is None:
             route.refused_since = call.sent
+        route.refusals += 1
         if route.limit and now - route.cut_at > PACE_REST:
-            route.refill(now)
+            route.refill(now, self.terms.relays)
             route.pace = max(route.pace * PACE_CUT, route.limit / (2 * self.terms.relays))
             route.cut_at = now
         route.credit = min(route.credit, 0.0)
         if host.sick:
             self._next_trial(now, host)
-        elif now - route.refused_since > REFUSED_TOO_LONG or told > REFUSED_TOO_LONG:
+        elif told > REFUSED_TOO_LONG or (route.refusals >= REFUSED_OFTEN
+                                         and now - route.refused_since > REFUSED_TOO_LONG):
             for each in route.hosts:
                 if not each.sick:
                     self._fall_sick(now, each, "refusals")
@@ -460,7 +462,7 @@
         if host.suspect(now):
             return False
         if route.limit:
-            route.refill(now)
+            route.refill(now, self.terms.relays)
             if route.credit < 1.0:
                 return False
         return host.back_at is None or self._warm_credit(now, host) >= 1.0
