Refusals keep the least pace instead of trials; trials are spaced by the limit

Refusals alone for 3 s now mark a route shut only if its told limit is not used up; the pace goes on at its least, a quarter of the fair share, and the first delivery starts the warm-up. Trials of all relays take 0.4 of a limit. Probes only where calls went unanswered. Might hurt: a small destination's return is noticed up to 4 s later.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -33,9 +33,12 @@
 USUAL_AT_FIRST = 400 * MS
 SICK_SHARE, FAIL_STEP = 0.5, 0.3  # a host is sick when its smoothed share of failures passes this
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
+LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 REFUSED_TOO_LONG, REFUSED_OFTEN = 3 * SECOND, 5  # refusals alone for so long and so often are an outage
 WARM_MARGIN = 0.7  # part of what a cold host can bear that this relay uses
-PACE_CUT, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.1, 300 * MS, 0.4
+PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.25, 0.1, 300 * MS, 0.4
+TRIAL_LATEST = 4 * SECOND
+TRIAL_SHARE = 0.4  # part of a limit that the trials of all relays together may take
 ROOM_LEFT = 0.92  # share of the room from which held texts are nacked
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
@@ -91,7 +94,7 @@
     """Hosts that share one limit: a whole destination, or one host where routes are apart."""
 
     __slots__ = ("hosts", "window", "halved_at", "usual", "seen", "recent", "limit", "pace", "credit", "credit_at",
-                 "cut_at", "wait_until", "refused_since", "refusals", "calls")
+                 "cut_at", "wait_until", "refused_since", "refusals", "shut", "calls")
 
     def __init__(self, window: int) -> None:
         self.hosts: list[Host] = []
@@ -100,7 +103,7 @@
         self.recent: deque[int] = deque(maxlen=RECENT_CALLS)
         self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
         self.credit, self.credit_at, self.cut_at = 1.0, 0, 0
-        self.wait_until, self.refused_since, self.refusals = 0, None, 0
+        self.wait_until, self.refused_since, self.refusals, self.shut = 0, None, 0, False
 
     def refill(self, now: int, relays: int) -> None:
         """Let the pace recover and its credit grow."""
@@ -133,7 +136,7 @@
     """One host as this relay sees it."""
 
     __slots__ = ("id", "zone", "kind", "rate", "listing", "route", "dest", "out", "failing", "sick", "tries",
-                 "trial_at", "back_at", "warm_credit", "warm_at", "probing", "last_ok", "probed")
+                 "silent", "trial_at", "back_at", "warm_credit", "warm_at", "probing", "last_ok", "probed")
 
     def __init__(self, entry: HostEntry, dest: Destination, route: Route) -> None:
         self.id, self.zone, self.kind, self.rate = entry.host, entry.zone, entry.kind, entry.rate
@@ -142,7 +145,7 @@
         self.failing, self.sick, self.tries, self.trial_at = 0.0, False, 0, 0
         self.back_at: int | None = None
         self.warm_credit, self.warm_at, self.last_ok = 0.0, 0, -1
-        self.probing = self.probed = False
+        self.probing = self.probed = self.silent = False
 
     def suspect(self, now: int) -> bool:
         """A call is overdue, none has succeeded since it was sent, and the newest is not overdue yet.
@@ -280,7 +283,7 @@
             if report.told_wait:
                 route.wait_until = max(route.wait_until, now + report.told_wait)
             if counts:
-                self._refused(now, host, call, report.told_wait)
+                self._refused(now, host, call, report.told_wait, report.limit_left)
         elif result not in (Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
             self._failed(now, host, result)
@@ -292,8 +295,10 @@
 
     def _worked(self, now: int, host: Host) -> None:
         host.failing *= 1 - FAIL_STEP
-        if host.sick and (host.trial_at <= now or host.tries):
-            self._come_back(now, host)
+        back = host.route.hosts if host.route.shut else [host] if host.sick else []
+        for each in back:
+            self._come_back(now, each)
+        host.route.shut = False
 
     def _failed(self, now: int, host: Host, result: Result) -> None:
         """A call failed or went unanswered."""
@@ -301,9 +306,10 @@
         if host.sick:
             self._next_trial(now, host)
         elif host.failing > SICK_SHARE or host.back_at is not None:
+            host.silent = result is Result.TIMEOUT
             self._fall_sick(now, host, result.value)
 
-    def _refused(self, now: int, host: Host, call: Call, told: int) -> None:
+    def _refused(self, now: int, host: Host, call: Call, told: int, left: float | None) -> None:
         """A refusal lowers the pace; refusals alone for longer than any limit's span are an outage."""
         route = host.route
         if route.refused_since is None:
@@ -311,16 +317,23 @@
         route.refusals += 1
         if route.limit and now - route.cut_at > PACE_REST:
             route.refill(now, self.terms.relays)
-            route.pace = max(route.pace * PACE_CUT, route.limit / (2 * self.terms.relays))
+            route.pace = max(route.pace * PACE_CUT, route.limit * PACE_LEAST / self.terms.relays)
             route.cut_at = now
         route.credit = min(route.credit, 0.0)
         if host.sick:
             self._next_trial(now, host)
-        elif told > REFUSED_TOO_LONG or (route.refusals >= REFUSED_OFTEN
-                                         and now - route.refused_since > REFUSED_TOO_LONG):
-            for each in route.hosts:
-                if not each.sick:
-                    self._fall_sick(now, each, "refusals")
+        elif not route.shut and (told > REFUSED_TOO_LONG or self._refused_for_long(now, route, left)):
+            route.shut = True
+            self.log.append(f"host {host.id.hex()} shut: {route.refusals} refusals, told to wait {told // MS} ms")
+
+    def _refused_for_long(self, now: int, route: Route, left: float | None) -> bool:
+        """Refusals alone, for longer than a limit's span, and not because a told limit is used up.
+
+        The pace stays at its least meanwhile: no trials, since refused calls may use up the limit.
+        """
+        if left is not None and left < LIMIT_USED_UP:
+            return False
+        return route.refusals >= REFUSED_OFTEN and now - route.refused_since > REFUSED_TOO_LONG
 
     def _fall_sick(self, now: int, host: Host, cause: str) -> None:
         host.sick, host.tries, host.probed, host.back_at = True, 0, False, None
@@ -330,7 +343,9 @@
     def _next_trial(self, now: int, host: Host) -> None:
         """The next trial call comes after a wait of the design's kind, from a told wait's end on."""
         host.tries, host.probed = host.tries + 1, False
-        host.trial_at = max(now, host.route.wait_until) + 100 * MS + self._jitter(host.tries + 1)
+        spacing = int(SECOND * self.terms.relays / (host.route.limit * TRIAL_SHARE)) if host.route.limit else 0
+        wait = max(self._jitter(host.tries + 1), min(spacing, TRIAL_LATEST) * (50 + self.chance.below(100)) // 100)
+        host.trial_at = max(now, host.route.wait_until) + 100 * MS + wait
 
     def _come_back(self, now: int, host: Host) -> None:
         """A trial worked: the host is cold, and gets what it can bear."""
@@ -367,7 +382,7 @@
                 heapq.heappush(queue, (self._rank(now, ready[0]), number, ready))
         if self.terms.may_probe:
             self.probes = [host for dest in self.dests.values() if dest.held for host in dest.hosts
-                           if host.sick and not host.probed and not host.probing and host.trial_at <= now
+                           if host.sick and host.silent and not host.probed and not host.probing and host.trial_at <= now
                            and host.route.wait_until <= now and host.listing is Listing.READY and not host.out]
 
     def _ready(self, now: int, dest: Destination) -> list[Held]:
@@ -456,7 +471,7 @@
         if dest.calls >= cap or route.calls >= min(cap, route.window):
             return False
         if host.sick:
-            if host.trial_at > now or host.out or (self.terms.may_probe and not host.probed):
+            if host.trial_at > now or host.out or (self.terms.may_probe and host.silent and not host.probed):
                 return False
             return not any(other.sick and other.out for other in route.hosts)
         if host.suspect(now):
