Warm-up uses the whole of the fair share: a destination's capacity lies above its limit

Now all of it; the limit that the part is reckoned from lies under the capacity, which leaves room for rounding. Should also hold against: long backlogs after any outage. Might hurt: where a listed rate is far too high and nothing else tells the limit.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -17,7 +17,6 @@
 from __future__ import annotations
 
 import heapq
-import math
 from collections import deque
 
 from limelatch.interface import (Action, Effect, HostEntry, HostId, Listing, LogLine, Nack, Probe, ProbeReport,
@@ -36,8 +35,7 @@
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 REFUSED_TOO_LONG, REFUSED_OFTEN = 3 * SECOND, 5  # refusals alone for so long and so often are an outage
-WARM_MARGIN, LEAST_WARM = 0.85, 0.2  # part used of what a cold host can bear; calls a second at the least
-TAKEN_SPAN = 8 * SECOND  # over which the texts taken for a destination are counted
+WARM_MARGIN = 1.0  # part of what a cold host can bear that this relay uses
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.25, 0.1, 300 * MS, 0.4
 TRIAL_LATEST = 4 * SECOND
 TRIAL_SHARE = 0.4  # part of a limit that the trials of all relays together may take
@@ -164,20 +162,13 @@
 class Destination:
     """One outside receiver: its token bucket, its hosts, and the texts held for it."""
 
-    __slots__ = ("tokens", "held", "hosts", "calls", "shared", "taken", "taken_at")
+    __slots__ = ("tokens", "held", "hosts", "routes", "calls", "shared")
 
     def __init__(self) -> None:
         self.tokens, self.calls = BUCKET, 0
         self.held: dict[int, Held] = {}
         self.hosts: list[Host] = []
         self.shared: Route | None = None
-        self.taken, self.taken_at = 0.0, 0  # texts taken of late, as a smoothed rate a second
-
-    def rate_taken(self, now: int, more: int = 0) -> float:
-        """Texts a second that this relay takes for the destination, `more` of them just now."""
-        self.taken *= math.exp((self.taken_at - now) / TAKEN_SPAN)
-        self.taken, self.taken_at = self.taken + more * SECOND / TAKEN_SPAN, now
-        return self.taken
 
 
 class Policy:
@@ -220,9 +211,7 @@
     def text_taken(self, now: int, text: Text) -> None:
         """A client handed in a text; it is owed one final answer."""
         held = Held(text, self.terms.products[text.product])
-        dest = self._dest(text.destination)
-        self.texts[text.id] = dest.held[text.id] = held
-        dest.rate_taken(now, 1)
+        self.texts[text.id] = self._dest(text.destination).held[text.id] = held
         if held.row.in_order and text.key:
             self.lines.setdefault(text.key, deque()).append(text.id)
         heapq.heappush(self.expiries, (self._expiry(held), text.id))
@@ -510,10 +499,8 @@
             self.log.append(f"host {host.id.hex()} warm after {since // SECOND} s")
             return 1.0
         share = terms.cold_share + (1 - terms.cold_share) * since / terms.cold_time
-        own = host.dest.rate_taken(now) / max(1, len(host.dest.hosts))
-        fair = host.route.limit / max(1, len(host.route.hosts)) / terms.relays
-        part = (own + fair) / 2 if fair else own
-        rate = max(part, LEAST_WARM) * share * terms.fall_multiple * WARM_MARGIN
+        whole = host.route.limit / max(1, len(host.route.hosts)) or 1.0
+        rate = whole * share * terms.fall_multiple * WARM_MARGIN / terms.relays
         host.warm_credit = min(1.0, host.warm_credit + rate * (now - host.warm_at) / SECOND)
         host.warm_at = now
         return host.warm_credit
