--- a/limelatch/benchlink/wire.py
+++ b/limelatch/benchlink/wire.py
@@ -127,7 +127,7 @@
 def limit_report(body: bytes, at: int, count: int, fields: list[str]) -> tuple[float | None, float | None]:
     """Share of the limit left and the limit's rate, where a report tells them."""
     values = unpack(struct.Struct(f">{count}f"), body, at)
-    told = dict(zip(fields, values))
+    told = dict(zip(fields, values, strict=False))
     return told.get("x0"), told.get("x1")
 
 
@@ -163,8 +163,8 @@
         effect=EFFECTS.get(row.get("effect"), li.Effect.ONCE_ONLY),
         sla_time=to_units(row.get("onTime", 0)), validity_period=to_units(row.get("deadline", 0)),
         revenue=row.get("credit", 1.0), late_share=row.get("lateValue", 0.0), by_halves=by_halves,
-        repeat_window=to_units(row.get("dedupWindow") or 0), repeats_anywhere=row.get("group", "all") == "all",
-        in_order=bool(row.get("oneAtATime", False)))
+        repeat_window=to_units(row.get("dedupWindow") or 0),
+        repeats_anywhere=row.get("group", "all") == "all", in_order=bool(row.get("oneAtATime", False)))
 
 
 def terms_of(seed: int, settings: dict) -> li.Terms:
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -19,8 +19,8 @@
 import heapq
 from collections import deque
 
-from limelatch.interface import (Action, Effect, HostEntry, HostId, Listing, LogLine, Nack, Probe, ProbeReport,
-                                 Result, Submit, SubmitReport, Terms, Text, Undeliverable, Wake)
+from limelatch.interface import (Action, Effect, HostEntry, HostId, Listing, LogLine, Nack, Probe,
+                                 ProbeReport, Result, Submit, SubmitReport, Terms, Text, Undeliverable, Wake)
 
 MS = 10
 SECOND = 1000 * MS
@@ -35,7 +35,6 @@
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 REFUSED_TOO_LONG, REFUSED_OFTEN = 3 * SECOND, 5  # refusals alone for so long and so often are an outage
-WARM_MARGIN = 1.0  # part of what a cold host can bear that this relay uses
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.25, 0.1, 300 * MS, 0.4
 TRIAL_LATEST = 4 * SECOND
 TRIAL_SHARE = 0.4  # part of a limit that the trials of all relays together may take
@@ -58,8 +57,6 @@
 class Call:
     """One call out at a host: the texts that share it take one slot until all have their outcomes."""
 
-    __slots__ = ("host", "sent", "texts")
-
     def __init__(self, host: Host, sent: int) -> None:
         self.host, self.sent, self.texts = host, sent, 0
 
@@ -67,13 +64,11 @@
 class Held:
     """A text that this relay has taken and not finally answered."""
 
-    __slots__ = ("text", "row", "submits", "due", "call", "ran_at", "zone", "wanted", "verdict", "sla_at")
-
     def __init__(self, text: Text, row) -> None:
         self.text, self.row = text, row
-        self.submits, self.due, self.zone = 0, 0, None
+        self.submits, self.due = 0, 0
+        self.ran_at, self.zone = None, None  # when and where the first submit that may have run was sent
         self.call: Call | None = None
-        self.ran_at: int | None = None  # when the first submit that may have run was sent
         self.wanted: Host | None = None
         self.verdict: Action | None = None
         self.sla_at = text.valid_until - row.validity_period + row.sla_time
@@ -93,9 +88,6 @@
 class Route:
     """Hosts that share one limit: a whole destination, or one host where routes are apart."""
 
-    __slots__ = ("hosts", "window", "halved_at", "usual", "seen", "recent", "limit", "pace", "credit", "credit_at",
-                 "cut_at", "wait_until", "refused_since", "refusals", "shut", "calls")
-
     def __init__(self, window: int) -> None:
         self.hosts: list[Host] = []
         self.window, self.halved_at, self.calls = window, -1, 0
@@ -135,9 +127,6 @@
 class Host:
     """One host as this relay sees it."""
 
-    __slots__ = ("id", "zone", "kind", "rate", "listing", "route", "dest", "out", "failing", "sick", "tries",
-                 "silent", "trial_at", "back_at", "warm_credit", "warm_at", "probing", "last_ok", "probed")
-
     def __init__(self, entry: HostEntry, dest: Destination, route: Route) -> None:
         self.id, self.zone, self.kind, self.rate = entry.host, entry.zone, entry.kind, entry.rate
         self.listing, self.dest, self.route = entry.listing, dest, route
@@ -162,13 +151,10 @@
 class Destination:
     """One outside receiver: its token bucket, its hosts, and the texts held for it."""
 
-    __slots__ = ("tokens", "held", "hosts", "routes", "calls", "shared")
-
     def __init__(self) -> None:
-        self.tokens, self.calls = BUCKET, 0
+        self.tokens, self.calls, self.shared = BUCKET, 0, None
         self.held: dict[int, Held] = {}
         self.hosts: list[Host] = []
-        self.shared: Route | None = None
 
 
 class Policy:
@@ -196,15 +182,15 @@
             for host in self.hosts.values():
                 if host.id not in named:
                     host.listing = Listing.GONE
+        self.hosts = {key: h for key, h in self.hosts.items() if h.listing is not Listing.GONE or h.out}
         for entry in entries:
-            host = self.hosts.get(entry.host)
-            if host is None or host.dest is not self._dest(entry.destination):
-                host = self._add_host(entry)
+            host = self.hosts.get(entry.host) or self._add_host(entry)
             host.listing, host.rate = entry.listing, entry.rate
         for dest in self.dests.values():
-            dest.hosts = [host for host in dest.hosts if host.listing is not Listing.GONE]
+            dest.hosts = [host for host in self.hosts.values()
+                          if host.dest is dest and host.listing is not Listing.GONE]
             for host in dest.hosts:
-                host.route.hosts = [h for h in dest.hosts if h.route is host.route]
+                host.route.hosts = [other for other in dest.hosts if other.route is host.route]
                 if self.terms.rates_listed and not host.route.limit:
                     host.route.learn_limit(host.rate)
 
@@ -278,7 +264,10 @@
             route.window = min(route.window + 1, self._window_cap(host))
             if route.learn_latency(report.took):
                 self._halve(now, route, call)
-            self._worked(now, host)
+            host.failing *= 1 - FAIL_STEP
+            for each in route.hosts if route.shut else [host] if host.sick else []:
+                self._come_back(now, each)
+            route.shut = False
         elif result is Result.FULL:
             if report.told_wait:
                 route.wait_until = max(route.wait_until, now + report.told_wait)
@@ -293,13 +282,6 @@
         if call.sent > route.halved_at:
             route.window, route.halved_at = max(1, route.window // 2), now
 
-    def _worked(self, now: int, host: Host) -> None:
-        host.failing *= 1 - FAIL_STEP
-        back = host.route.hosts if host.route.shut else [host] if host.sick else []
-        for each in back:
-            self._come_back(now, each)
-        host.route.shut = False
-
     def _failed(self, now: int, host: Host, result: Result) -> None:
         """A call failed or went unanswered."""
         host.failing += (1 - host.failing) * FAIL_STEP
@@ -324,7 +306,7 @@
             self._next_trial(now, host)
         elif not route.shut and (told > REFUSED_TOO_LONG or self._refused_for_long(now, route, left)):
             route.shut = True
-            self.log.append(f"host {host.id.hex()} shut: {route.refusals} refusals, told to wait {told // MS} ms")
+            self.log.append(f"host {host.id.hex()} shut: {route.refusals} refusals, told {told // MS} ms")
 
     def _refused_for_long(self, now: int, route: Route, left: float | None) -> bool:
         """Refusals alone, for longer than a limit's span, and not because a told limit is used up.
@@ -338,13 +320,14 @@
     def _fall_sick(self, now: int, host: Host, cause: str) -> None:
         host.sick, host.tries, host.probed, host.back_at = True, 0, False, None
         self._next_trial(now, host)
-        self.log.append(f"host {host.id.hex()} sick: {cause}, failing {host.failing:.2f}, out {len(host.out)}")
+        self.log.append(f"host {host.id.hex()} sick: {cause}, failing {host.failing:.2f}")
 
     def _next_trial(self, now: int, host: Host) -> None:
         """The next trial call comes after a wait of the design's kind, from a told wait's end on."""
         host.tries, host.probed = host.tries + 1, False
-        spacing = int(SECOND * self.terms.relays / (host.route.limit * TRIAL_SHARE)) if host.route.limit else 0
-        wait = max(self._jitter(host.tries + 1), min(spacing, TRIAL_LATEST) * (50 + self.chance.below(100)) // 100)
+        limit = host.route.limit * TRIAL_SHARE
+        spacing = min(TRIAL_LATEST, int(SECOND * self.terms.relays / limit)) if limit else 0
+        wait = max(self._jitter(host.tries + 1), spacing * (50 + self.chance.below(100)) // 100)
         host.trial_at = max(now, host.route.wait_until) + 100 * MS + wait
 
     def _come_back(self, now: int, host: Host) -> None:
@@ -358,8 +341,7 @@
         wait = self._jitter(held.submits)
         once_ran = held.row.effect is Effect.ONCE_ONLY and held.ran_at is not None
         in_time = now + wait < held.last_send() - (host.route.usual if held.ran_at is None else 0)
-        allowed = held.submits < self.terms.max_submits and not once_ran and in_time
-        if allowed and host.dest.tokens >= TOKEN:
+        if held.submits < self.terms.max_submits and not once_ran and in_time and host.dest.tokens >= TOKEN:
             host.dest.tokens -= TOKEN
             held.due = now + wait
             heapq.heappush(self.expiries, (self._expiry(held), held.text.id))
@@ -381,33 +363,28 @@
             if ready:
                 heapq.heappush(queue, (self._rank(now, ready[0]), number, ready))
         if self.terms.may_probe:
-            self.probes = [host for dest in self.dests.values() if dest.held for host in dest.hosts
-                           if host.sick and host.silent and not host.probed and not host.probing and host.trial_at <= now
-                           and host.route.wait_until <= now and host.listing is Listing.READY and not host.out]
+            self.probes = [h for dest in self.dests.values() if dest.held for h in dest.hosts
+                           if h.sick and h.silent and not h.probed and not h.probing and not h.out
+                           and h.listing is Listing.READY and max(h.trial_at, h.route.wait_until) <= now]
 
     def _ready(self, now: int, dest: Destination) -> list[Held]:
         """The held texts of a destination whose turn and time have come, the best first."""
         if not any(self._host_open(now, host) for host in dest.hosts):
             return []
-        ready = [held for held in dest.held.values()
-                 if held.call is None and held.verdict is None and held.due <= now and self._has_turn(now, held)]
-        ready.sort(key=lambda held: self._rank(now, held))
-        return ready
+        ready = [held for held in dest.held.values() if held.call is None and held.verdict is None
+                 and held.due <= now and self._has_turn(now, held)]
+        return sorted(ready, key=lambda held: self._rank(now, held))
 
     def _rank(self, now: int, held: Held) -> tuple:
         """Texts that can still make their SLA time go first, the nearest before the others."""
-        late = now + USUAL_AT_FIRST > held.sla_at
-        return (late, held.sla_at, held.text.id)
+        return (now + USUAL_AT_FIRST > held.sla_at, held.sla_at, held.text.id)
 
     def _fill_call(self, now: int, dest: Destination, ready: list[Held]) -> list[Held]:
         """Choose a host for the best text and fill its call; return the texts still to be placed."""
-        while ready:
-            host = self._choose(now, dest, ready[0])
-            if host is not None:
-                break
+        while (host := self._choose(now, dest, ready[0])) is None:
             ready = ready[1:]
-        if not ready:
-            return []
+            if not ready:
+                return []
         call, most, rest = Call(host, now), self.terms.kinds[host.kind].texts_per_call, []
         for held in ready:
             if call.texts < most and self._gate(now, held, host):
@@ -422,13 +399,8 @@
     def _choose(self, now: int, dest: Destination, held: Held) -> Host | None:
         """Two hosts drawn at random, the one that this relay's own counts favour."""
         able = [host for host in dest.hosts if self._gate(now, held, host) and self._host_open(now, host)]
-        if not able:
-            return None
-        first = able.pop(self.chance.below(len(able)))
-        if not able:
-            return first
-        second = able[self.chance.below(len(able))]
-        return min(first, second, key=self._favour)
+        drawn = [able.pop(self.chance.below(len(able))) for _ in range(min(2, len(able)))]
+        return min(drawn, key=self._favour, default=None)
 
     def _favour(self, host: Host) -> tuple:
         fees = self.terms.zone_fees
@@ -446,14 +418,11 @@
                 return False
             if not held.row.repeats_anywhere and host.zone != held.zone:
                 return False
-        if host.sick and held.row.effect is Effect.ONCE_ONLY and not host.probed and self._other_trial(now, host):
-            return False
+        if host.sick and not host.probed and held.row.effect is Effect.ONCE_ONLY and any(
+                other.row.effect is not Effect.ONCE_ONLY for other in host.dest.held.values()):
+            return False  # a text that may be repeated makes the trial
         return self._has_turn(now, held)
 
-    def _other_trial(self, now: int, host: Host) -> bool:
-        """Whether a text that may be repeated can make the trial in place of a once-only one."""
-        return any(held.row.effect is not Effect.ONCE_ONLY for held in host.dest.held.values())
-
     def _has_turn(self, now: int, held: Held) -> bool:
         """A product in order: only the first text of its key, and after the key's rest."""
         if not held.row.in_order or not held.text.key:
@@ -500,7 +469,7 @@
             return 1.0
         share = terms.cold_share + (1 - terms.cold_share) * since / terms.cold_time
         whole = host.route.limit / max(1, len(host.route.hosts)) or 1.0
-        rate = whole * share * terms.fall_multiple * WARM_MARGIN / terms.relays
+        rate = whole * share * terms.fall_multiple / terms.relays
         host.warm_credit = min(1.0, host.warm_credit + rate * (now - host.warm_at) / SECOND)
         host.warm_at = now
         return host.warm_credit
@@ -530,11 +499,8 @@
 
     def _end(self, now: int, held: Held) -> None:
         """The final answer: a nack with advice where coming again is harmless, else undeliverable."""
-        if held.may_nack():
-            advice = self.terms.max_advice if self.terms.advice_heard else 0
-            held.verdict = Nack(held.text.id, advice)
-        else:
-            held.verdict = Undeliverable(held.text.id)
+        advice = self.terms.max_advice if self.terms.advice_heard else 0
+        held.verdict = Nack(held.text.id, advice) if held.may_nack() else Undeliverable(held.text.id)
         self.changed.append(held)
 
     # What is done.
@@ -569,13 +535,9 @@
 
     def _add_host(self, entry: HostEntry) -> Host:
         dest, window = self._dest(entry.destination), max(1, self.terms.slots // 2)
-        if self.terms.kinds[entry.kind].routes_apart:
-            route = Route(window)
-        else:
-            route = dest.shared = dest.shared or Route(window)
-        host = self.hosts[entry.host] = Host(entry, dest, route)
-        dest.hosts.append(host)
-        return host
+        route = Route(window) if self.terms.kinds[entry.kind].routes_apart else dest.shared or Route(window)
+        dest.shared = route
+        return self.hosts.setdefault(entry.host, Host(entry, dest, route))
 
     def _jitter(self, submits: int) -> int:
         """Full jitter under a capped, doubling ceiling."""
@@ -584,18 +546,17 @@
     def _occupy(self, now: int, call: Call) -> None:
         host = call.host
         host.out.append(call)
-        host.route.calls += 1
-        host.dest.calls += 1
+        for counted in (host.route, host.dest):
+            counted.calls += 1
         self.slots_used += 1
-        host.route.credit -= 1.0
-        host.warm_credit -= 1.0
+        host.route.credit, host.warm_credit = host.route.credit - 1.0, host.warm_credit - 1.0
 
     def _release(self, call: Call) -> None:
         call.texts -= 1
         if call.texts == 0:
             call.host.out.remove(call)
-            call.host.route.calls -= 1
-            call.host.dest.calls -= 1
+            for counted in (call.host.route, call.host.dest):
+                counted.calls -= 1
             self.slots_used -= 1
 
     def _forget(self, held: Held) -> None:
@@ -603,9 +564,7 @@
         text = held.text
         self.texts.pop(text.id, None)
         self._dest(text.destination).held.pop(text.id, None)
-        if held.row.in_order and text.key and text.key in self.lines:
-            line = self.lines[text.key]
-            if text.id in line:
-                line.remove(text.id)
-            if not line:
+        if held.row.in_order and text.key:
+            self.lines[text.key].remove(text.id)
+            if not self.lines[text.key]:
                 del self.lines[text.key]
--- /dev/null
+++ b/tests/test_mechanisms.py
@@ -0,0 +1,108 @@
+"""What stands beside the design: health, pacing, order of held texts, room."""
+
+from conftest import CHARGE, HOST, NOTICE, NOW, REPORT, S
+
+from limelatch.interface import LogLine, Nack, Probe, ProbeReport, Result
+from limelatch.policy import REFUSED_OFTEN, REFUSED_TOO_LONG
+
+
+def sick(relay, cause=Result.CONNECT):
+    for _ in range(2):
+        relay.out(relay.take(REPORT), cause)
+        for held in relay.policy.texts.values():
+            held.due = NOW + 100 * S
+    return relay.host()
+
+
+def test_two_failures_make_a_host_sick_and_it_gets_one_trial(relay):
+    host = sick(relay)
+    assert host.sick and "sick: connect" in relay.decide(LogLine)[0].line
+    texts = {relay.take(REPORT) for _ in range(3)}
+    assert relay.sent(NOW) == {}
+    assert len(texts & set(relay.sent(host.trial_at))) == 1
+
+
+def test_a_trial_that_works_starts_the_warm_up(relay):
+    host = sick(relay)
+    relay.out(relay.take(REPORT), Result.DELIVERED, host.trial_at, over=True)
+    assert not host.sick and host.back_at is not None
+
+
+def test_a_once_only_text_is_no_trial_while_another_can_be(relay):
+    host = sick(relay)
+    relay.take(CHARGE)
+    text = relay.take(REPORT, now=NOW + 1)
+    assert relay.sent(host.trial_at) == {text: HOST}
+
+
+def test_silence_is_probed_before_a_text_is_risked(relay):
+    relay.policy.terms.may_probe = True
+    host = sick(relay, Result.TIMEOUT)
+    text = relay.take(REPORT)
+    assert relay.sent(host.trial_at) == {} and host.probing
+    relay.policy.probe_ended(host.trial_at, ProbeReport(HOST, Result.DELIVERED))
+    assert list(relay.sent(host.trial_at)) == [text]
+
+
+def test_refused_connections_are_not_probed(relay):
+    relay.policy.terms.may_probe = True
+    host = sick(relay)
+    assert relay.decide(Probe, host.trial_at) == []
+
+
+def test_an_overdue_call_holds_back_further_texts(relay):
+    relay.out(relay.take(REPORT))
+    second = relay.take(REPORT)
+    assert relay.host().suspect(NOW + 2 * S) is False or relay.sent(NOW + 2 * S) == {}
+    relay.host().out[0].sent = NOW - 2 * S
+    relay.host().out.append(relay.host().out[0].__class__(relay.host(), NOW))
+    assert relay.host().suspect(NOW) and second not in relay.sent(NOW)
+
+
+def test_refusals_cut_the_pace_but_are_no_outage_while_a_told_limit_is_used_up(relay):
+    route = relay.host().route
+    route.learn_limit(4.0)
+    route.refused_since, route.refusals = NOW - REFUSED_TOO_LONG - 1, REFUSED_OFTEN
+    relay.out(relay.take(REPORT), Result.FULL, limit_left=0.0)
+    assert route.pace < 4.0 and not route.shut
+
+
+def test_refusals_alone_for_long_are_an_outage_and_end_in_a_warm_up(relay):
+    route = relay.host().route
+    route.refused_since, route.refusals = NOW - REFUSED_TOO_LONG - 1, REFUSED_OFTEN
+    relay.out(relay.take(REPORT), Result.FULL)
+    assert route.shut
+    relay.out(relay.take(REPORT), Result.DELIVERED, NOW + S, over=True)
+    assert not route.shut and relay.host().back_at == NOW + S
+
+
+def test_trials_are_spaced_by_the_limit(relay):
+    """Trials of several relays once used up a small limit for good, as refused calls counted."""
+    host = relay.host()
+    host.route.learn_limit(3.0)
+    relay.policy._next_trial(NOW, host)
+    assert host.trial_at - NOW >= S
+
+
+def test_pace_is_spent_and_comes_back(relay):
+    route = relay.host().route
+    route.learn_limit(5.0)
+    route.credit, route.credit_at = 0.0, NOW
+    text = relay.take(REPORT)
+    assert relay.sent(NOW) == {}
+    assert relay.sent(NOW + S // 2) == {text: HOST}
+
+
+def test_a_text_that_can_make_its_sla_time_goes_before_a_late_one(relay):
+    late = relay.take(NOTICE, valid=15 * S)
+    fresh = relay.take(NOTICE)
+    relay.host().route.window = 1
+    assert relay.sent() == {fresh: HOST} and late in relay.policy.texts
+
+
+def test_a_nearly_full_relay_nacks_what_is_least_at_stake(relay):
+    relay.host().sick, relay.host().trial_at = True, NOW + 100 * S
+    late = relay.take(REPORT, valid=5 * S)
+    for _ in range(46):
+        relay.take(REPORT)
+    assert relay.decide(Nack) == [Nack(late, 2 * S)]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,122 @@
+"""The six rules, each where it could break."""
+
+import pytest
+from conftest import CHARGE, FAILURES, HOST, NOW, REPORT, ROUTE, TWIN, S
+
+from limelatch.interface import Listing, Nack, Result, Submit, Undeliverable
+
+
+def test_a_text_that_expires_is_answered_once(relay):
+    relay.list(HOST, listing=Listing.DRAINING)
+    text = relay.take(valid=5 * S)
+    assert relay.decide((Nack, Undeliverable), NOW + 5 * S) == [Nack(text, 2 * S)]
+    assert relay.decide((Nack, Undeliverable, Submit), NOW + 6 * S) == []
+
+
+def test_the_time_out_is_cut_to_the_time_left(relay):
+    relay.take(valid=1 * S)
+    assert relay.decide(Submit)[0].time_out == 1 * S
+
+
+@pytest.mark.parametrize("result", FAILURES)
+def test_once_only_that_may_have_run_is_neither_sent_nor_nacked(relay, result):
+    text = relay.take(CHARGE)
+    relay.out(text, result)
+    assert relay.decide((Nack, Undeliverable)) == [Undeliverable(text)]
+
+
+@pytest.mark.parametrize("result", [Result.FULL, Result.CONNECT])
+def test_once_only_that_never_ran_goes_again(relay, result):
+    text = relay.take(CHARGE)
+    relay.out(text, result)
+    assert relay.sent(NOW + S) == {text: HOST}
+
+
+def test_referenced_repeats_in_its_zone_and_window_only(relay):
+    relay.list(TWIN, zone=1)
+    text = relay.take()
+    first = relay.out(text, Result.TIMEOUT, NOW)
+    relay.held(text).due = NOW
+    other = TWIN if first == HOST else HOST
+    assert not relay.policy._gate(NOW + S, relay.held(text), relay.host(other))
+    assert relay.policy._gate(NOW + S, relay.held(text), relay.host(first))
+    assert not relay.policy._gate(NOW + 10 * S, relay.held(text), relay.host(first))
+
+
+def test_a_refusal_after_a_time_out_counts_as_one(relay):
+    text = relay.take()
+    relay.out(text, Result.TIMEOUT)
+    relay.held(text).due = NOW
+    relay.host().failing = 0.0
+    relay.out(text, Result.FULL, NOW + S // 2)
+    assert relay.held(text).ran_at == NOW and not relay.held(text).may_nack()
+
+
+def test_nothing_new_to_a_draining_or_missing_host(relay):
+    relay.list(HOST, listing=Listing.DRAINING)
+    text = relay.take()
+    assert relay.sent() == {}
+    relay.list(TWIN, whole=True)
+    assert relay.sent() == {text: TWIN}
+
+
+def test_a_host_listed_again_is_used_again(relay):
+    relay.list(HOST, listing=Listing.GONE)
+    relay.list(HOST)
+    text = relay.take()
+    assert relay.sent() == {text: HOST}
+
+
+def test_the_outcome_from_a_host_that_is_gone_still_counts(relay):
+    text = relay.take(CHARGE)
+    relay.out(text)
+    relay.list(TWIN, whole=True)
+    relay.list(TWIN)
+    relay.end(text, Result.TIMEOUT)
+    assert relay.decide(Undeliverable) == [Undeliverable(text)]
+
+
+def test_a_returning_host_gets_no_more_than_its_part(relay):
+    host = relay.host()
+    host.route.learn_limit(10.0)
+    host.back_at = host.warm_at = NOW
+    sent = 0
+    for step in range(100):  # two seconds of deciding every 20 ms with texts always held
+        relay.take(REPORT)
+        sent += len(relay.sent(NOW + step * 200))
+    assert 1 <= sent <= 10.0 * 2 * 2.5 * (0.2 + 0.8 * 2 / 12) / 3
+
+
+def test_the_warm_up_ends_after_the_cold_time(relay):
+    host = relay.host()
+    host.back_at = host.warm_at = NOW
+    relay.take()
+    assert len(relay.sent(NOW + 12 * S)) == 1 and host.back_at is None
+
+
+def test_texts_of_a_key_go_in_turn_and_rest_after_a_time_out(relay):
+    first, second = relay.take(CHARGE, key=5), relay.take(CHARGE, key=5)
+    relay.out(first, Result.TIMEOUT)
+    assert relay.sent(NOW) == {}
+    assert relay.sent(NOW + 3000) == {second: HOST}
+
+
+def test_another_key_does_not_wait(relay):
+    first, second = relay.take(CHARGE, key=5), relay.take(CHARGE, key=6)
+    assert set(relay.sent()) == {first, second}
+
+
+def test_a_told_wait_binds_the_whole_destination(relay):
+    relay.list(TWIN)
+    text = relay.take()
+    relay.out(text, Result.FULL, told_wait=2 * S)
+    relay.take(REPORT)
+    assert relay.sent(NOW + 2 * S - 1) == {}
+    assert relay.sent(NOW + 2 * S)
+
+
+def test_a_told_wait_binds_only_its_route_where_routes_are_apart(relay):
+    relay.list(ROUTE, TWIN, dest=2, kind=2)
+    relay.host(ROUTE).route.wait_until = NOW + S
+    text = relay.take(dest=2)
+    assert relay.sent() == {text: TWIN}
