Probes taken out: they did not earn their place

A shallow probe answers at a hung host too, and every probe is a call that a returning host counts. The wire still knows them; the module sends none.

--- a/limelatch/benchlink/__main__.py
+++ b/limelatch/benchlink/__main__.py
@@ -64,7 +64,7 @@
         elif event.code == wire.OUTCOME_CODE:
             policy.submit_ended(now, wire.read_outcome(event.body, relay.fields))
         elif event.code == wire.STATUS_BACK:
-            policy.probe_ended(now, wire.read_probe(event.body, relay.fields))
+            wire.read_probe(event.body, relay.fields)  # the module sends no probes
         elif event.code == wire.FIRED:
             policy.woken(now)
         elif event.code == wire.CLIENT_LEFT:
--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -78,7 +78,6 @@
     kinds: list[HostKind]
     zone_fees: list[float] = field(default_factory=list)
     customer_rates: list[float] = field(default_factory=list)
-    may_probe: bool = False
     second_copies: bool = False
     rates_listed: bool = False
     advice_heard: bool = True
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -1,7 +1,7 @@
 """limelatch's decisions: which host gets which text, when, and what a text's final answer is.
 
 How to call it: make one `Policy(terms, now)` a relay, tell it each event (`hosts_listed`, `text_taken`,
-`submit_ended`, `probe_ended`, `client_left`, `woken`), then call `decide(now)` once for the batch and carry
+`submit_ended`, `client_left`, `woken`), then call `decide(now)` once for the batch and carry
 out the actions it returns, in order. The interface is limelatch/interface.py; docs/design.md gives the
 reasons. Events only change what is known. `_plan` sets the wanted state, `_gate` checks the rules for
 every send, and `_emit` works out the difference to the present state.
@@ -19,8 +19,8 @@
 import heapq
 from collections import deque
 
-from limelatch.interface import (Action, Effect, HostEntry, HostId, Listing, LogLine, Nack, Probe,
-                                 ProbeReport, Result, Submit, SubmitReport, Terms, Text, Undeliverable, Wake)
+from limelatch.interface import (Action, Effect, HostEntry, HostId, Listing, LogLine, Nack, Result,
+                                 Submit, SubmitReport, Terms, Text, Undeliverable, Wake)
 
 MS = 10
 SECOND = 1000 * MS
@@ -134,7 +134,6 @@
         self.failing, self.sick, self.tries, self.trial_at = 0.0, False, 0, 0
         self.back_at: int | None = None
         self.warm_credit, self.warm_at, self.last_ok = 0.0, 0, -1
-        self.probing = self.probed = self.silent = False
 
     def suspect(self, now: int) -> bool:
         """A call is overdue, none has succeeded since it was sent, and the newest is not overdue yet.
@@ -170,7 +169,6 @@
         self.expiries: list[tuple[int, int]] = []
         self.slots_used, self.timer_set = 0, False
         self.changed: list[Held] = []
-        self.probes: list[Host] = []
         self.log: list[str] = []
 
     # What is told.
@@ -221,19 +219,6 @@
         else:
             self._repeat_or_end(now, host, held)
 
-    def probe_ended(self, now: int, report: ProbeReport) -> None:
-        """The outcome of a probe: a sick host that answers may be tried with a text."""
-        host = self.hosts.get(report.host)
-        if host is None:
-            return
-        host.probing = False
-        if report.limit_rate:
-            host.route.learn_limit(report.limit_rate)
-        if report.result is Result.DELIVERED:
-            host.probed, host.trial_at = True, now
-        else:
-            self._next_trial(now, host)
-
     def client_left(self, now: int, text: int) -> None:
         """Nobody wants the text any more; no answer is owed."""
         held = self.texts.get(text)
@@ -288,7 +273,6 @@
         if host.sick:
             self._next_trial(now, host)
         elif host.failing > SICK_SHARE or host.back_at is not None:
-            host.silent = result is Result.TIMEOUT
             self._fall_sick(now, host, result.value)
 
     def _refused(self, now: int, host: Host, call: Call, told: int, left: float | None) -> None:
@@ -318,13 +302,13 @@
         return route.refusals >= REFUSED_OFTEN and now - route.refused_since > REFUSED_TOO_LONG
 
     def _fall_sick(self, now: int, host: Host, cause: str) -> None:
-        host.sick, host.tries, host.probed, host.back_at = True, 0, False, None
+        host.sick, host.tries, host.back_at = True, 0, None
         self._next_trial(now, host)
         self.log.append(f"host {host.id.hex()} sick: {cause}, failing {host.failing:.2f}")
 
     def _next_trial(self, now: int, host: Host) -> None:
         """The next trial call comes after a wait of the design's kind, from a told wait's end on."""
-        host.tries, host.probed = host.tries + 1, False
+        host.tries += 1
         limit = host.route.limit * TRIAL_SHARE
         spacing = min(TRIAL_LATEST, int(SECOND * self.terms.relays / limit)) if limit else 0
         wait = max(self._jitter(host.tries + 1), spacing * (50 + self.chance.below(100)) // 100)
@@ -362,10 +346,6 @@
             ready = self._fill_call(now, self.dests[number], ready)
             if ready:
                 heapq.heappush(queue, (self._rank(now, ready[0]), number, ready))
-        if self.terms.may_probe:
-            self.probes = [h for dest in self.dests.values() if dest.held for h in dest.hosts
-                           if h.sick and h.silent and not h.probed and not h.probing and not h.out
-                           and h.listing is Listing.READY and max(h.trial_at, h.route.wait_until) <= now]
 
     def _ready(self, now: int, dest: Destination) -> list[Held]:
         """The held texts of a destination whose turn and time have come, the best first."""
@@ -418,7 +398,7 @@
                 return False
             if not held.row.repeats_anywhere and host.zone != held.zone:
                 return False
-        if host.sick and not host.probed and held.row.effect is Effect.ONCE_ONLY and any(
+        if host.sick and held.row.effect is Effect.ONCE_ONLY and any(
                 other.row.effect is not Effect.ONCE_ONLY for other in host.dest.held.values()):
             return False  # a text that may be repeated makes the trial
         return self._has_turn(now, held)
@@ -440,7 +420,7 @@
         if dest.calls >= cap or route.calls >= min(cap, route.window):
             return False
         if host.sick:
-            if host.trial_at > now or host.out or (self.terms.may_probe and host.silent and not host.probed):
+            if host.trial_at > now or host.out:
                 return False
             return not any(other.sick and other.out for other in route.hosts)
         if host.suspect(now):
@@ -516,14 +496,11 @@
                 left = held.text.valid_until - now
                 actions.append(Submit(held.text.id, held.wanted.id, min(TIME_OUT, left)))
                 held.submits, held.wanted = held.submits + 1, None
-        for host in self.probes:
-            host.probing = True
-            actions.append(Probe(host.id))
         actions += [LogLine(line) for line in self.log]
         if not self.timer_set:
             self.timer_set = True
             actions.append(Wake(PERIOD))
-        self.changed, self.probes, self.log = [], [], []
+        self.changed, self.log = [], []
         return actions
 
     # Small change.
