A client that leaves as its text is answered no longer ends the relay

Found by the drill of the wire: a text ended by the module and left by its client in one batch was taken out of its key's line twice. A test holds it.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -489,7 +489,7 @@
         """The difference between the wanted and the present state, as actions."""
         actions: list[Action] = []
         for held in self.changed:
-            if held.verdict is not None:
+            if held.verdict is not None and held.text.id in self.texts:
                 actions.append(held.verdict)
                 self._forget(held)
             elif held.wanted is not None:
@@ -537,9 +537,10 @@
             self.slots_used -= 1
 
     def _forget(self, held: Held) -> None:
-        """A text is finished."""
+        """A text is finished; a client may have left one that was answered in the same batch."""
         text = held.text
-        self.texts.pop(text.id, None)
+        if self.texts.pop(text.id, None) is None:
+            return
         self._dest(text.destination).held.pop(text.id, None)
         if held.row.in_order and text.key:
             self.lines[text.key].remove(text.id)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,6 +13,13 @@
     assert relay.decide((Nack, Undeliverable, Submit), NOW + 6 * S) == []
 
 
+def test_a_client_that_leaves_as_its_text_is_answered_is_not_answered_twice(relay):
+    text = relay.take(CHARGE, key=5)
+    relay.out(text, Result.TIMEOUT)
+    relay.policy.client_left(NOW, text)
+    assert relay.decide((Nack, Undeliverable)) == [] and relay.policy.lines == {}
+
+
 def test_the_time_out_is_cut_to_the_time_left(relay):
     relay.take(valid=1 * S)
     assert relay.decide(Submit)[0].time_out == 1 * S
