Late texts go by revenue left, then by the end of their validity period

Should also hold against: any backlog longer than an SLA time. Might hurt: where all late texts earn the same, old ones still go before fresher late ones.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -79,6 +79,13 @@
             return self.text.valid_until
         return min(self.text.valid_until, self.ran_at + self.row.repeat_window)
 
+    def revenue_left(self, now: int) -> float:
+        """The revenue of the text if it were delivered now."""
+        row, late = self.row, max(0, now - self.sla_at)
+        if row.by_halves:
+            return row.revenue * max(row.late_share, 0.5 ** (late / row.sla_time))
+        return row.revenue * (1 - (1 - row.late_share) * late / max(1, row.validity_period - row.sla_time))
+
     def may_nack(self) -> bool:
         """Whether coming again is harmless."""
         return self.ran_at is None or self.row.effect is Effect.RESENDABLE or (
@@ -356,8 +363,11 @@
         return sorted(ready, key=lambda held: self._rank(now, held))
 
     def _rank(self, now: int, held: Held) -> tuple:
-        """Texts that can still make their SLA time go first, the nearest before the others."""
-        return (now + USUAL_AT_FIRST > held.sla_at, held.sla_at, held.text.id)
+        """Texts that can still make their SLA time go first, the nearest before the others; then the late
+        ones, the most revenue left before the others."""
+        if now + USUAL_AT_FIRST <= held.sla_at:
+            return (0, held.sla_at, held.text.id)
+        return (1, -held.revenue_left(now), held.text.valid_until, held.text.id)
 
     def _fill_call(self, now: int, dest: Destination, ready: list[Held]) -> list[Held]:
         """Choose a host for the best text and fill its call; return the texts still to be placed."""
