Full connection tables told apart from outages; texts share calls under a pressed limit

No connection while other calls succeed now means: fewer calls at once for 8 s, idle connections closed. Should also hold against: restarts that open many connections at once; hot destinations. Might hurt: a crash is noticed up to 2 s later at a host that has just delivered.

--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -167,6 +167,13 @@
     host: HostId
 
 
+@dataclass(slots=True)
+class CloseIdle:
+    """Close the idle connections to a host."""
+
+    host: HostId
+
+
 @dataclass(slots=True)
 class Wake:
     """Call `decide` again after this time."""
@@ -181,4 +188,4 @@
     line: str
 
 
-Action = Submit | Nack | Undeliverable | Probe | Wake | LogLine
+Action = Submit | Nack | Undeliverable | Probe | CloseIdle | Wake | LogLine
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -19,8 +19,8 @@
 import heapq
 from collections import deque
 
-from limelatch.interface import (Action, Effect, HostEntry, HostId, Listing, LogLine, Nack, Result,
-                                 Submit, SubmitReport, Terms, Text, Undeliverable, Wake)
+from limelatch.interface import (Action, CloseIdle, Effect, HostEntry, HostId, Listing, LogLine, Nack,
+                                 Product, Result, Submit, SubmitReport, Terms, Text, Undeliverable, Wake)
 
 MS = 10
 SECOND = 1000 * MS
@@ -33,9 +33,11 @@
 USUAL_AT_FIRST = 400 * MS
 SICK_SHARE, FAIL_STEP = 0.5, 0.3  # a host is sick when its smoothed share of failures passes this
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
+CROWDED_LATEST, CROWDED_SPAN = 2 * SECOND, 8 * SECOND  # since a success; for which a host is taken as crowded
 LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 REFUSED_TOO_LONG, REFUSED_OFTEN = 3 * SECOND, 5  # refusals alone for so long and so often are an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.25, 0.1, 300 * MS, 0.4
+PRESSED, GATHER = 0.8, 300 * MS  # share of the limit below which texts wait this long to share a call
 TRIAL_LATEST = 4 * SECOND
 TRIAL_SHARE = 0.4  # part of a limit that the trials of all relays together may take
 ROOM_LEFT = 0.92  # share of the room from which held texts are nacked
@@ -64,9 +66,9 @@
 class Held:
     """A text that this relay has taken and not finally answered."""
 
-    def __init__(self, text: Text, row) -> None:
+    def __init__(self, text: Text, row: Product, now: int) -> None:
         self.text, self.row = text, row
-        self.submits, self.due = 0, 0
+        self.submits, self.due, self.taken_at = 0, 0, now
         self.ran_at, self.zone = None, None  # when and where the first submit that may have run was sent
         self.call: Call | None = None
         self.wanted: Host | None = None
@@ -140,7 +142,8 @@
         self.out: list[Call] = []
         self.failing, self.sick, self.tries, self.trial_at = 0.0, False, 0, 0
         self.back_at: int | None = None
-        self.warm_credit, self.warm_at, self.last_ok = 0.0, 0, -1
+        self.warm_credit, self.warm_at, self.last_ok = 0.0, 0, -CROWDED_SPAN
+        self.crowded_at, self.most_calls = -CROWDED_SPAN, 0  # when it had no connection left, and at how many
 
     def suspect(self, now: int) -> bool:
         """A call is overdue, none has succeeded since it was sent, and the newest is not overdue yet.
@@ -176,6 +179,7 @@
         self.expiries: list[tuple[int, int]] = []
         self.slots_used, self.timer_set = 0, False
         self.changed: list[Held] = []
+        self.closing: list[Host] = []
         self.log: list[str] = []
 
     # What is told.
@@ -201,7 +205,7 @@
 
     def text_taken(self, now: int, text: Text) -> None:
         """A client handed in a text; it is owed one final answer."""
-        held = Held(text, self.terms.products[text.product])
+        held = Held(text, self.terms.products[text.product], now)
         self.texts[text.id] = self._dest(text.destination).held[text.id] = held
         if held.row.in_order and text.key:
             self.lines.setdefault(text.key, deque()).append(text.id)
@@ -216,6 +220,8 @@
         self._release(call)
         first_of_call = call.texts == 0 or report.result is Result.DELIVERED
         self._learn(now, host, call, report, first_of_call)
+        if not host.out and now - host.crowded_at < CROWDED_SPAN:
+            self.closing.append(host)
         if report.result in MAY_HAVE_RUN:
             if held.ran_at is None:
                 held.ran_at, held.zone = call.sent, host.zone
@@ -265,6 +271,8 @@
                 route.wait_until = max(route.wait_until, now + report.told_wait)
             if counts:
                 self._refused(now, host, call, report.told_wait, report.limit_left)
+        elif result is Result.CONNECT and now - host.last_ok < CROWDED_LATEST:
+            self._crowded(now, host)
         elif result not in (Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
             self._failed(now, host, result)
@@ -282,6 +290,15 @@
         elif host.failing > SICK_SHARE or host.back_at is not None:
             self._fall_sick(now, host, result.value)
 
+    def _crowded(self, now: int, host: Host) -> None:
+        """No connection while other calls go through: the host holds all the connections that it takes.
+
+        Guards against reading a full table as an outage: fewer calls at once, and none kept idle.
+        """
+        if now - host.crowded_at > CROWDED_SPAN:
+            self.log.append(f"host {host.id.hex()} crowded: no connection with {len(host.out)} calls out")
+        host.crowded_at, host.most_calls = now, max(1, len(host.out))
+
     def _refused(self, now: int, host: Host, call: Call, told: int, left: float | None) -> None:
         """A refusal lowers the pace; refusals alone for longer than any limit's span are an outage."""
         route = host.route
@@ -376,6 +393,9 @@
             if not ready:
                 return []
         call, most, rest = Call(host, now), self.terms.kinds[host.kind].texts_per_call, []
+        pressed = host.route.pace < PRESSED * host.route.limit
+        if pressed and len(ready) < most and now - ready[0].taken_at < GATHER:
+            return []  # a limit counts calls: texts wait a little to share one
         for held in ready:
             if call.texts < most and self._gate(now, held, host):
                 held.call, held.wanted = call, host
@@ -433,7 +453,7 @@
             if host.trial_at > now or host.out:
                 return False
             return not any(other.sick and other.out for other in route.hosts)
-        if host.suspect(now):
+        if host.suspect(now) or (now - host.crowded_at < CROWDED_SPAN and len(host.out) >= host.most_calls):
             return False
         if route.limit:
             route.refill(now, self.terms.relays)
@@ -506,11 +526,12 @@
                 left = held.text.valid_until - now
                 actions.append(Submit(held.text.id, held.wanted.id, min(TIME_OUT, left)))
                 held.submits, held.wanted = held.submits + 1, None
+        actions += [CloseIdle(host.id) for host in self.closing if not host.out]
         actions += [LogLine(line) for line in self.log]
         if not self.timer_set:
             self.timer_set = True
             actions.append(Wake(PERIOD))
-        self.changed, self.log = [], []
+        self.changed, self.closing, self.log = [], [], []
         return actions
 
     # Small change.
