--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -36,7 +36,8 @@
 CROWDED_LATEST, CROWDED_SPAN = 2 * SECOND, 8 * SECOND  # since a success; for which a host is taken as crowded
 LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 REFUSED_TOO_LONG, REFUSED_OFTEN = 3 * SECOND, 5  # refusals alone for so long and so often are an outage
-PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.25, 0.1, 300 * MS, 0.4
+PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.25, 0.03, 300 * MS, 0.4
+PACE_STEP = 0.05  # growth of the pace a delivery, as a share of it
 PRESSED, GATHER = 0.8, 300 * MS  # share of the limit below which texts wait this long to share a call
 TRIAL_LATEST = 4 * SECOND
 TRIAL_SHARE = 0.4  # part of a limit that the trials of all relays together may take
@@ -259,6 +260,7 @@
         if result is Result.DELIVERED:
             host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
             host.last_ok, route.refused_since, route.refusals = now, None, 0
+            route.pace = min(route.limit, route.pace * (1 + PACE_STEP))
             route.window = min(route.window + 1, self._window_cap(host))
             if route.learn_latency(report.took):
                 self._halve(now, route, call)
