Fast resets after idleness are dead connections, not outages

Such a reset now counts against no host; idle connections older than those found dead are closed before a send, for 30 s after the last one. A test holds it. Should also hold against: load balancers and gateways that restart and forget connections. Might hurt: a handshake more a call, for 30 s, where resets after idleness have another cause.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -34,6 +34,7 @@
 SICK_SHARE, FAIL_STEP = 0.5, 0.3  # a host is sick when its smoothed share of failures passes this
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 CROWDED_LATEST, CROWDED_SPAN = 2 * SECOND, 8 * SECOND  # since a success; for which a host is taken as crowded
+STALE_LEAST, STALE_SPAN = 500 * MS, 30 * SECOND  # least idle time; how long dead connections are minded
 LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 REFUSED_TOO_LONG, REFUSED_OFTEN = 3 * SECOND, 5  # refusals alone for so long and so often are an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
@@ -62,6 +63,7 @@
 
     def __init__(self, host: Host, sent: int) -> None:
         self.host, self.sent, self.texts = host, sent, 0
+        self.idle = sent - host.used_at if host.used_at and not host.out else 0  # how long the host's connections had been idle
 
 
 class Held:
@@ -143,7 +145,7 @@
         self.out: list[Call] = []
         self.failing, self.sick, self.tries, self.trial_at = 0.0, False, 0, 0
         self.back_at: int | None = None
-        self.warm_credit, self.warm_at, self.last_ok = 0.0, 0, -CROWDED_SPAN
+        self.warm_credit, self.warm_at, self.last_ok, self.used_at = 0.0, 0, -CROWDED_SPAN, 0
         self.crowded_at, self.most_calls = -CROWDED_SPAN, 0  # when it had no connection left, and at how many
 
     def suspect(self, now: int) -> bool:
@@ -179,6 +181,7 @@
         self.rests: dict[int, int] = {}  # until when a key rests
         self.expiries: list[tuple[int, int]] = []
         self.slots_used, self.timer_set = 0, False
+        self.idle_most, self.stale_at = 0, 0  # how long idle connections live, and when one last proved dead
         self.changed: list[Held] = []
         self.closing: list[Host] = []
         self.log: list[str] = []
@@ -218,7 +221,7 @@
         if host is None or held is None or held.call is None:
             return
         call, held.call = held.call, None
-        self._release(call)
+        self._release(now, call)
         first_of_call = call.texts == 0 or report.result is Result.DELIVERED
         self._learn(now, host, call, report, first_of_call)
         if not host.out and now - host.crowded_at < CROWDED_SPAN:
@@ -275,6 +278,8 @@
                 self._refused(now, host, call, report.told_wait, report.limit_left)
         elif result is Result.CONNECT and now - host.last_ok < CROWDED_LATEST:
             self._crowded(now, host)
+        elif result is Result.RESET and report.took < route.usual // 2 and call.idle > STALE_LEAST:
+            self._stale(now, call)
         elif result not in (Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
             self._failed(now, host, result)
@@ -301,6 +306,16 @@
             self.log.append(f"host {host.id.hex()} crowded: no connection with {len(host.out)} calls out")
         host.crowded_at, host.most_calls = now, max(1, len(host.out))
 
+    def _stale(self, now: int, call: Call) -> None:
+        """A call reset at once on a connection that had been idle: the path drops idle connections.
+
+        Guards against reading that as an outage; older idle connections are closed before a send.
+        """
+        if now - self.stale_at > STALE_SPAN:
+            self.idle_most = call.idle
+            self.log.append(f"connections idle for {call.idle // MS} ms found dead")
+        self.idle_most, self.stale_at = max(STALE_LEAST, min(self.idle_most, call.idle * 3 // 4)), now
+
     def _refused(self, now: int, host: Host, call: Call, told: int, left: float | None) -> None:
         """A refusal lowers the pace; refusals alone for longer than any limit's span are an outage."""
         route = host.route
@@ -525,7 +540,9 @@
                 actions.append(held.verdict)
                 self._forget(held)
             elif held.wanted is not None:
-                left = held.text.valid_until - now
+                left, idle = held.text.valid_until - now, held.call.idle
+                if idle > self.idle_most and now - self.stale_at < STALE_SPAN:
+                    actions.append(CloseIdle(held.wanted.id))
                 actions.append(Submit(held.text.id, held.wanted.id, min(TIME_OUT, left)))
                 held.submits, held.wanted = held.submits + 1, None
         actions += [CloseIdle(host.id) for host in self.closing if not host.out]
@@ -561,10 +578,11 @@
         self.slots_used += 1
         host.route.credit, host.warm_credit = host.route.credit - 1.0, host.warm_credit - 1.0
 
-    def _release(self, call: Call) -> None:
+    def _release(self, now: int, call: Call) -> None:
         call.texts -= 1
         if call.texts == 0:
             call.host.out.remove(call)
+            call.host.used_at = now
             for counted in (call.host.route, call.host.dest):
                 counted.calls -= 1
             self.slots_used -= 1
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -2,7 +2,7 @@
 
 from conftest import CHARGE, HOST, NOTICE, NOW, REPORT, S
 
-from limelatch.interface import LogLine, Nack, Result
+from limelatch.interface import CloseIdle, LogLine, Nack, Result
 from limelatch.policy import REFUSED_OFTEN, REFUSED_TOO_LONG
 
 
@@ -44,6 +44,21 @@
     assert relay.host().suspect(NOW) and second not in relay.sent(NOW)
 
 
+def test_a_reset_after_idleness_is_a_dead_connection_and_no_outage(relay):
+    """A path that drops idle connections once looked like an outage of every host."""
+    relay.out(relay.take(REPORT), Result.DELIVERED, over=True)
+    relay.out(relay.take(REPORT), Result.RESET, NOW + 2 * S)
+    assert relay.host().failing == 0.0
+    relay.take(REPORT)
+    assert relay.decide(CloseIdle, NOW + 6 * S) == [CloseIdle(HOST)]
+
+
+def test_no_connection_while_others_go_through_is_a_full_table(relay):
+    relay.out(relay.take(REPORT), Result.DELIVERED, over=True)
+    relay.out(relay.take(REPORT), Result.CONNECT, NOW + S)
+    assert relay.host().failing == 0.0 and relay.decide(CloseIdle, NOW + S) == [CloseIdle(HOST)]
+
+
 def test_refusals_cut_the_pace_but_are_no_outage_while_a_told_limit_is_used_up(relay):
     route = relay.host().route
     route.learn_limit(4.0)
