Shorter time-outs for repeatable texts while slots are scarce

While over 0.75 of the slots are in use, a repeatable text waits four times the usual latency, 0.8 s at the least. Should also hold against: hangs, black holes and lossy paths at relays with few slots. Might hurt: a destination that slows while slots are scarce is repeated too early.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -42,6 +42,7 @@
 PRESSED, GATHER = 0.8, 300 * MS  # share of the limit below which texts wait this long to share a call
 TRIAL_LATEST = 4 * SECOND
 TRIAL_SHARE = 0.4  # part of a limit that the trials of all relays together may take
+SCARCE = 0.75  # share of the slots in use from which time-outs are shorter
 ROOM_LEFT = 0.92  # share of the room from which held texts are nacked
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
@@ -551,7 +552,7 @@
                 left, idle = held.text.valid_until - now, held.call.idle
                 if idle > self.idle_most and now - self.stale_at < STALE_SPAN:
                     actions.append(CloseIdle(held.wanted.id))
-                actions.append(Submit(held.text.id, held.wanted.id, min(TIME_OUT, left)))
+                actions.append(Submit(held.text.id, held.wanted.id, min(self._time_out(held), left)))
                 held.submits, held.wanted = held.submits + 1, None
         actions += [CloseIdle(host.id) for host in self.closing if not host.out]
         actions += [LogLine(line) for line in self.log]
@@ -561,6 +562,16 @@
         self.changed, self.closing, self.log = [], [], []
         return actions
 
+    def _time_out(self, held: Held) -> int:
+        """The design's time-out, or as long as an answer may be missing when slots are scarce.
+
+        Guards against lost answers holding most slots; not for once-only texts, which it would end.
+        """
+        scarce = self.slots_used > SCARCE * self.terms.slots
+        if not scarce or held.row.effect is Effect.ONCE_ONLY or held.wanted.route.seen < RECENT_CALLS:
+            return TIME_OUT
+        return min(TIME_OUT, held.wanted.patience())
+
     # Small change.
 
     def _dest(self, number: int) -> Destination:
