--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -42,7 +42,7 @@
 PRESSED, GATHER = 0.8, 300 * MS  # share of the limit below which texts wait this long to share a call
 TRIAL_LATEST = 4 * SECOND
 TRIAL_SHARE = 0.4  # part of a limit that the trials of all relays together may take
-SCARCE = 0.75  # share of the slots in use from which time-outs are shorter
+SCARCE = 0.9  # share of the slots in use from which time-outs are shorter
 ROOM_LEFT = 0.92  # share of the room from which held texts are nacked
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
