A warming host falls sick by its share of failures, not by a single one

Should also hold against: errors at a host's usual rate after any outage. Might hurt: an outage that returns in the warm-up is noticed a call later.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -280,7 +280,7 @@
         host.failing += (1 - host.failing) * step
         if host.sick:
             self._next_trial(now, host)
-        elif host.failing > SICK_SHARE or host.back_at is not None:
+        elif host.failing > SICK_SHARE:
             host.sick, host.tries, host.back_at = True, 0, None
             self._next_trial(now, host)
             self.log.append(f"host {host.id.hex()} sick: {result.value}, failing {host.failing:.2f}")
@@ -322,7 +322,7 @@
 
     def _come_back(self, now: int, host: Host) -> None:
         """A trial worked: the host is cold, and gets what it can bear."""
-        host.sick, host.back_at, host.failing = False, now, 0.0
+        host.sick, host.back_at, host.failing = False, now, FAIL_STEP / 2
         host.warm_credit, host.warm_at = 0.0, now
         self.log.append(f"host {host.id.hex()} back after {host.tries} trials, warming")
 
