--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -36,6 +36,7 @@
 LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 REFUSED_TOO_LONG, REFUSED_OFTEN = 3 * SECOND, 5  # refusals alone for so long and so often are an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
+PACE_LEAST_SHUT = 0.15  # of the even part, while a route seems shut
 PACE_STEP = 0.05  # growth of the pace by a delivery, as a share of it
 PRESSED, GATHER = 0.8, 300 * MS  # share of the limit below which texts wait this long to share a call
 TRIAL_SHARE, TRIAL_LATEST = 0.4, 4 * SECOND  # part of a limit for all relays' trials; longest wait
@@ -301,7 +302,8 @@
         route.refused_since, route.refusals = route.refused_since or call.sent, route.refusals + 1
         if route.limit and now - route.cut_at > PACE_REST:
             route.refill(now, self.terms.relays)
-            route.pace = max(route.pace * PACE_CUT, route.limit * PACE_LEAST / self.terms.relays)
+            least = PACE_LEAST_SHUT if route.shut else PACE_LEAST
+            route.pace = max(route.pace * PACE_CUT, route.limit * least / self.terms.relays)
             route.cut_at = now
         route.credit = min(route.credit, 0.0)
         if host.sick:
