--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -36,7 +36,6 @@
 LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 REFUSED_TOO_LONG, REFUSED_OFTEN = 3 * SECOND, 5  # refusals alone for so long and so often are an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
-PACE_TRICKLE = 0.1  # calls a second that a pace never falls below
 PACE_STEP = 0.05  # growth of the pace by a delivery, as a share of it
 PRESSED, GATHER = 0.8, 300 * MS  # share of the limit below which texts wait this long to share a call
 TRIAL_SHARE, TRIAL_LATEST = 0.4, 4 * SECOND  # part of a limit for all relays' trials; longest wait
@@ -115,8 +114,7 @@
     def refill(self, now: int, relays: int) -> None:
         """Let the pace recover and its credit grow."""
         passed, self.credit_at = (now - self.credit_at) / SECOND, now
-        growth = PACE_GROWTH * (self.pace + self.limit / relays) if self.refusals <= REFUSED_OFTEN else 0.0
-        self.pace = min(self.limit, self.pace + growth * passed)
+        self.pace = min(self.limit, self.pace + PACE_GROWTH * (self.pace + self.limit / relays) * passed)
         self.credit = min(max(1.0, self.pace * PACE_BURST), self.credit + self.pace * passed)
 
     def learn_limit(self, rate: float) -> None:
@@ -303,8 +301,7 @@
         route.refused_since, route.refusals = route.refused_since or call.sent, route.refusals + 1
         if route.limit and now - route.cut_at > PACE_REST:
             route.refill(now, self.terms.relays)
-            least = 0.0 if route.refusals > REFUSED_OFTEN else PACE_LEAST  # unanswered, it may fall further
-            route.pace = max(route.pace * PACE_CUT, route.limit * least / self.terms.relays, PACE_TRICKLE)
+            route.pace = max(route.pace * PACE_CUT, route.limit * PACE_LEAST / self.terms.relays)
             route.cut_at = now
         route.credit = min(route.credit, 0.0)
         if host.sick:
