--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -26,6 +26,7 @@
 # The design's figures; tokens are counted in tenths.
 BUCKET, REFILL, TOKEN = 200, 1, 10
 BASE, CAP, TIME_OUT = 200 * MS, 2 * SECOND, 9 * SECOND
+TOLD_JITTER = 150 * MS  # on top of a told wait, so that relays told the same do not return together
 RECENT_CALLS = 7  # calls whose median is held against the usual latency
 # Ours.
 PERIOD, USUAL_AT_FIRST = 20 * MS, 400 * MS  # of the one timer; latency taken as usual before any is known
@@ -258,7 +259,7 @@
             route.shut = False
         elif result is Result.FULL:
             if report.told_wait:
-                route.wait_until = max(route.wait_until, now + report.told_wait)
+                route.wait_until = max(route.wait_until, now + report.told_wait + self.chance.below(TOLD_JITTER))
             if counts:
                 self._refused(now, host, call, report.told_wait, report.limit_left)
         elif result is Result.CONNECT and now - host.last_ok < CROWDED_LATEST:
