--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -259,7 +259,8 @@
             route.shut = False
         elif result is Result.FULL:
             if report.told_wait:
-                route.wait_until = max(route.wait_until, now + report.told_wait + self.chance.below(TOLD_JITTER))
+                jitter = self.chance.below(TOLD_JITTER)
+                route.wait_until = max(route.wait_until, now + report.told_wait + jitter)
             if counts:
                 self._refused(now, host, call, report.told_wait, report.limit_left)
         elif result is Result.CONNECT and now - host.last_ok < CROWDED_LATEST:
