--- a/limelatch/benchlink/wire.py
+++ b/limelatch/benchlink/wire.py
@@ -180,8 +180,6 @@
         max_advice=to_units(limits.get("maxRetryAfter", 0)),
         products=[product_of(row, by_halves) for row in settings.get("classes") or []], kinds=kinds,
         zone_fees=list(info.get("carriage") or []),
-        customer_rates=[row.get("quotaPerS", 0.0) for row in settings.get("projects") or []],
-        second_copies=bool(limits.get("secondCopies", False)),
         rates_listed=settings.get("weightSource") in ("nominal", "rough"),
         advice_heard=bool(limits.get("retryAfter", False)),
         cold_share=rules.get("coldShare", 1.0), cold_time=to_units(rules.get("cold", 0)),
--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -77,8 +77,6 @@
     products: list[Product]
     kinds: list[HostKind]
     zone_fees: list[float] = field(default_factory=list)
-    customer_rates: list[float] = field(default_factory=list)
-    second_copies: bool = False
     rates_listed: bool = False
     advice_heard: bool = True
     cold_share: float = 1.0
