Connections kept where used within 6 s; kinds of host that lose calls or refuse connects: less

Covers full tables and dead connections of a kind, whatever drops them; might hurt where a kind's outage, not its table, refuses connects: a handshake more a call.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -29,20 +29,19 @@
 TOLD_JITTER = 150 * MS  # on top of a told wait, so that relays told the same do not return together
 RECENT_CALLS = 7  # calls whose median is held against the usual latency
 # Ours.
-PERIOD, NEVER = 20 * MS, 1 << 62  # the one timer's least wait; a time that only an event can bring
+PERIOD, LAST_MOMENT, NEVER = 20 * MS, 100 * MS, 1 << 62  # least wait of the timer; least time of a submit
 USUAL_AT_FIRST = 400 * MS  # latency taken as usual before any is known
 SICK_SHARE, FAIL_STEP, SILENT_STEP = 0.5, 0.3, 0.6  # smoothed share of failures of a sick host, and its steps
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 GOOD_LATELY = 2 * SECOND  # a delivery so short ago speaks against an outage
-KEEPERS, STALE_LEAST = 5, 500 * MS  # relays that fill no host's table by keeping connections; least idle time
-IDLE_MOST = 1 * SECOND  # with more relays, connections are kept only where calls follow each other faster
+KEEPERS = 5  # relays that fill no host's table; more keep connections only where calls follow faster than
+IDLE_MOST, STALE_LEAST = 6 * SECOND, 500 * MS  # this; less for kinds where connects fail or idle calls get lost
 LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 TOLD_SHUT = 3 * SECOND  # a longer told wait is an outage, unless the limit is used up
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
 PACE_STEP, FLOW_SPAN = 0.05, 5 * SECOND  # growth of the pace by a delivery; span of a relay's own rate
 TRIAL_PART = 0.7  # of what a cold destination bears, for the trials of all relays that know of its outage
 SEEN_BEFORE, RATE_AT_FIRST = 5 * SECOND, 2.0  # an outage is older than seen; a limit not yet known
-LAST_MOMENT = 100 * MS  # what a submit needs at the least
 SCARCE, ROOM_LEFT = 0.9, 0.92  # share of the slots for shorter time-outs, of the room for nacks of held texts
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
@@ -160,7 +159,8 @@
         self.rests: dict[int, int] = {}  # until when a key rests
         self.expiries: list[tuple[int, int]] = []
         self.slots_used, self.wake_at = 0, now
-        self.idle_most = IDLE_MOST if terms.relays > KEEPERS else NEVER  # for how long connections stay idle
+        # for how long connections to each kind of destination stay idle
+        self.idle_most = [IDLE_MOST if terms.relays > KEEPERS else NEVER] * len(terms.kinds)
         self.changed, self.closing, self.log = [], [], []  # texts to act on, hosts, lines
 
     def hosts_listed(self, now: int, entries: list[HostEntry], whole: bool) -> None:
@@ -204,7 +204,7 @@
         call, held.call = held.call, None
         self._release(now, call)
         self._learn(now, host, call, report, counts=call.texts == 0)
-        if not host.out and host.gap > self.idle_most:
+        if not host.out and host.gap > self.idle_most[host.kind]:
             host.kept = False
             self.closing.append(host)
         if report.result in MAY_HAVE_RUN:
@@ -233,6 +233,9 @@
         """Take an outcome into the bucket, the window, the pace and the host's health."""
         route, result = host.route, report.result
         route.learn_limit(report.limit_rate)
+        many = self.terms.relays > KEEPERS and result in (Result.CONNECT, Result.TIMEOUT)
+        if (many or result is Result.RESET) and (call.idle > STALE_LEAST or result is Result.CONNECT):
+            self.idle_most[host.kind] = min(self.idle_most[host.kind], max(STALE_LEAST, call.idle * 3 // 4))
         if result is Result.DELIVERED:
             host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
             host.last_ok = now
@@ -250,12 +253,9 @@
                 route.wait_until = max(route.wait_until, now + report.told_wait + self.chance.below(spread))
             if counts:
                 self._refused(now, host, report.told_wait, used_up)
-        elif result is Result.CONNECT and now - host.last_ok < GOOD_LATELY:
-            pass  # others hold its connections: no outage
-        elif result is Result.RESET and report.took < route.usual // 2 and call.idle > STALE_LEAST:
-            # the path drops idle connections: no outage, and from now on they are closed sooner
-            self.idle_most = max(STALE_LEAST, min(self.idle_most, call.idle * 3 // 4))
-            self.log.append(f"connection idle for {call.idle // MS} ms found dead")
+        elif (result is Result.CONNECT and now - host.last_ok < GOOD_LATELY
+              or result is Result.RESET and report.took < route.usual // 2 and call.idle > STALE_LEAST):
+            pass  # others hold its connections, or the path dropped an idle one: no outage
         elif result not in (Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
             good = host.last_ok > call.sent - (0 if result is Result.TIMEOUT else GOOD_LATELY)
@@ -488,7 +488,7 @@
                 self._forget(held)
             elif held.call is not None:
                 left = held.text.valid_until - now
-                if held.call.idle > self.idle_most:
+                if held.call.idle > self.idle_most[held.call.host.kind]:
                     held.call.idle = 0
                     actions.append(CloseIdle(held.call.host.id))
                 actions.append(Submit(held.text.id, held.call.host.id, min(self._time_out(held), left)))
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -67,12 +67,12 @@
     """A path that drops idle connections once looked like an outage of every host."""
     relay.out(relay.take(REPORT), Result.DELIVERED, over=True)
     relay.out(relay.take(REPORT), Result.RESET, NOW + 2 * S, took=100)
-    assert relay.host().failing == 0.0 and relay.policy.idle_most < 2 * S
+    assert relay.host().failing == 0.0 and relay.policy.idle_most[0] < 2 * S
 
 
 def test_many_relays_keep_no_connection_that_is_seldom_used(relay):
     """Hundreds of relays once filled a host's table with idle connections, and a call found none left."""
-    relay.policy.idle_most = IDLE_MOST
+    relay.policy.idle_most = [IDLE_MOST]
     relay.out(relay.take(REPORT), Result.DELIVERED, over=True)
     assert relay.decide(CloseIdle) == [CloseIdle(HOST)]
     relay.host().gap = 0
