Pace rises by the share of the limit that answers tell to be left; cuts weigh the even part less

A delivery now raises the pace by the share that its answer tells to be left (0.05 where nothing is told). Covers limits that fall and come back, where answers tell them; might hurt where the told share is stale for long.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -6,12 +6,12 @@
 `_gate` checks the rules for every send, and `_emit` works out the difference to the present state.
 
 Beside the design (token bucket, jittered waits, delay window, slot caps) stand these mechanisms:
-  1. health by symptom: a host whose calls mostly fail or go unanswered gets one trial at a time;
-  2. paced warm-up: a host back from an outage gets what is safe though no other relay holds back;
-  3. limit pacing: first submits are paced by the limit told or listed, lowered by refusals;
+  1. health by symptom: hosts that mostly fail or do not answer get trials, shared by the relays that know;
+  2. paced warm-up: a host back from an outage gets what is safe if all relays that know of it send too;
+  3. limit pacing: the limit told or listed, down to the even part by refusals, up by what is left of it;
   4. order of held texts: those that can still make their SLA time first, by revenue at stake;
   5. room: when the relay is nearly full, held texts with the least at stake are nacked with advice;
-  6. connections: full tables and dead idle connections are told apart from outages.
+  6. connections: full tables and dead idle ones are told apart from outages, and few are kept idle.
 """
 
 from __future__ import annotations
@@ -35,7 +35,7 @@
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 GOOD_LATELY = 2 * SECOND  # a delivery so short ago speaks against an outage
 KEEPERS = 5  # relays that fill no host's table; more keep connections only where calls follow faster than
-IDLE_MOST, STALE_LEAST = 6 * SECOND, 500 * MS  # this; less for kinds where connects fail or idle calls get lost
+IDLE_MOST, STALE_LEAST = 6 * SECOND, 500 * MS  # this; less for kinds where connects or idle calls fail
 LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
 TOLD_SHUT = 3 * SECOND  # a longer told wait is an outage, unless the limit is used up
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
@@ -192,8 +192,7 @@
 
     def _hold(self, held: Held) -> None:
         """The text waits for a submit, until it can no longer be sent in time."""
-        number = held.text.destination
-        dest = self.active[number] = self.dests[number]
+        dest = self.active[held.text.destination] = self.dests[held.text.destination]
         dest.waiting[held.text.id], dest.look_at = held, 0
         heapq.heappush(self.expiries, (held.until - LAST_MOMENT, held.text.id))
 
@@ -239,7 +238,8 @@
         if result is Result.DELIVERED:
             host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
             host.last_ok = now
-            route.pace = min(route.limit, route.pace * (1 + PACE_STEP))
+            left = PACE_STEP if report.limit_left is None else report.limit_left  # by what others leave
+            route.pace = min(route.limit, route.pace * (1 + max(0.0, left)))
             route.window = min(route.window + 1, self._window_cap(host))
             if route.learn_latency(report.took):
                 self._halve(now, route, call)
@@ -290,7 +290,7 @@
         route, even = host.route, host.route.limit / self.terms.relays
         if route.limit and now - route.cut_at > PACE_REST:
             route.refill(now, self.terms.relays)
-            own, weight = 2 * route.flow * SECOND / FLOW_SPAN, 1 / (route.flow + 1)
+            own, weight = 2 * route.flow * SECOND / FLOW_SPAN, 1 / (route.flow + 2)
             fair = min(route.pace, own ** (1 - weight) * even ** weight)
             route.pace, route.cut_at = max(PACE_CUT * fair, PACE_LEAST * even), now
         route.credit = min(route.credit, 0.0)
