--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -25,7 +25,7 @@
 MS, SECOND = 10, 10_000
 # The design's figures; tokens are counted in tenths.
 BUCKET, REFILL, TOKEN = 200, 1, 10
-BASE, CAP, TIME_OUT = 600 * MS, 8 * SECOND, 9 * SECOND
+BASE, CAP, TIME_OUT, GUIDE_TIME_OUT = 600 * MS, 8 * SECOND, 9 * SECOND, 3 * SECOND  # the guide's: few slots
 TOLD_JITTER = 150 * MS  # on top of a told wait, so that relays told the same do not return together
 RECENT_CALLS = 7  # calls whose median is held against the usual latency
 # Ours.
@@ -511,7 +511,7 @@
         Guards against lost answers holding most slots; not for once-only texts, which it would end."""
         scarce = self.slots_used > SCARCE * self.terms.slots and held.row.effect is not Effect.ONCE_ONLY
         known = held.call.host.route.seen >= RECENT_CALLS
-        return min(TIME_OUT, held.call.host.patience()) if scarce and known else TIME_OUT
+        return (held.call.host.patience() if known else GUIDE_TIME_OUT) if scarce else TIME_OUT
 
     def _add_host(self, entry: HostEntry) -> Host:
         dest, window = self.dests[entry.destination], max(1, self.terms.slots // 2)
