--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -252,7 +252,7 @@
                 spread = TOLD_JITTER if used_up else max(TOLD_JITTER, report.told_wait)
                 route.wait_until = max(route.wait_until, now + report.told_wait + self.chance.below(spread))
             if counts:
-                self._refused(now, host, report.told_wait, used_up)
+                self._refused(now, host, report.told_wait, report.limit_left)
         elif (result is Result.CONNECT and now - host.last_ok < GOOD_LATELY
               or result is Result.RESET and report.took < route.usual // 2 and call.idle > STALE_LEAST):
             pass  # others hold its connections, or the path dropped an idle one: no outage
@@ -283,20 +283,20 @@
         if host.sick:
             self._next_trial(now, route)
 
-    def _refused(self, now: int, host: Host, told: int, used_up: bool) -> None:
+    def _refused(self, now: int, host: Host, told: int, left: float | None) -> None:
         """A refusal lowers the pace: from the relay's own rate, by the calls it rests on, to its even part.
 
         Guards against hundreds of relays, each far under the limit, that use it up by being refused."""
         route, even = host.route, host.route.limit / self.terms.relays
         if route.limit and now - route.cut_at > PACE_REST:
             route.refill(now, self.terms.relays)
-            own, weight = 2 * route.flow * SECOND / FLOW_SPAN, 1 / (route.flow + 2)
+            own, weight = 2 * route.flow * SECOND / FLOW_SPAN, 1 / (route.flow + (1 if left is None else 2))
             fair = min(route.pace, own ** (1 - weight) * even ** weight)
             route.pace, route.cut_at = max(PACE_CUT * fair, PACE_LEAST * even), now
         route.credit = min(route.credit, 0.0)
         if host.sick:
             self._next_trial(now, route)
-        elif told > TOLD_SHUT and not used_up:
+        elif told > TOLD_SHUT and (left is None or left >= LIMIT_USED_UP):
             self._failed(now, host, f"told to wait {told // MS} ms", 1.0)
 
     def _next_trial(self, now: int, route: Route) -> None:
