Hosts new in an outage are taken as sick; three cuts without a delivery are an outage

The new hosts started sound at every relay, and the even part of the limit, which all sent, is more than a cold destination bears: failback at 2.3 times. Told from a used-up limit by no delivery between cuts. Covers any outage seen as refusals only; might hurt where a limit falls so low that a relay meets three refusals in a row.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -26,18 +26,15 @@
 # The design's figures; tokens are counted in tenths.
 BUCKET, REFILL, TOKEN = 200, 1, 10
 BASE, CAP, TIME_OUT, GUIDE_TIME_OUT = 600 * MS, 8 * SECOND, 9 * SECOND, 3 * SECOND  # the guide's: few slots
-TOLD_JITTER = 150 * MS  # on top of a told wait, so that relays told the same do not return together
-RECENT_CALLS = 7  # calls whose median is held against the usual latency
+TOLD_JITTER, RECENT_CALLS = 150 * MS, 7  # on top of a told wait; calls whose median is held to the usual
 # Ours.
 PERIOD, LAST_MOMENT, NEVER = 20 * MS, 100 * MS, 1 << 62  # least wait of the timer; least time of a submit
 USUAL_AT_FIRST = 400 * MS  # latency taken as usual before any is known
 SICK_SHARE, FAIL_STEP, SILENT_STEP = 0.5, 0.3, 0.6  # smoothed share of failures of a sick host, and its steps
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
-GOOD_LATELY = 2 * SECOND  # a delivery so short ago speaks against an outage
-KEEPERS = 5  # relays that fill no host's table; more keep connections only where calls follow faster than
-IDLE_MOST, STALE_LEAST = 6 * SECOND, 500 * MS  # this; less for kinds where connects or idle calls fail
-LIMIT_USED_UP = 0.15  # a share of the limit left below which refusals come from the limit
-TOLD_SHUT = 3 * SECOND  # a longer told wait is an outage, unless the limit is used up
+GOOD_LATELY, KEEPERS = 2 * SECOND, 5  # since a delivery that speaks against an outage; more relays than these
+IDLE_MOST, STALE_LEAST = 6 * SECOND, 500 * MS  # keep connections for this, less where connects or calls fail
+LIMIT_USED_UP, TOLD_SHUT, REFUSED_OFTEN = 0.15, 3 * SECOND, 3  # share left; wait, cuts in a row of an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
 PACE_STEP, FLOW_SPAN = 0.05, 5 * SECOND  # growth of the pace by a delivery; span of a relay's own rate
 TRIAL_PART = 0.7  # of what a cold destination bears, for the trials of all relays that know of its outage
@@ -92,7 +89,7 @@
         self.usual, self.seen = USUAL_AT_FIRST, 0
         self.recent: deque[int] = deque(maxlen=RECENT_CALLS)
         self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
-        self.credit, self.credit_at, self.cut_at = 1.0, 0, 0
+        self.credit, self.credit_at, self.cut_at, self.cuts = 1.0, 0, 0, 0
         self.flow, self.flow_at = 0.0, 0  # this relay's calls of late, fading over a span
         self.wait_until, self.down_at = 0, 0  # a told wait's end; when an outage began
         self.tries, self.trial_at = 0, 0  # trials in that outage, and the time of the next one
@@ -237,7 +234,7 @@
             self.idle_most[host.kind] = min(self.idle_most[host.kind], max(STALE_LEAST, call.idle * 3 // 4))
         if result is Result.DELIVERED:
             host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
-            host.last_ok = now
+            host.last_ok, route.cuts = now, 0
             left = PACE_STEP if report.limit_left is None else report.limit_left  # by what others leave
             route.pace = min(route.limit, route.pace * (1 + max(0.0, left)))
             route.window = min(route.window + 1, self._window_cap(host))
@@ -292,12 +289,13 @@
             route.refill(now, self.terms.relays)
             own, weight = 2 * route.flow * SECOND / FLOW_SPAN, 1 / (route.flow + (1 if left is None else 2))
             fair = min(route.pace, own ** (1 - weight) * even ** weight)
-            route.pace, route.cut_at = max(PACE_CUT * fair, PACE_LEAST * even), now
+            route.pace = max(PACE_CUT * fair, PACE_LEAST * even)
+            route.cut_at, route.cuts = now, route.cuts + 1
         route.credit = min(route.credit, 0.0)
         if host.sick:
             self._next_trial(now, route)
-        elif told > TOLD_SHUT and (left is None or left >= LIMIT_USED_UP):
-            self._failed(now, host, f"told to wait {told // MS} ms", 1.0)
+        elif (told > TOLD_SHUT or route.cuts >= REFUSED_OFTEN) and (left is None or left >= LIMIT_USED_UP):
+            self._failed(now, host, f"refused {route.cuts} times, told to wait {told // MS} ms", 1.0)
 
     def _next_trial(self, now: int, route: Route) -> None:
         """The next trial call comes after a wait of the design's kind, from a told wait's end on.
@@ -322,6 +320,7 @@
             host.seers, host.warm_at = self._seers(now, route), now
             host.warm_credit = self.chance.below(1000) / 1000  # many small parts add up to what is safe
             self.log.append(f"host {host.id.hex()} back after {route.tries} trials, warming")
+        route.tries = 0
 
     def _repeat_or_end(self, now: int, host: Host, held: Held) -> None:
         """The design's test for a repeat, its token last; else the final answer at once."""
@@ -518,6 +517,7 @@
         route = Route(window) if self.terms.kinds[entry.kind].routes_apart else dest.shared or Route(window)
         dest.shared = route
         host = self.hosts[entry.host] = Host(entry, dest, route)
+        host.sick = route.tries > 0 and all(each.sick for each in route.hosts)  # new in an outage
         dest.hosts.append(host)
         return host
 
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -2,8 +2,8 @@
 
 from conftest import CHARGE, HOST, NOTICE, NOW, REPORT, ROUTE, TWIN, S
 
-from limelatch.interface import CloseIdle, LogLine, Nack, Result, Wake
-from limelatch.policy import IDLE_MOST, TIME_OUT, TOLD_SHUT, Call
+from limelatch.interface import CloseIdle, Listing, LogLine, Nack, Result, Wake
+from limelatch.policy import GUIDE_TIME_OUT, IDLE_MOST, REFUSED_OFTEN, TIME_OUT, TOLD_SHUT, Call
 
 
 def sick(relay, cause=Result.CONNECT):
@@ -161,3 +161,36 @@
     for _ in range(46):
         relay.take(REPORT)
     assert relay.decide(Nack) == [Nack(late, 2 * S)]
+
+
+def test_a_host_new_in_an_outage_of_its_route_is_taken_as_sick(relay):
+    """Replaced hosts of a shut destination were once taken as sound by hundreds of relays, and pushed over."""
+    relay.policy._failed(NOW, relay.host(), "refused", 1.0)
+    relay.list(HOST, listing=Listing.GONE)
+    relay.list(TWIN)
+    assert relay.host(TWIN).sick
+
+
+def test_cuts_in_a_row_without_a_delivery_are_an_outage(relay):
+    """The even part of a shut destination is more than it bears when it returns."""
+    route = relay.host().route
+    route.learn_limit(20.0)
+    for step in range(REFUSED_OFTEN):
+        relay.policy._refused(NOW + step * S, relay.host(), 0, None)
+    assert relay.host().sick
+
+
+def test_few_free_slots_shorten_time_outs_of_unknown_destinations(relay):
+    """Calls lost at hosts that no relay knew well once held the few slots of each for 9 s."""
+    notice = relay.held(relay.take(REPORT))
+    notice.call = Call(relay.host(), NOW)
+    relay.policy.slots_used = 8
+    assert relay.policy._time_out(notice) == GUIDE_TIME_OUT
+
+
+def test_told_room_raises_the_pace(relay):
+    """Paces once cut did not come back while the told limit had room."""
+    route = relay.host().route
+    route.limit, route.pace = 10.0, 1.0
+    relay.out(relay.take(REPORT), Result.DELIVERED, limit_left=0.5, over=True)
+    assert 1.5 <= route.pace < 1.6
