--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -164,7 +164,7 @@
 
 
 def test_a_host_new_in_an_outage_of_its_route_is_taken_as_sick(relay):
-    """Replaced hosts of a shut destination were once taken as sound by hundreds of relays, and pushed over."""
+    """Replaced hosts of a shut destination were once taken as sound by all relays, and pushed over."""
     relay.policy._failed(NOW, relay.host(), "refused", 1.0)
     relay.list(HOST, listing=Listing.GONE)
     relay.list(TWIN)
@@ -191,6 +191,6 @@
 def test_told_room_raises_the_pace(relay):
     """Paces once cut did not come back while the told limit had room."""
     route = relay.host().route
-    route.limit, route.pace = 10.0, 1.0
+    route.limit, route.pace, route.credit_at = 10.0, 1.0, NOW
     relay.out(relay.take(REPORT), Result.DELIVERED, limit_left=0.5, over=True)
     assert 1.5 <= route.pace < 1.6
