--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -194,3 +194,14 @@
     route.limit, route.pace, route.credit_at = 10.0, 1.0, NOW
     relay.out(relay.take(REPORT), Result.DELIVERED, limit_left=0.5, over=True)
     assert 1.5 <= route.pace < 1.6
+
+
+def test_a_cut_pace_grows_slower_before_a_delivery(relay):
+    """Paces that grew by the clock while all was refused once pushed over a destination as it came back."""
+    route = relay.host().route
+    grown = []
+    for cuts in (0, 2):
+        route.limit, route.pace, route.credit_at, route.cuts = 10.0, 1.0, NOW, cuts
+        route.refill(NOW + S, 3)
+        grown.append(route.pace - 1.0)
+    assert grown[1] < grown[0] / 4
