--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -34,7 +34,7 @@
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 GOOD_LATELY, KEEPERS = 2 * SECOND, 5  # since a delivery that speaks against an outage; more relays than these
 IDLE_MOST, STALE_LEAST = 6 * SECOND, 500 * MS  # keep connections for this, less where connects or calls fail
-LIMIT_USED_UP, TOLD_SHUT, REFUSED_OFTEN = 0.15, 3 * SECOND, 5  # share left; wait, cuts in a row of an outage
+LIMIT_USED_UP, TOLD_SHUT, REFUSED_OFTEN = 0.15, 3 * SECOND, 8  # share left; wait, cuts in a row of an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
 PACE_STEP, FLOW_SPAN = 0.05, 5 * SECOND  # growth of the pace by a delivery; span of a relay's own rate
 TRIAL_PART = 0.7  # of what a cold destination bears, for the trials of all relays that know of its outage
@@ -96,7 +96,7 @@
 
     def refill(self, now: int, relays: int) -> None:
         passed, self.credit_at = (now - self.credit_at) / SECOND, now
-        growth = PACE_GROWTH * (self.pace + self.limit / relays) / (1 + self.cuts) ** 2  # after a delivery
+        growth = PACE_GROWTH * (self.pace + self.limit / relays) / (1 + self.cuts)  # more after a delivery
         self.pace = min(self.limit, self.pace + growth * passed)
         self.credit = min(max(1.0, self.pace * PACE_BURST), self.credit + self.pace * passed)
 
@@ -289,7 +289,7 @@
             route.refill(now, self.terms.relays)
             own, weight = 2 * route.flow * SECOND / FLOW_SPAN, 1 / (route.flow + (1 if left is None else 2))
             fair = min(route.pace, own ** (1 - weight) * even ** weight)
-            route.pace = max(PACE_CUT * fair, PACE_LEAST * even)
+            route.pace = max(PACE_CUT * fair / (1 + route.cuts * weight), PACE_LEAST * even)
             route.cut_at, route.cuts = now, route.cuts + 1
         route.credit = min(route.credit, 0.0)
         if host.sick:
