--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -289,7 +289,8 @@
             route.refill(now, self.terms.relays)
             own, weight = 2 * route.flow * SECOND / FLOW_SPAN, 1 / (route.flow + (1 if left is None else 2))
             fair = min(route.pace, own ** (1 - weight) * even ** weight)
-            route.pace = max(PACE_CUT * fair / (1 + route.cuts * weight), PACE_LEAST * even)
+            deeper = route.cuts * weight if self.terms.relays > KEEPERS else 0.0  # few relays push less
+            route.pace = max(PACE_CUT * fair / (1 + deeper), PACE_LEAST * even)
             route.cut_at, route.cuts = now, route.cuts + 1
         route.credit = min(route.credit, 0.0)
         if host.sick:
@@ -314,7 +315,6 @@
         return min(self.terms.relays, max(1.0, rate * (now - route.down_at + SEEN_BEFORE) / SECOND))
 
     def _come_back(self, now: int, route: Route) -> None:
-        """A trial worked: the hosts are cold, and get what they can bear."""
         for host in [each for each in route.hosts if each.sick]:
             host.sick, host.back_at, host.failing = False, now, FAIL_STEP / 2
             host.seers, host.warm_at = self._seers(now, route), now
