--- a/limelatch/benchlink/__main__.py
+++ b/limelatch/benchlink/__main__.py
@@ -6,6 +6,7 @@
 
 from limelatch import interface as li
 from limelatch.benchlink import wire
+from limelatch.configuration import terms_of, to_units
 from limelatch.policy import Policy
 
 
@@ -15,7 +16,7 @@
     def __init__(self, seed: int, settings: dict, now: int) -> None:
         stats = settings.get("stats") or {}
         self.fields: list[str] = list(stats.get("fields") or [])
-        self.policy = Policy(wire.terms_of(seed, settings), now)
+        self.policy = Policy(terms_of(seed, settings), now)
 
 
 class Link:
@@ -27,7 +28,7 @@
 
     def answer(self, clock: float, records: list[wire.Record]) -> list[bytes]:
         """Tell the events in order, then gather the actions of each relay that had one."""
-        now, touched, faults = wire.to_units(clock), {}, []
+        now, touched, faults = to_units(clock), {}, []
         for event in records:
             if event.code == wire.TABLE:
                 page, entries = wire.read_table(event.body)
@@ -66,7 +67,7 @@
         elif event.code == wire.STATUS_BACK:
             wire.read_probe(event.body, relay.fields)  # the module sends no probes
         elif event.code == wire.CLIENT_LEFT:
-            policy.client_left(now, wire.read_text_id(event.body))
+            policy.text_over(now, wire.read_text_id(event.body))
         elif event.code == wire.ENDPOINTS:
             mode, page = wire.read_endpoints(event.body)
             if mode != wire.FAILED:
@@ -82,7 +83,10 @@
             if relay is None:
                 continue
             try:
-                records += [wire.write_action(number, action) for action in relay.policy.decide(now)]
+                for action in relay.policy.decide(now):
+                    records.append(wire.write_action(number, action))
+                    if isinstance(action, li.Nack | li.Undeliverable):
+                        relay.policy.text_over(now, action.text)  # the bench hears an answer at once
             except Exception as error:  # as above
                 records.append(wire.words(wire.FAULT, number, f"{type(error).__name__}: {error}"))
         return records
--- a/limelatch/benchlink/wire.py
+++ b/limelatch/benchlink/wire.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from limelatch import interface as li
+from limelatch.configuration import to_units
 
 HEADER = struct.Struct(">dII")
 REPLY = struct.Struct(">II")
@@ -23,9 +24,7 @@
 RESULTS = (li.Result.DELIVERED, li.Result.ERROR, li.Result.FULL, li.Result.TIMEOUT, li.Result.CONNECT,
            li.Result.RESET, li.Result.CANCELLED, li.Result.MOOT)
 LISTINGS = {3: li.Listing.READY, 2: li.Listing.DRAINING, 0: li.Listing.GONE}
-EFFECTS = {"pure": li.Effect.RESENDABLE, "token": li.Effect.REFERENCED, "side_effect": li.Effect.ONCE_ONLY}
 CACHED, FAILED, FULL_LIST, DELTA = 0, 1, 3, 4
-UNITS_PER_MS = 10
 
 
 class MalformedFrame(Exception):
@@ -40,11 +39,6 @@
     body: bytes
 
 
-def to_units(ms: float) -> int:
-    """Milliseconds of the wire as tenths of a millisecond."""
-    return round(ms * UNITS_PER_MS)
-
-
 def unpack(layout: struct.Struct, body: bytes, offset: int = 0) -> tuple:
     """Fields at the head of `body`, or MalformedFrame if they are not all there."""
     if len(body) < offset + layout.size:
@@ -141,7 +135,7 @@
     _, text, _, host, status, took, over, note, count = unpack(OUTCOME, body)
     left, rate = limit_report(body, OUTCOME.size, count, fields)
     result = result_of(status)
-    wait = note * UNITS_PER_MS if result is li.Result.FULL else 0
+    wait = note * li.MS if result is li.Result.FULL else 0
     return li.SubmitReport(text, host, result, to_units(took), bool(over), wait, left, rate)
 
 
@@ -157,36 +151,6 @@
     return unpack(struct.Struct(">HQ"), body)[1]
 
 
-def product_of(row: dict, by_halves: bool) -> li.Product:
-    """One product of the settings."""
-    return li.Product(
-        effect=EFFECTS.get(row.get("effect"), li.Effect.ONCE_ONLY),
-        sla_time=to_units(row.get("onTime", 0)), validity_period=to_units(row.get("deadline", 0)),
-        revenue=row.get("credit", 1.0), late_share=row.get("lateValue", 0.0), by_halves=by_halves,
-        repeat_window=to_units(row.get("dedupWindow") or 0),
-        repeats_anywhere=row.get("group", "all") == "all", in_order=bool(row.get("oneAtATime", False)))
-
-
-def terms_of(seed: int, settings: dict) -> li.Terms:
-    """The settings in our words and units; unknown ones are passed over."""
-    info, limits, rules = (settings.get(name) or {} for name in ("familyInfo", "limits", "rules"))
-    by_halves = info.get("losesWorth") == "halves"
-    batches, apart = info.get("batchByKind") or [], info.get("routesApart") or []
-    kinds = [li.HostKind(batches[i] if i < len(batches) else 1, apart[i] if i < len(apart) else False)
-             for i in range(max(len(settings.get("skus") or []), len(batches), len(apart)))]
-    return li.Terms(
-        seed=seed, relays=max(1, settings.get("peersTotal", 1)), slots=int(info.get("slots", 1)),
-        max_texts=int(limits.get("maxOpen", 1)), max_submits=int(limits.get("maxAttempts", 1)),
-        max_advice=to_units(limits.get("maxRetryAfter", 0)),
-        products=[product_of(row, by_halves) for row in settings.get("classes") or []], kinds=kinds,
-        zone_fees=list(info.get("carriage") or []),
-        rates_listed=settings.get("weightSource") in ("nominal", "rough"),
-        advice_heard=bool(limits.get("retryAfter", False)),
-        cold_share=rules.get("coldShare", 1.0), cold_time=to_units(rules.get("cold", 0)),
-        fall_multiple=rules.get("fallMultiple", 1.0), fall_time=to_units(rules.get("tipAfter", 0)),
-        turn_gap=to_units(rules.get("turnGap", 0)))
-
-
 def record(code: int, layout: str, *fields) -> bytes:
     """One record of a reply."""
     body = struct.pack(layout, *fields)
@@ -203,9 +167,9 @@
     """An action of the module as a record."""
     match action:
         case li.Submit(text, host, time_out):
-            return record(PLACE, ">HQ6sd", relay, text, host, time_out / UNITS_PER_MS)
+            return record(PLACE, ">HQ6sd", relay, text, host, time_out / li.MS)
         case li.Nack(text, advice):
-            return record(NACK, ">HQd", relay, text, advice / UNITS_PER_MS)
+            return record(NACK, ">HQd", relay, text, advice / li.MS)
         case li.Undeliverable(text):
             return record(DROP, ">HQ", relay, text)
         case li.Probe(host):
@@ -213,7 +177,7 @@
         case li.CloseIdle(host):
             return record(CLOSE, ">H6s", relay, host)
         case li.Wake(after):
-            return record(SCHEDULE, ">HQd", relay, 0, after / UNITS_PER_MS)
+            return record(SCHEDULE, ">HQd", relay, 0, after / li.MS)
         case li.LogLine(line):
             return words(JOURNAL, relay, line)
     raise TypeError(f"no record for {action!r}")
--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -1,6 +1,6 @@
 """What the decision module is told and what it answers, whatever protocol stands before it.
 
-Times are whole tenths of a millisecond on one clock that only increases. Ids of texts and hosts
+Times are whole tenths of a millisecond on one clock that only increases. Ids of texts, their keys and hosts
 are handed back as they came; the module never reads anything out of them.
 """
 
@@ -10,6 +10,8 @@
 from enum import Enum
 
 HostId = bytes
+TextId = int | bytes
+MS, SECOND = 10, 10_000
 
 
 class Effect(Enum):
@@ -84,6 +86,7 @@
     fall_multiple: float = 1.0
     fall_time: int = 0
     turn_gap: int = 0
+    conn_idle: int = 0
 
 
 @dataclass(slots=True)
@@ -102,19 +105,33 @@
 class Text:
     """One text taken from a client; it is owed one final answer before `valid_until`."""
 
-    id: int
+    id: TextId
     destination: int
     product: int
     valid_until: int
     customer: int = 0
-    key: int = 0
+    key: int | bytes = 0
+
+
+@dataclass(slots=True)
+class Past:
+    """What an earlier process of this relay did with a text that it took on and still owes its end.
+
+    `ran_at` and `ran_zone` say when and where the first submit went that may have run; `out`: one had no outcome
+    yet; `answered`: the text's final answer is given and only waits to be heard."""
+
+    submits: int = 0
+    ran_at: int | None = None
+    ran_zone: int | None = None
+    out: bool = False
+    answered: bool = False
 
 
 @dataclass(slots=True)
 class SubmitReport:
     """How a submit ended. `over`: the text is finished. `told_wait`: the wait the destination asked for."""
 
-    text: int
+    text: TextId
     host: HostId
     result: Result
     took: int
@@ -136,18 +153,19 @@
 
 @dataclass(slots=True)
 class Submit:
-    """Send the text to the host; stop waiting after `time_out`."""
+    """Send the text to the host; stop waiting after `time_out`; then the connection may stand idle for `keep`."""
 
-    text: int
+    text: TextId
     host: HostId
     time_out: int
+    keep: int = 0
 
 
 @dataclass(slots=True)
 class Nack:
     """Final answer: not delivered, and coming again (after `advice`, if above 0) is harmless."""
 
-    text: int
+    text: TextId
     advice: int
 
 
@@ -155,7 +173,7 @@
 class Undeliverable:
     """Final answer: given up, with no promise about its effect."""
 
-    text: int
+    text: TextId
 
 
 @dataclass(slots=True)
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -1,7 +1,7 @@
 """limelatch's decisions: which host gets which text, when, and what a text's final answer is.
 
 How to call it: make one `Policy(terms, now)` a relay, tell it each event (`hosts_listed`, `text_taken`,
-`submit_ended`, `client_left`), then call `decide(now)` once for the batch and carry out its actions in order.
+`submit_ended`, `text_over`), then call `decide(now)` once for the batch and carry out its actions in order.
 The interface is limelatch/interface.py; docs/design.md gives the reasons. `_plan` sets the wanted state,
 `_gate` checks the rules for every send, and `_emit` works out the difference to the present state.
 
@@ -19,10 +19,10 @@
 import heapq
 from collections import defaultdict, deque
 
-from limelatch.interface import (Action, CloseIdle, Effect, HostEntry, HostId, Listing, LogLine, Nack,
-                                 Product, Result, Submit, SubmitReport, Terms, Text, Undeliverable, Wake)
+from limelatch.interface import (MS, SECOND, Action, CloseIdle, Effect, HostEntry, HostId, Listing, LogLine, Nack,
+                                 Past, Product, Result, Submit, SubmitReport, Terms, Text, TextId, Undeliverable,
+                                 Wake)
 
-MS, SECOND = 10, 10_000
 # The design's figures; tokens are counted in tenths.
 BUCKET, REFILL, TOKEN = 200, 1, 10
 BASE, CAP, TIME_OUT, GUIDE_TIME_OUT = 600 * MS, 8 * SECOND, 9 * SECOND, 3 * SECOND  # the guide's: few slots
@@ -75,6 +75,12 @@
         self.until = text.valid_until  # too late to send it: its validity period, or its product's window
         self.sla_at = text.valid_until - row.validity_period + row.sla_time
 
+    def may_have_run(self, at: int, zone: int | None) -> None:
+        if self.ran_at is None:
+            self.ran_at, self.zone = at, zone
+            if self.row.effect is Effect.REFERENCED:
+                self.until = min(self.until, at + self.row.repeat_window)
+
     def may_nack(self) -> bool:
         effect, anywhere = self.row.effect, self.row.repeats_anywhere
         return self.ran_at is None or effect is Effect.RESENDABLE or effect is Effect.REFERENCED and anywhere
@@ -142,21 +148,22 @@
 
     def __init__(self) -> None:
         self.tokens, self.calls, self.shared, self.look_at = BUCKET, 0, None, 0
-        self.waiting: dict[int, Held] = {}  # its texts that are not out
+        self.waiting: dict[TextId, Held] = {}  # its texts that are not out
         self.hosts: list[Host] = []
 
 
 class Policy:
     def __init__(self, terms: Terms, now: int) -> None:
         self.terms, self.chance = terms, Chance(terms.seed)
-        self.texts: dict[int, Held] = {}
+        self.texts: dict[TextId, Held] = {}
+        self.unheard: dict[TextId, Held] = {}  # finally answered, and the answer is not known to be heard
         self.hosts: dict[HostId, Host] = {}
         self.dests: defaultdict[int, Destination] = defaultdict(Destination)
         self.active: dict[int, Destination] = {}  # those with texts waiting; a tick looks at no others
-        self.lines: dict[int, deque[int]] = {}  # texts in order, a line a key
-        self.rests: dict[int, int] = {}  # until when a key rests
-        self.expiries: list[tuple[int, int]] = []
-        self.slots_used, self.wake_at = 0, now
+        self.lines: dict[int | bytes, deque[TextId]] = {}  # texts in order, a line a key
+        self.rests: dict[int | bytes, int] = {}  # until when a key rests
+        self.expiries: list[tuple[int, TextId]] = []
+        self.slots_used, self.wake_at, self.stop_at = 0, now, NEVER
         # for how long connections to each kind of destination stay idle
         self.idle_most = [IDLE_MOST if terms.relays > KEEPERS else NEVER] * len(terms.kinds)
         self.changed, self.closing, self.log = [], [], []  # texts to act on, hosts, lines
@@ -182,11 +189,25 @@
         for host in dest.hosts:
             host.route.hosts = [other for other in dest.hosts if other.route is host.route]
 
-    def text_taken(self, now: int, text: Text) -> None:
+    def text_taken(self, now: int, text: Text, past: Past | None = None) -> None:
+        """A text from a client or, with its past, from this relay's time before a restart, in the same order.
+
+        Guards against a repeat of what may have run when the process ended: its key rests, once-only ends."""
         held = self.texts[text.id] = Held(text, self.terms.products[text.product])
-        self._hold(held)
-        if held.row.in_order and text.key:
+        ordered = held.row.in_order and text.key
+        if ordered:
             self.lines.setdefault(text.key, deque()).append(text.id)
+        if past and past.ran_at is not None:
+            held.may_have_run(past.ran_at, past.ran_zone)
+            if past.out and ordered:
+                self.rests[text.key] = now + self.terms.turn_gap
+        held.submits = past.submits if past else 0
+        if past and past.answered:
+            self.unheard[text.id] = self.texts.pop(text.id)
+        elif held.ran_at is not None and held.row.effect is Effect.ONCE_ONLY:
+            self._end(now, held)
+        else:
+            self._hold(held)
 
     def _hold(self, held: Held) -> None:
         """The text waits for a submit, until it can no longer be sent in time."""
@@ -205,10 +226,7 @@
             host.kept = False
             self.closing.append(host)
         if report.result in MAY_HAVE_RUN:
-            if held.ran_at is None:
-                held.ran_at, held.zone = call.sent, host.zone
-                if held.row.effect is Effect.REFERENCED:
-                    held.until = min(held.until, call.sent + held.row.repeat_window)
+            held.may_have_run(call.sent, host.zone)
             if report.result is not Result.ERROR and held.row.in_order and held.text.key:
                 self.rests[held.text.key] = now + self.terms.turn_gap
         if report.over:
@@ -216,10 +234,20 @@
         else:
             self._repeat_or_end(now, host, held)
 
-    def client_left(self, now: int, text: int) -> None:
-        if (held := self.texts.get(text)) and held.call is None:
+    def text_over(self, now: int, text: TextId) -> None:
+        """Its client left, or its final answer has been heard: only now may the next text of its key go."""
+        if (held := self.unheard.pop(text, None) or self.texts.get(text)) and held.call is None:
             self._forget(held)
 
+    def stopping(self, until: int) -> None:
+        self.stop_at = until
+
+    def may_go(self, now: int, text: TextId, host: HostId) -> bool:
+        """Asked as the connection for a submit has come up: guards against a drain or wait told since."""
+        held, host = self.texts.get(text), self.hosts.get(host)
+        ready = held and host and host.listing is Listing.READY and host.route.wait_until <= now
+        return bool(ready) and now < (held.text.valid_until if held.ran_at is None else held.until)
+
     def decide(self, now: int) -> list[Action]:
         self._expire(now)
         self._make_room(now)
@@ -399,6 +427,8 @@
         done = held.verdict is not None or held.call is not None or held.submits >= self.terms.max_submits
         if done or host.listing is not Listing.READY or host.route.wait_until > now:
             return False
+        if now + host.patience() > self.stop_at:
+            return False
         if held.ran_at is not None and held.row.effect is not Effect.RESENDABLE:
             if held.row.effect is Effect.ONCE_ONLY or now >= held.until:
                 return False
@@ -484,13 +514,14 @@
         for held in self.changed:
             if held.verdict is not None and held.text.id in self.texts:
                 actions.append(held.verdict)
-                self._forget(held)
+                self.unheard[held.text.id] = self.texts.pop(held.text.id)
             elif held.call is not None:
                 left = held.text.valid_until - now
                 if held.call.idle > self.idle_most[held.call.host.kind]:
                     held.call.idle = 0
                     actions.append(CloseIdle(held.call.host.id))
-                actions.append(Submit(held.text.id, held.call.host.id, min(self._time_out(held), left)))
+                keep = min(self.idle_most[held.call.host.kind], self.terms.conn_idle * 9 // 10)
+                actions.append(Submit(held.text.id, held.call.host.id, min(self._time_out(held), left), keep))
                 held.submits += 1
         actions += [CloseIdle(host.id) for host in self.closing if not host.out]
         actions += [LogLine(line) for line in self.log]
@@ -545,8 +576,7 @@
 
     def _forget(self, held: Held) -> None:
         text = held.text
-        if self.texts.pop(text.id, None) is None:
-            return  # its client left as it was answered
+        self.texts.pop(text.id, None)
         self.dests[text.destination].waiting.pop(text.id, None)
         if held.row.in_order and text.key:
             self.lines[text.key].remove(text.id)
--- /dev/null
+++ b/limelatch/relay/catalog.py
@@ -0,0 +1,153 @@
+"""The catalog: the list of hosts, read once and then watched."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable
+
+from twisted.internet.protocol import ClientFactory
+
+from limelatch.configuration import Address, Names
+from limelatch.interface import HostEntry, Listing
+from limelatch.relay.ending import Ending
+from limelatch.relay.http import Answer, HttpCaller, request_head
+from limelatch.relay.logs import say
+
+log = logging.getLogger(__name__)
+
+LIST_MOST = 1024 * 1024
+LISTINGS = {"active": Listing.READY, "leaving": Listing.DRAINING, "left": Listing.GONE}
+
+
+class BadList(Exception):
+    """The list can't be read."""
+
+
+def read_list(raw: object, names: Names) -> tuple[int, bool, list[HostEntry], dict[bytes, Address]]:
+    """Index, whether it is the whole list, its entries, and where each host is reached."""
+    try:
+        index, whole, entries, addresses = int(raw["index"]), bool(raw["snapshot"]), [], {}
+        for row in raw["endpoints"]:
+            host = row["name"].encode()
+            address, _, port = row["address"].partition(":")
+            if row["type"] not in names.kinds:
+                say(log, "host of unknown kind left out", logging.WARNING, host=host, kind=row["type"])
+                continue
+            zone = names.zones.index(row["zone"]) if row["zone"] in names.zones else -1
+            entries.append(HostEntry(host, int(row["group"]), zone, names.kinds.index(row["type"]),
+                                     float(row.get("weight") or 0.0), LISTINGS.get(row["status"], Listing.GONE)))
+            addresses[host] = Address(address, int(port))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise BadList(f"{type(error).__name__}: {error}") from None
+    return index, whole, entries, addresses
+
+
+class Watch(HttpCaller):
+    """The connection to the catalog: the whole list first where none is held, then the changes."""
+
+    def __init__(self, catalog: Catalog) -> None:
+        super().__init__(LIST_MOST, 8 * 1024)
+        self.catalog, self._line = catalog, b""
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self._ask(None if self.catalog.index is None else self.catalog.index)
+
+    def _ask(self, index: int | None) -> None:
+        target = "/catalog/members" + ("" if index is None else f"?stream=1&index={index}")
+        self.ask(request_head("GET", target, str(self.catalog.address), None, []))
+
+    def answered(self, answer: Answer, body: bytes) -> None:
+        if answer.status != 200 or not body:
+            self.close(Ending.CLOSED_BY_PEER)  # a watch that ended, or no list
+        elif not self._read(body):
+            self.close(Ending.GARBLED)
+        elif answer.keeps:
+            self._ask(self.catalog.index)
+        else:
+            self.close(Ending.CLOSED_BY_PEER)
+
+    def body_part(self, part: bytes) -> bool:
+        if self.catalog.index is None or self.answer.status != 200:
+            return False
+        *lines, self._line = (self._line + part).split(b"\n")
+        self.catalog.heard()
+        if len(self._line) > LIST_MOST or not all(self._read(line) for line in lines if line.strip()):
+            self.close(Ending.GARBLED)
+        return True
+
+    def _read(self, line: bytes) -> bool:
+        try:
+            self.catalog.news(json.loads(line))
+        except (ValueError, BadList) as error:
+            say(log, "list not read", logging.WARNING, why=error)
+            return False
+        return True
+
+    def ended(self, ending: Ending) -> None:
+        self.catalog.lost(ending)
+
+
+class Catalog(ClientFactory):
+    """Keeps the last list while the catalog is silent or broken, and asks again from its index."""
+
+    noisy = False
+
+    def __init__(self, reactor, deadlines, address: Address, names: Names, silence: int, again: int,
+                 told: Callable[[list[HostEntry], bool], None]) -> None:
+        self.reactor, self.deadlines, self.address, self.names = reactor, deadlines, address, names
+        self.silence, self.again, self.told = silence, again, told
+        self.index: int | None = None
+        self.addresses: dict[bytes, Address] = {}
+        self._watch: Watch | None = None
+        self._deadline, self._connector, self._stopped = None, None, False
+
+    def known(self, raw: dict) -> None:
+        """The list as the relay last had it; it may be old, so the whole list is asked for."""
+        if raw:
+            self.news(raw)
+            self.index = None
+
+    def connect(self) -> None:
+        if not self._stopped:
+            self._connector = self.reactor.connectTCP(self.address.host, self.address.port, self, timeout=None)
+            self.heard()
+
+    def heard(self) -> None:
+        """The catalog lives: the silence counts from here."""
+        if self._deadline is not None:
+            self._deadline.cancel()
+        self._deadline = self.deadlines.after(self.silence, self._silent)
+
+    def _silent(self) -> None:
+        if self._watch is not None:
+            self._watch.close(Ending.SILENT)
+        else:
+            self._connector.stopConnecting()
+
+    def news(self, raw: object) -> None:
+        index, whole, entries, addresses = read_list(raw, self.names)
+        self.index = index
+        self.addresses = addresses if whole else self.addresses | addresses
+        self.told(entries, whole)
+
+    def buildProtocol(self, address) -> Watch:
+        self._watch = Watch(self)
+        return self._watch
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        self.lost(Ending.REFUSED)
+
+    def lost(self, ending: Ending) -> None:
+        self._watch = None
+        if self._deadline is not None:
+            self._deadline.cancel()
+        if not self._stopped:
+            say(log, "catalog lost", logging.WARNING, why=ending.value, index=self.index)
+            self.deadlines.after(self.again, self.connect)
+
+    def stop(self) -> None:
+        self._stopped = True
+        if self._watch is not None:
+            self._watch.close(Ending.STOPPING)
--- /dev/null
+++ b/limelatch/relay/clients.py
@@ -0,0 +1,204 @@
+"""Clients: RESP2 over TCP, PING and SUBMIT."""
+
+from __future__ import annotations
+
+import logging
+import re
+from dataclasses import dataclass
+
+from twisted.internet.protocol import ServerFactory
+
+from limelatch.interface import MS
+from limelatch.relay.ending import Ending
+from limelatch.relay.lines import RingLines
+from limelatch.relay.logs import say
+from limelatch.relay.slots import Slots
+
+log = logging.getLogger(__name__)
+
+BODY_MOST = 64 * 1024
+ARGUMENTS_MOST, SKIP_MOST, REPLY_MOST = 16, 1024 * 1024, 256
+WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
+SIZE = re.compile(rb"[0-9]{1,9}\Z")
+
+
+class BadCommand(Exception):
+    """The command can't be carried out; the message goes to the client."""
+
+
+@dataclass(slots=True)
+class Handed:
+    """A text as a client hands it in: the wire's words, the span of its validity in tenths of a ms."""
+
+    id: bytes
+    order: bytes
+    product: bytes
+    customer: bytes
+    destination: int
+    valid_for: int
+    mark: bytes
+    body: bytes
+
+
+def read_submit(arguments: list[bytes]) -> Handed:
+    """SUBMIT ORDER-KEY ID NAMES BODY."""
+    if len(arguments) != 5:
+        raise BadCommand("SUBMIT takes a key, an id, a list of names and values, and a body")
+    _, order, text, names, body = arguments
+    if not WORD.match(text) or not WORD.match(order):
+        raise BadCommand("the key and the id take 1 to 64 letters and digits")
+    values = dict(pair.partition(b"=")[::2] for pair in names.split(b","))
+    mark, dest, span = values.get(b"k", b""), values.get(b"dest", b""), values.get(b"d", b"")
+    if mark and not WORD.match(mark):
+        raise BadCommand("k takes 1 to 64 letters and digits")
+    if not SIZE.match(dest) or not re.fullmatch(rb"-?[0-9]{1,9}(\.[0-9]{1,6})?", span):
+        raise BadCommand("dest and d are wanted as numbers")
+    return Handed(text, b"" if not order.strip(b"0") else order, values.get(b"c", b""), values.get(b"t", b""),
+                  int(dest), int(float(span) * MS), mark, body)
+
+
+class Client(RingLines):
+    """One client's connection. While a text waits for its answer nothing more is read from it."""
+
+    delimiter = b"\r\n"
+
+    def __init__(self, hall: Hall) -> None:
+        super().__init__(BODY_MOST + 2, 2 * REPLY_MOST)
+        self.hall, self.number = hall, None
+        self.arguments: list[bytes] = []
+        self.missing = 0  # arguments of the command still to come
+        self.too_large, self.skip, self.waiting = False, 0, False
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.number = self.hall.connections.take(self)
+        if self.number is None:
+            self.end(Ending.CROWDED)
+        elif self.hall.connections.full:
+            self.hall.hold()
+
+    def end(self, ending: Ending) -> None:
+        say(log, "client ended", logging.DEBUG if ending in (Ending.STOPPING, Ending.CLOSED_BY_PEER) else
+            logging.WARNING, why=ending.value, peer=self.transport.getPeer().host)
+        self.close(ending, finish_writing=True)
+
+    def held_back(self) -> bool:
+        return self.waiting or self._outbound.free < REPLY_MOST
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.missing:
+            if not line.startswith(b"$") or not SIZE.match(line[1:]):
+                self._refuse_all("a bulk string is wanted")
+            elif (size := int(line[1:])) > BODY_MOST:
+                self._skip(size + 2)
+            else:
+                self.expect(size + 2)
+        elif line.startswith(b"*"):
+            if not SIZE.match(line[1:]) or not 1 <= int(line[1:]) <= ARGUMENTS_MOST:
+                self._refuse_all("an array of 1 to 16 bulk strings is wanted")
+            else:
+                self.missing, self.arguments, self.too_large = int(line[1:]), [], False
+        elif line.strip():  # a command typed by hand
+            self._command(line.split())
+
+    def _skip(self, size: int) -> None:
+        """A bulk string over the limit is read past, so that the answer is an error and nothing else."""
+        if size > SKIP_MOST:
+            self._refuse_all(f"a body holds {BODY_MOST} bytes at most")
+        else:
+            self.too_large, self.skip = True, size
+            self.expect(min(size, BODY_MOST))
+
+    def _refuse_all(self, why: str) -> None:
+        self.reply(f"-ERR Protocol error: {why}")
+        self.end(Ending.GARBLED)
+
+    def rawDataReceived(self, data: bytes) -> None:
+        if self.skip:
+            self.skip -= len(data)
+            if self.skip:
+                self.expect(min(self.skip, BODY_MOST))
+                return
+        elif not data.endswith(b"\r\n"):
+            self._refuse_all("a bulk string's end is missing")
+            return
+        else:
+            self.arguments.append(data[:-2])
+        self.setLineMode()
+        self.missing -= 1
+        if not self.missing:
+            self._command(self.arguments)
+
+    def _command(self, arguments: list[bytes]) -> None:
+        name = arguments[0].upper() if arguments else b""
+        try:
+            if self.too_large:
+                raise BadCommand(f"a body holds {BODY_MOST} bytes at most")
+            if name == b"SUBMIT":
+                handed = read_submit(arguments)
+                self.waiting = True
+                self.hall.driver.handed_in(handed, self)
+            elif name == b"PING":
+                self.reply("+PONG" if len(arguments) == 1 else "-ERR PING takes nothing")
+            elif name == b"QUIT":
+                self.reply("+OK")
+                self.end(Ending.CLOSED_BY_PEER)
+            else:
+                raise BadCommand(f"unknown command {name[:20].decode(errors='replace')!r}")
+        except BadCommand as error:
+            self.waiting = False
+            say(log, "bad command", logging.WARNING, why=error, peer=self.transport.getPeer().host)
+            self.reply(f"-ERR {error}")
+
+    def reply(self, line: str) -> None:
+        self.send(line.encode() + b"\r\n")
+
+    def answer(self, line: str) -> None:
+        """The answer to the text that waits; then the next request is read."""
+        self.waiting = False
+        self.reply(line)
+        if self.hall.stopping:
+            self.end(Ending.STOPPING)
+        else:
+            self.pump()
+
+    def connectionLost(self, reason) -> None:
+        self.ending = self.ending or Ending.CLOSED_BY_PEER
+        if self.number is not None:
+            self.hall.connections.release(self.number)
+            self.hall.release()
+        if self.waiting:
+            self.hall.driver.client_gone(self)
+
+
+class Hall(ServerFactory):
+    """Where clients arrive: a table of connections; while it is full the port takes no more."""
+
+    noisy = False
+
+    def __init__(self, driver, most: int) -> None:
+        self.driver, self.connections = driver, Slots(most)
+        self.stopping, self.port, self._held = False, None, False
+
+    def buildProtocol(self, address) -> Client:
+        return Client(self)
+
+    def listen(self, reactor, host: str, port: int) -> None:
+        self.port = reactor.listenTCP(port, self, backlog=128, interface=host)
+
+    def hold(self) -> None:
+        if self.port is not None:
+            self._held = True
+            self.port.stopReading()
+
+    def release(self) -> None:
+        if self._held:
+            self._held = False
+            self.port.startReading()
+
+    def stop(self) -> None:
+        """Close what is between requests; connections that still come get one answer each."""
+        self.stopping = True
+        for client in self.connections:
+            if not client.waiting and not client.missing and not client.inbound:
+                client.end(Ending.STOPPING)
--- /dev/null
+++ b/limelatch/relay/driver.py
@@ -0,0 +1,271 @@
+"""The driver: events in, `decide` once a turn, actions out."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+
+from limelatch import interface as li
+from limelatch.configuration import RelayPlan
+from limelatch.policy import Policy
+from limelatch.relay.catalog import Catalog
+from limelatch.relay.clients import Client, Hall, Handed
+from limelatch.relay.deadlines import Clock, Deadlines
+from limelatch.relay.hosts import Call, Outcome, Parcel, Yard
+from limelatch.relay.ledger import Entry, Ledger
+from limelatch.relay.logs import say
+from limelatch.relay.platform import Desk
+from limelatch.relay.slots import Slots
+
+log = logging.getLogger(__name__)
+
+NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.MOOT)
+
+
+@dataclass(slots=True)
+class Owed:
+    """One text of the relay, from its arrival to the end that its client or the platform has heard."""
+
+    text: li.Text
+    mark: bytes
+    body: bytes
+    client: Client | None = None  # that waits for the answer to its handing in
+    submit_out: bool = False  # written to a host, without an outcome
+    number: int = 0
+
+
+class Driver:
+    """One relay: the module, the ledger and the parties around it."""
+
+    def __init__(self, plan: RelayPlan, reactor, clock: Clock) -> None:
+        self.plan, self.reactor, self.clock = plan, reactor, clock
+        self.deadlines = Deadlines(reactor, clock)
+        self.policy = Policy(plan.terms, clock.now())
+        self.ledger = Ledger(plan.state, plan.disk_bytes)
+        self.slots: Slots[Owed] = Slots(plan.terms.max_texts)
+        self.owed: dict[bytes, Owed] = {}
+        self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
+        self.zones: dict[li.HostId, int] = {}
+        self.kinds: dict[li.HostId, int] = {}
+        self._turn_due, self.ready, self._stop_at = False, False, None
+        self.yard = Yard(reactor, self.deadlines, clock, self, plan.host_connections, plan.connect_wait,
+                         plan.probe_wait)
+        self.desk = Desk(reactor, self.deadlines, plan.discovery, plan.notice_wait, plan.reconnect_wait,
+                         self.notice_heard)
+        self.catalog = Catalog(reactor, self.deadlines, plan.discovery, plan.names, plan.silence,
+                               plan.reconnect_wait, self.listed)
+        self.hall = Hall(self, plan.client_connections)
+
+    def start(self) -> None:
+        """Take up what the ledger holds, then wait for the first list before serving."""
+        self.catalog.known(self.plan.known)
+        now = self.clock.now()
+        if self.ledger.cut:
+            say(log, "torn tail of the ledger cut", logging.WARNING, bytes=self.ledger.cut)
+        for entry in list(self.ledger.entries.values()):
+            self._resume(now, entry)
+        say(log, "started", owed=len(self.owed), hosts=len(self.zones), ledger_bytes=self.ledger.size)
+        self.deadlines.after(self.plan.list_wait, self.serve)
+        self.catalog.connect()
+        self.soon()
+
+    def _resume(self, now: int, entry: Entry) -> None:
+        """A text that an earlier process took on: an end it still owes, or the module decides anew."""
+        pairs, names = entry.pairs, self.plan.names
+        known = pairs["product"] in names.products
+        product = names.products.index(pairs["product"]) if known else 0
+        text = li.Text(entry.id, pairs["dest"], product, pairs["until"], pairs["customer"], pairs["key"].encode())
+        owed = self._own(Owed(text, pairs["mark"].encode(), entry.body))
+        past = li.Past(entry.submits, entry.ran_at, entry.ran_zone, entry.out, entry.notice is not None)
+        self.policy.text_taken(now, text, past)
+        if entry.notice is not None:
+            self.desk.notice(entry.id, entry.notice)
+        elif not known:
+            say(log, "product of an owed text is not known", logging.WARNING, product=pairs["product"])
+            self._end_later(owed, {"result": "dead"})
+
+    def serve(self) -> None:
+        """Open for clients; PING is answered from here on."""
+        if not self.ready and self._stop_at is None:
+            self.ready = True
+            listen = self.plan.listen
+            self.hall.listen(self.reactor, listen.host, listen.port)
+            say(log, "serving", listen=listen, hosts=len(self.zones))
+
+    def stop(self) -> None:
+        """SIGTERM: nothing new is taken, calls that are out finish, then the relay ends."""
+        if self._stop_at is not None:
+            return
+        now = self.clock.now()
+        self._stop_at = now + self.plan.stop_wait
+        say(log, "stopping", owed=len(self.owed), calls=self.yard.calls_out)
+        self.policy.stopping(self._stop_at)
+        self.hall.stop()
+        self.soon()
+        self.deadlines.at(self._stop_at, self._exit)
+
+    def _exit(self) -> None:
+        if self.reactor.running:
+            say(log, "stopped", owed=len(self.owed), calls=self.yard.calls_out)
+            self.ledger.close()
+            self.reactor.stop()
+
+    # What the parties tell.
+
+    def handed_in(self, handed: Handed, client: Client) -> None:
+        """A client hands in a text; the answer comes with this turn."""
+        names, now = self.plan.names, self.clock.now()
+        product, customer = handed.product.decode(errors="replace"), handed.customer.decode(errors="replace")
+        if product not in names.products:
+            client.answer(f"-ERR unknown class {product[:40]!r}")
+        elif names.customers and customer and customer not in names.customers:
+            client.answer(f"-ERR unknown tenant {customer[:40]!r}")
+        elif handed.id in self.owed:
+            client.answer("-ERR this id was handed in before")
+        elif self._stop_at is not None or self.slots.full or not self.ledger.has_room(len(handed.body)):
+            client.answer("-BUSY")
+        else:
+            number = names.customers.index(customer) if customer in names.customers else 0
+            text = li.Text(handed.id, handed.destination, names.products.index(product), now + handed.valid_for,
+                           number, handed.order)
+            self.arrived[handed.id] = self._own(Owed(text, handed.mark, handed.body, client))
+            self.policy.text_taken(now, text)
+            self.soon()
+
+    def _own(self, owed: Owed) -> Owed:
+        owed.number = self.slots.take(owed)
+        self.owed[owed.text.id] = owed
+        return owed
+
+    def client_gone(self, client: Client) -> None:
+        """A client left before its text was taken on: it hands it in again, under a new id."""
+        for owed in [each for each in self.arrived.values() if each.client is client]:
+            del self.arrived[owed.text.id]
+            self.policy.text_over(self.clock.now(), owed.text.id)
+            self._release(owed)
+            self.soon()
+
+    def listed(self, entries: list[li.HostEntry], whole: bool) -> None:
+        for entry in entries:
+            if entry.listing is li.Listing.GONE:
+                self.catalog.addresses.pop(entry.host, None)
+            else:
+                self.zones[entry.host], self.kinds[entry.host] = entry.zone, entry.kind
+        self.policy.hosts_listed(self.clock.now(), entries, whole)
+        self.yard.listed(self.catalog.addresses)
+        for host in [each for each in self.zones if each not in self.catalog.addresses]:
+            del self.zones[host], self.kinds[host]
+        if self.catalog.index is not None and not self.ready:
+            self.deadlines.after(0, self.serve)
+        self.soon()
+
+    def may_go(self, now: int, text: bytes, host: li.HostId) -> bool:
+        return self.policy.may_go(now, text, host)
+
+    def going(self, call: Call) -> None:
+        for each in call.parcels:
+            if owed := self.owed.get(each.text):
+                owed.submit_out = True
+                self.ledger.going(each.text, call.sent, self.zones.get(call.host, -1))
+
+    def ended(self, call: Call, parcel: Parcel, outcome: Outcome) -> None:
+        """A submit's outcome."""
+        owed, now = self.owed.get(parcel.text), self.clock.now()
+        if owed is None:
+            return
+        fields = [outcome.report.get(name) for name in ("x0", "x1")]
+        self.policy.submit_ended(now, li.SubmitReport(
+            parcel.text, call.host, outcome.result, now - call.sent, outcome.over, outcome.told_wait, *fields))
+        if outcome.over:
+            self.ledger.over(parcel.text)
+            self._release(owed)
+        elif owed.submit_out:
+            self.ledger.ended(parcel.text, outcome.result not in NEVER_RAN)
+        owed.submit_out = False
+        self.soon()
+
+    def probed(self, call: Call, result: li.Result, report: dict[str, float]) -> None:
+        say(log, "probe ended", host=call.host, result=result.value, **report)  # the module sends none
+
+    def notice_heard(self, text: bytes) -> None:
+        """The platform has answered the notice: only now is the text over."""
+        if owed := self.owed.get(text):
+            self.ledger.over(text)
+            self.policy.text_over(self.clock.now(), text)
+            self._release(owed)
+            self.soon()
+
+    def _release(self, owed: Owed) -> None:
+        del self.owed[owed.text.id]
+        self.slots.release(owed.number)
+
+    # The turn.
+
+    def soon(self) -> None:
+        """Decide once for all that happens until the reactor has gone round."""
+        if not self._turn_due:
+            self._turn_due = True
+            self.deadlines.after(0, self.turn)
+
+    def turn(self) -> None:
+        self._turn_due = False
+        actions = self.policy.decide(self.clock.now())
+        for action in actions:
+            if isinstance(action, (li.Nack, li.Undeliverable)) and action.text in self.arrived:
+                self._refuse(self.arrived.pop(action.text), action)
+        for text, owed in self.arrived.items():
+            self._take_on(text, owed)
+        self.arrived.clear()
+        calls: dict[li.HostId, list[Parcel]] = {}
+        for action in actions:
+            match action:
+                case li.Submit(text, host, time_out):
+                    self._pack(calls, host, text, time_out, action.keep)
+                case li.Nack(text, advice) if text in self.owed:
+                    wait = {"wait_ms": advice // li.MS} if advice else {}
+                    self._end_later(self.owed[text], {"result": "bounced"} | wait)
+                case li.Undeliverable(text) if text in self.owed:
+                    self._end_later(self.owed[text], {"result": "dead"})
+                case li.Probe(host):
+                    self.yard.send(host, [])
+                case li.CloseIdle(host):
+                    self.yard.close_idle(host)
+                case li.Wake(after):
+                    self.deadlines.after(after, self.turn)
+                case li.LogLine(line):
+                    say(logging.getLogger("limelatch.policy"), line)
+        for host, parcels in calls.items():
+            self.yard.send(host, parcels)
+        if self._stop_at is not None and not self.owed and not self.yard.calls_out:
+            self.deadlines.after(0, self._exit)
+
+    def _refuse(self, owed: Owed, answer: li.Nack | li.Undeliverable) -> None:
+        """The final answer in the turn of its arrival: the text was never taken on."""
+        self._release(owed)
+        if isinstance(answer, li.Nack):
+            owed.client.answer(f"-BUSY {answer.advice // li.MS}" if answer.advice else "-BUSY")
+        else:
+            owed.client.answer("-ERR undeliverable")
+        self.policy.text_over(self.clock.now(), owed.text.id)
+
+    def _take_on(self, text: bytes, owed: Owed) -> None:
+        """First the ledger, then the client's answer, and only then a call."""
+        row, names = owed.text, self.plan.names
+        self.ledger.taken(text, owed.body, key=row.key.decode(), mark=owed.mark.decode(), dest=row.destination,
+                          product=names.products[row.product], customer=row.customer, until=row.valid_until)
+        client, owed.client = owed.client, None
+        client.answer("+OK")
+
+    def _pack(self, calls: dict, host: li.HostId, text: bytes, time_out: int, keep: int) -> None:
+        """Texts to one host in one turn share a call as far as its kind allows."""
+        owed, now = self.owed[text], self.clock.now()
+        most = self.plan.terms.kinds[self.kinds[host]].texts_per_call if host in self.kinds else 1
+        if len(calls.get(host, [])) >= most:
+            self.yard.send(host, calls.pop(host))
+        calls.setdefault(host, []).append(
+            Parcel(text, owed.mark, owed.body, now + time_out, owed.text.valid_until, keep))
+
+    def _end_later(self, owed: Owed, notice: dict) -> None:
+        """The final answer of a text that was taken on is a notice, owed until it is answered."""
+        self.ledger.owed(owed.text.id, notice)
+        self.desk.notice(owed.text.id, notice)
--- /dev/null
+++ b/limelatch/relay/hosts.py
@@ -0,0 +1,317 @@
+"""Hosts: calls, batches and probes over HTTP/1.1, one call a connection at a time, never sent again here."""
+
+from __future__ import annotations
+
+import base64
+import json
+import logging
+import re
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from twisted.internet.protocol import ClientFactory
+
+from limelatch.configuration import Address
+from limelatch.interface import MS, SECOND, HostId, Result
+from limelatch.relay.deadlines import Deadline
+from limelatch.relay.ending import (
+    OVER_STATE,
+    OVER_STATUS,
+    RESULT_OF_ENDING,
+    RESULT_OF_STATE,
+    RESULT_OF_STATUS,
+    Ending,
+)
+from limelatch.relay.http import Answer, HttpCaller, request_head
+from limelatch.relay.logs import say
+from limelatch.relay.slots import Slots
+
+log = logging.getLogger(__name__)
+
+ANSWER_MOST, OUTBOUND = 64 * 1024, 32 * 1024
+REPORT = re.compile(rb"\s*([0-9A-Za-z_]+)\s*=\s*(-?[0-9.eE+-]+)\s*\Z")
+
+
+@dataclass(slots=True)
+class Parcel:
+    """One text in a call."""
+
+    text: bytes
+    mark: bytes
+    body: bytes
+    due: int  # when the relay stops waiting
+    last: int  # when the text's validity ends
+    keep: int  # for how long the connection may stand idle afterwards
+
+
+@dataclass(slots=True)
+class Outcome:
+    """How one text of a call fared."""
+
+    result: Result
+    over: bool = False
+    told_wait: int = 0
+    report: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One call, or one probe where it has no parcels."""
+
+    host: HostId
+    parcels: list[Parcel]
+    sent: int
+    deadline: Deadline | None = None
+    connection: Connection | None = None
+
+
+def told_wait(headers: dict[bytes, bytes]) -> int:
+    """Retry-After, in seconds with decimals, as tenths of a millisecond; rounded up."""
+    match = re.fullmatch(rb"[0-9]{1,6}(\.[0-9]{1,9})?", headers.get(b"retry-after", b""))
+    return -int(-float(match[0]) * SECOND // 1) if match else 0
+
+
+def report_of(headers: dict[bytes, bytes]) -> dict[str, float]:
+    """X-Pressure: names and values; a value that can't be read is left out."""
+    found = {}
+    for pair in headers.get(b"x-pressure", b"").split(b","):
+        if match := REPORT.match(pair):
+            try:
+                found[match[1].decode()] = float(match[2])
+            except ValueError:
+                continue
+    return found
+
+
+def read_outcomes(call: Call, answer: Answer, body: bytes) -> list[Outcome]:
+    """What an answer says of each text of its call; raises ValueError where it can't be read."""
+    wait, report = told_wait(answer.headers), report_of(answer.headers)
+    if len(call.parcels) > 1 and answer.status == 200:
+        states = {row["id"].encode(): row["state"] for row in json.loads(body)}
+        return [Outcome(RESULT_OF_STATE[states[each.text]], states[each.text] in OVER_STATE, wait, report)
+                for each in call.parcels]
+    result = RESULT_OF_STATUS.get(answer.status, Result.ERROR)
+    if answer.status == 503 and answer.headers.get(b"x-no-slot") == b"1":
+        result = Result.MOOT
+    if len(call.parcels) > 1 and answer.status == 400:
+        result = Result.MOOT  # a batch that was not read
+    return [Outcome(result, answer.status in OVER_STATUS, wait, report) for _ in call.parcels]
+
+
+def write_call(call: Call, host: str, now: int) -> list[bytes]:
+    """The request of a call, a batch or a probe, in pieces."""
+    if not call.parcels:
+        return [request_head("GET", "/ping", host, None, [])]
+    wait = max(1, (min(each.due for each in call.parcels) - now) // MS)
+    headers = [("X-Remaining", f"{wait}m")]
+    if len(call.parcels) == 1:
+        one = call.parcels[0]
+        headers.append(("X-Txn", one.text.decode()))
+        if one.mark:
+            headers.append(("Idempotency-Key", one.mark.decode()))
+        return [request_head("POST", "/v1/messages", host, len(one.body), headers), one.body]
+    rows = []
+    for each in call.parcels:
+        row = {"id": each.text.decode(), "body": base64.b64encode(each.body).decode()}
+        rows.append(row | ({"key": each.mark.decode()} if each.mark else {}))
+    body = json.dumps(rows, separators=(",", ":")).encode()
+    headers.append(("Content-Type", "application/json"))
+    return [request_head("POST", "/v1/messages:batch", host, len(body), headers), body]
+
+
+class Connection(HttpCaller):
+    """One connection to a host."""
+
+    def __init__(self, yard: Yard, host: HostId, call: Call) -> None:
+        super().__init__(ANSWER_MOST, OUTBOUND)
+        self.yard, self.host, self.call = yard, host, call
+        self.number, self.connector, self.deadline = None, None, None
+        self.up = False
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.up = True
+        self.deadline.cancel()
+        self.yard.go(self)
+
+    def answered(self, answer: Answer, body: bytes) -> None:
+        self.yard.answered(self, answer, body)
+
+    def ended(self, ending: Ending) -> None:
+        if ending is Ending.BROKEN and not self.outflow.empty:
+            ending = self.ending = Ending.CUT_SHORT
+        self.yard.lost(self, ending)
+
+    def give_up(self, ending: Ending) -> None:
+        """Close it, whether it is up or still coming up."""
+        if self.up:
+            self.close(ending)
+        elif self.ending is None:
+            self.ending = ending
+            self.connector.stopConnecting()
+
+
+class Attempt(ClientFactory):
+    """One attempt to connect."""
+
+    noisy = False
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def buildProtocol(self, address) -> Connection:
+        return self.connection
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        connection = self.connection
+        connection.ending = connection.ending or Ending.REFUSED
+        connection.yard.lost(connection, connection.ending)
+
+
+class Yard:
+    """All connections to hosts, in numbered slots; the idle ones by host, the last used first."""
+
+    def __init__(self, reactor, deadlines, clock, driver, most: int, connect_wait: int, probe_wait: int) -> None:
+        self.reactor, self.deadlines, self.clock, self.driver = reactor, deadlines, clock, driver
+        self.connect_wait, self.probe_wait = connect_wait, probe_wait
+        self.connections: Slots[Connection] = Slots(most)
+        self.idle: defaultdict[HostId, list[Connection]] = defaultdict(list)
+        self.addresses: dict[HostId, Address] = {}
+        self.calls_out = 0
+
+    def send(self, host: HostId, parcels: list[Parcel]) -> None:
+        """One call with these texts, or a probe; its outcomes go to the driver."""
+        now = self.clock.now()
+        call = Call(host, parcels, now)
+        self.calls_out += 1
+        due = min(each.due for each in parcels) if parcels else now + self.probe_wait
+        call.deadline = self.deadlines.at(due, lambda: self._out_of_time(call))
+        while (waiting := self.idle.get(host)) and (connection := waiting.pop()):
+            if connection.ending is None and connection.connected:
+                connection.deadline.cancel()
+                connection.call = call
+                call.connection = connection
+                self.go(connection)
+                return
+        self._connect(call)
+
+    def _connect(self, call: Call) -> None:
+        if self.connections.full:
+            self._close_oldest_idle()
+        connection = call.connection = Connection(self, call.host, call)
+        connection.number = self.connections.take(connection)
+        address = self.addresses.get(call.host)
+        if connection.number is None or address is None:
+            ending = Ending.CROWDED if connection.number is None else Ending.REFUSED
+            self.deadlines.after(0, lambda: self.lost(connection, ending))
+            return
+        connection.deadline = self.deadlines.after(
+            self.connect_wait, lambda: connection.give_up(Ending.UNREACHED))
+        connection.connector = self.reactor.connectTCP(address.host, address.port, Attempt(connection), timeout=None)
+
+    def _close_oldest_idle(self) -> None:
+        for waiting in self.idle.values():
+            if waiting:
+                waiting.pop(0).give_up(Ending.CROWDED)
+                return
+
+    def go(self, connection: Connection) -> None:
+        """The connection is up: write its call, less the texts that are not to go any more."""
+        call, now = connection.call, self.clock.now()
+        if call is None:  # it was given up as it came up
+            connection.give_up(Ending.IDLE)
+            return
+        held = [each for each in call.parcels if not self.driver.may_go(now, each.text, call.host)]
+        if held:
+            call.parcels = [each for each in call.parcels if each not in held]
+            for each in held:
+                self.driver.ended(call, each, Outcome(RESULT_OF_ENDING[Ending.HELD_BACK]))
+            if not call.parcels:
+                self._finish(call)
+                self._rest(connection, 0)
+                return
+        self.driver.going(call)
+        connection.ask(*write_call(call, str(self.addresses.get(call.host, "")), now))
+
+    def answered(self, connection: Connection, answer: Answer, body: bytes) -> None:
+        call = connection.call
+        if call is None:
+            connection.give_up(Ending.GARBLED)
+            return
+        keep = min((each.keep for each in call.parcels), default=0)
+        try:
+            outcomes = read_outcomes(call, answer, body)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            say(log, "answer not read", logging.WARNING, host=call.host, why=f"{type(error).__name__}: {error}")
+            connection.give_up(Ending.GARBLED)
+            return
+        self._finish(call)
+        if not call.parcels:
+            self.driver.probed(call, RESULT_OF_STATUS.get(answer.status, Result.ERROR), report_of(answer.headers))
+        for each, outcome in zip(call.parcels, outcomes, strict=True):
+            self.driver.ended(call, each, outcome)
+        self._rest(connection, keep if answer.keeps else 0)
+
+    def _rest(self, connection: Connection, keep: int) -> None:
+        """The connection stands idle for as long as the module said."""
+        connection.call = None
+        if connection.ending is not None:
+            return
+        if keep <= 0 or connection.host not in self.addresses:
+            connection.give_up(Ending.IDLE)
+            return
+        connection.deadline = self.deadlines.after(keep, lambda: connection.give_up(Ending.IDLE))
+        self.idle[connection.host].append(connection)
+
+    def close_idle(self, host: HostId) -> None:
+        for connection in self.idle.pop(host, []):
+            connection.give_up(Ending.IDLE)
+
+    def listed(self, addresses: dict[HostId, Address]) -> None:
+        """Where hosts are reached now; nothing is kept to those that are gone or have moved."""
+        gone = [host for host, address in self.addresses.items() if addresses.get(host) != address]
+        self.addresses = dict(addresses)
+        for host in gone:
+            self.close_idle(host)
+
+    def _out_of_time(self, call: Call) -> None:
+        """The relay stops waiting: for texts whose validity is over alone, else for the whole call."""
+        now = self.clock.now()
+        late = [each for each in call.parcels if each.due <= now]
+        rest = [each for each in call.parcels if each.due > now]
+        if rest and all(each.due >= each.last for each in late):
+            call.parcels = rest
+            for each in late:
+                self.driver.ended(call, each, Outcome(Result.TIMEOUT))
+            call.deadline = self.deadlines.at(min(each.due for each in rest), lambda: self._out_of_time(call))
+            return
+        connection = call.connection
+        connection.give_up(Ending.SILENT if connection.asking or connection.number is None else Ending.UNREACHED)
+
+    def _finish(self, call: Call) -> None:
+        self.calls_out -= 1
+        call.deadline.cancel()
+
+    def lost(self, connection: Connection, ending: Ending) -> None:
+        """A connection is over; a call that was out on it has its outcome now."""
+        if connection.deadline is not None:
+            connection.deadline.cancel()
+        if connection.number is not None:
+            self.connections.release(connection.number)
+            connection.number = None
+        waiting = self.idle.get(connection.host, [])
+        if connection in waiting:
+            waiting.remove(connection)
+        call, connection.call = connection.call, None
+        say(log, "host connection ended", logging.DEBUG, host=connection.host, why=ending.value, call=call is not None)
+        if call is None:
+            return
+        self._finish(call)
+        status = connection.answer.status if connection.asking and connection.answer else None
+        result = RESULT_OF_ENDING[ending]
+        if status == 200 and len(call.parcels) == 1:
+            result = Result.DELIVERED  # its first line is here; the rest means nothing
+        if not call.parcels:
+            self.driver.probed(call, result, {})
+        for each in call.parcels:
+            self.driver.ended(call, each, Outcome(result, over=result is Result.DELIVERED))
--- /dev/null
+++ b/limelatch/relay/http.py
@@ -0,0 +1,143 @@
+"""HTTP/1.1 from the client's side: one request at a time on a kept connection (RFC 9110, RFC 9112)."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+from limelatch.relay.ending import Ending
+from limelatch.relay.lines import RingLines
+
+STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9][0-9])(?: .*)?\Z")
+HEADERS_MOST = 100
+
+
+@dataclass(slots=True)
+class Answer:
+    """Status and headers, their names in lower case."""
+
+    status: int
+    headers: dict[bytes, bytes] = field(default_factory=dict)
+    keeps: bool = True
+
+
+def request_head(method: str, target: str, host: str, length: int | None, headers: list[tuple[str, str]]) -> bytes:
+    """A request up to its body."""
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"] + [f"{name}: {value}" for name, value in headers]
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+class HttpCaller(RingLines):
+    """Reads answers; a subclass takes what comes: `answered`, `body_part`, `ended`."""
+
+    def __init__(self, body_most: int, outbound: int) -> None:
+        super().__init__(body_most, outbound)
+        self.body_most = body_most
+        self.asking = False  # a request is out
+        self.answer: Answer | None = None
+        self._body: list[bytes] = []
+        self._step = self._status
+
+    def ask(self, *pieces: bytes) -> None:
+        """Send a whole request."""
+        self.asking, self.answer, self._body, self._step = True, None, [], self._status
+        self.send(*pieces)
+
+    def answered(self, answer: Answer, body: bytes) -> None:
+        """A whole answer has come."""
+        raise NotImplementedError
+
+    def body_part(self, part: bytes) -> bool:
+        """Part of a chunked body; True if it was used up."""
+        return False
+
+    def ended(self, ending: Ending) -> None:
+        """The connection is over."""
+        raise NotImplementedError
+
+    def lineReceived(self, line: bytes) -> None:
+        if not self.asking:
+            self.close(Ending.GARBLED)  # an answer that nobody asked for
+        else:
+            self._step(line)
+
+    def _status(self, line: bytes) -> None:
+        match = STATUS_LINE.match(line)
+        if match is None:
+            self.close(Ending.GARBLED)
+            return
+        self.answer = Answer(int(match[2]), keeps=match[1] == b"1")
+        self._step = self._header
+
+    def _header(self, line: bytes) -> None:
+        if not line:
+            self._headers_end()
+            return
+        name, colon, value = line.partition(b":")
+        if not colon or len(self.answer.headers) >= HEADERS_MOST:
+            self.close(Ending.GARBLED)
+            return
+        self.answer.headers[name.strip().lower()] = value.strip()
+
+    def _headers_end(self) -> None:
+        headers, status = self.answer.headers, self.answer.status
+        if status < 200:  # an interim answer
+            self._step, self.answer = self._status, None
+            return
+        options = [word.strip() for word in headers.get(b"connection", b"").lower().split(b",")]
+        self.answer.keeps = b"close" not in options and (self.answer.keeps or b"keep-alive" in options)
+        if status in (204, 304):
+            self._whole()
+        elif headers.get(b"transfer-encoding", b"").lower() == b"chunked":
+            self._step = self._chunk_size
+        elif (length := headers.get(b"content-length")) is None:
+            self.answer.keeps = False  # the body lasts until the connection ends, and nobody needs it
+            self._whole()
+        elif not length.isdigit() or int(length) > self.body_most:
+            self.close(Ending.GARBLED)
+        elif int(length):
+            self._step = None
+            self.expect(int(length))
+        else:
+            self._whole()
+
+    def _chunk_size(self, line: bytes) -> None:
+        size = line.partition(b";")[0].strip()
+        if not re.fullmatch(rb"[0-9a-fA-F]{1,8}", size) or int(size, 16) > self.body_most:
+            self.close(Ending.GARBLED)
+        elif int(size, 16):
+            self._step = self._chunk_end
+            self.expect(int(size, 16))
+        else:
+            self._step = self._trailer
+
+    def _chunk_end(self, line: bytes) -> None:
+        self._step = self._chunk_size
+        if line:
+            self.close(Ending.GARBLED)
+
+    def _trailer(self, line: bytes) -> None:
+        if not line:
+            self._whole()
+
+    def rawDataReceived(self, data: bytes) -> None:
+        self.setLineMode()
+        if self._step is None:
+            self._body.append(data)
+            self._whole()
+        elif not self.body_part(data):
+            self._body.append(data)
+            if sum(map(len, self._body)) > self.body_most:
+                self.close(Ending.GARBLED)
+
+    def _whole(self) -> None:
+        answer, body, self.asking = self.answer, b"".join(self._body), False
+        self._body, self._step = [], self._status
+        self.answered(answer, body)
+
+    def connectionLost(self, reason) -> None:
+        if self.ending is None:
+            self.ending = Ending.BROKEN if self.asking else Ending.CLOSED_BY_PEER
+        self.ended(self.ending)
--- /dev/null
+++ b/limelatch/relay/ledger.py
@@ -0,0 +1,138 @@
+"""The lasting folder: what became of each text that was taken on, so that a restarted relay still owes it.
+
+One file of records, each with its length and checksum. Written bytes outlast the process without a sync. When
+the file has grown, the records of texts that are over are left out of a new file, which then takes its place.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import struct
+import zlib
+from dataclasses import dataclass, field
+
+HEAD = struct.Struct(">II")  # length and checksum of what follows
+NAMES = struct.Struct(">BH")  # kind of record and length of its pairs; a body follows these
+TAKEN, GOING, ENDED, OWED, OVER = range(1, 6)
+BLOCK = 512  # files count in whole blocks
+LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest is for growth and the new file
+LATER = 2048  # kept free for the later records of a text
+
+
+@dataclass
+class Entry:
+    """One text that is not over, as the ledger tells it."""
+
+    id: bytes
+    pairs: dict
+    body: bytes
+    submits: int = 0
+    out: bool = False  # a submit has gone out and not ended
+    ran: bool = False  # one that has ended may have run
+    ran_at: int | None = None  # when and where the first went that may have run
+    ran_zone: int | None = None
+    notice: dict | None = None
+    records: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+class Ledger:
+    def __init__(self, folder: str, disk_bytes: int) -> None:
+        self.path, self._new = os.path.join(folder, "ledger"), os.path.join(folder, "ledger.new")
+        self.disk = disk_bytes // BLOCK * BLOCK - 2 * BLOCK
+        self.entries: dict[bytes, Entry] = {}
+        self.live, self.size, self.cut = 0, 0, 0
+        if os.path.exists(self._new):
+            os.remove(self._new)  # a compaction that the end of the process cut short
+        self._file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        self._replay()
+
+    def _replay(self) -> None:
+        with open(self.path, "rb") as file:
+            raw = file.read()
+        at = 0
+        while at + HEAD.size <= len(raw):
+            length, checksum = HEAD.unpack_from(raw, at)
+            payload = raw[at + HEAD.size:at + HEAD.size + length]
+            if len(payload) < max(length, NAMES.size) or zlib.crc32(payload) != checksum:
+                break
+            self._apply(raw[at:at + HEAD.size + length])
+            at += HEAD.size + length
+        self.cut = len(raw) - at
+        if self.cut:  # a record that the end of the process tore, and whatever follows it
+            os.ftruncate(self._file, at)
+        self.size = at
+
+    def _apply(self, record: bytes) -> None:
+        kind, length = NAMES.unpack_from(record, HEAD.size)
+        at = HEAD.size + NAMES.size
+        pairs, body = json.loads(record[at:at + length]), record[at + length:]
+        text = pairs["id"].encode()
+        if kind == TAKEN:
+            self.entries[text] = Entry(text, pairs, body)
+        entry = self.entries.get(text)
+        if entry is None:
+            return
+        if kind == GOING:
+            entry.submits, entry.out = entry.submits + 1, True
+            if entry.ran_at is None:
+                entry.ran_at, entry.ran_zone = pairs["at"], pairs["zone"]
+        elif kind == ENDED:
+            entry.out, entry.ran = False, entry.ran or pairs["ran"]
+            if not entry.ran:
+                entry.ran_at = entry.ran_zone = None
+        elif kind == OWED:
+            entry.out, entry.notice = False, pairs["notice"]
+        if kind == OVER:
+            self.live -= entry.size
+            del self.entries[text]
+        else:
+            entry.records.append(record)
+            entry.size += len(record)
+            self.live += len(record)
+
+    def has_room(self, body: int) -> bool:
+        """Whether one more text fits, with all that will be written of it and of the others."""
+        owed = (len(self.entries) + 1) * LATER
+        return self.live + body + owed <= self.disk * LIVE_SHARE
+
+    def taken(self, text: bytes, body: bytes, **pairs: object) -> None:
+        self._write(TAKEN, text, pairs, body)
+
+    def going(self, text: bytes, at: int, zone: int) -> None:
+        """A submit is about to go out; written before the call's last byte."""
+        self._write(GOING, text, {"at": at, "zone": zone})
+
+    def ended(self, text: bytes, ran: bool) -> None:
+        """The submit has ended; `ran` unless it is proved never to have run."""
+        self._write(ENDED, text, {"ran": ran})
+
+    def owed(self, text: bytes, notice: dict) -> None:
+        self._write(OWED, text, {"notice": notice})
+
+    def over(self, text: bytes) -> None:
+        if text in self.entries:
+            self._write(OVER, text, {})
+
+    def _write(self, kind: int, text: bytes, pairs: dict, body: bytes = b"") -> None:
+        words = json.dumps({"id": text.decode()} | pairs, separators=(",", ":")).encode()
+        payload = NAMES.pack(kind, len(words)) + words + body
+        record = HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+        if self.size + len(record) + self.live > self.disk - BLOCK:
+            self.compact()
+        os.write(self._file, record)
+        self.size += len(record)
+        self._apply(record)
+
+    def compact(self) -> None:
+        """Write the records that still matter to a new file, in the order of the texts, and put it in place."""
+        records = b"".join(b"".join(entry.records) for entry in self.entries.values())
+        new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+        os.write(new, records)
+        os.replace(self._new, self.path)
+        os.close(self._file)
+        self._file, self.size = new, len(records)
+
+    def close(self) -> None:
+        os.close(self._file)
--- /dev/null
+++ b/limelatch/relay/platform.py
@@ -0,0 +1,123 @@
+"""The platform: notices of texts that ended undelivered, repeated until they are answered."""
+
+from __future__ import annotations
+
+import json
+import logging
+from collections.abc import Callable
+
+from twisted.internet.protocol import ClientFactory
+
+from limelatch.configuration import Address
+from limelatch.relay.ending import Ending
+from limelatch.relay.http import Answer, HttpCaller, request_head
+from limelatch.relay.logs import say
+
+log = logging.getLogger(__name__)
+
+BODY_MOST, NOTICES_MOST = 4 * 1024, 200
+
+
+class Reporting(HttpCaller):
+    """The connection to the platform."""
+
+    def __init__(self, desk: Desk) -> None:
+        super().__init__(BODY_MOST, 32 * 1024)
+        self.desk = desk
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.desk.send()
+
+    def answered(self, answer: Answer, body: bytes) -> None:
+        if not answer.keeps:
+            self.close(Ending.CLOSED_BY_PEER)
+        self.desk.answered(answer.status)
+
+    def ended(self, ending: Ending) -> None:
+        self.desk.lost(self, ending)
+
+
+class Desk(ClientFactory):
+    """Keeps the notices that are owed; one request is out at a time."""
+
+    noisy = False
+
+    def __init__(self, reactor, deadlines, address: Address, wait: int, again: int,
+                 settled: Callable[[bytes], None]) -> None:
+        self.reactor, self.deadlines, self.address = reactor, deadlines, address
+        self.wait, self.again, self.settled = wait, again, settled
+        self.owed: dict[bytes, dict] = {}
+        self.out: list[bytes] = []
+        self.connection: Reporting | None = None
+        self._connector, self._deadline, self._paused = None, None, False
+
+    def notice(self, text: bytes, words: dict) -> None:
+        self.owed[text] = words
+        self.send()
+
+    def send(self) -> None:
+        """Send all that is owed, unless a request is out or a pause runs."""
+        if not self.owed or self.out or self._paused:
+            return
+        if self.connection is None:
+            if self._connector is None:
+                self._connector = self.reactor.connectTCP(self.address.host, self.address.port, self, timeout=None)
+                self._deadline = self.deadlines.after(self.wait, self._too_long)
+            return
+        if not self.connection.connected or self.connection.ending is not None:
+            return
+        self.out = list(self.owed)[:NOTICES_MOST]
+        body = b"".join(json.dumps({"ref": text.decode()} | self.owed[text]).encode() + b"\n" for text in self.out)
+        head = request_head("POST", "/reports", str(self.address), len(body),
+                            [("Content-Type", "application/x-ndjson")])
+        self._clear()
+        self._deadline = self.deadlines.after(self.wait, self._too_long)
+        self.connection.ask(head + body)
+
+    def _clear(self) -> None:
+        if self._deadline is not None:
+            self._deadline.cancel()
+            self._deadline = None
+
+    def _too_long(self) -> None:
+        if self.connection is not None:
+            self.connection.close(Ending.SILENT)
+        elif self._connector is not None:
+            self._connector.stopConnecting()
+
+    def answered(self, status: int) -> None:
+        self._clear()
+        out, self.out = self.out, []
+        if status == 204:
+            for text in out:
+                self.owed.pop(text, None)
+                self.settled(text)
+            self.send()
+        else:
+            say(log, "notices not taken", logging.ERROR, status=status, notices=len(out))
+            self._pause()
+
+    def _pause(self) -> None:
+        self._paused = True
+        self.deadlines.after(self.again, self._resume)
+
+    def _resume(self) -> None:
+        self._paused = False
+        self.send()
+
+    def buildProtocol(self, address) -> Reporting:
+        self.connection = Reporting(self)
+        return self.connection
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        self.lost(None, Ending.REFUSED)
+
+    def lost(self, connection: Reporting | None, ending: Ending) -> None:
+        self._clear()
+        self.connection = self._connector = None
+        self.out = []
+        if ending is not Ending.CLOSED_BY_PEER:
+            say(log, "platform lost", logging.WARNING, why=ending.value, owed=len(self.owed))
+        if self.owed and not self._paused:
+            self._pause()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -17,7 +17,7 @@
 def test_a_client_that_leaves_as_its_text_is_answered_is_not_answered_twice(relay):
     text = relay.take(CHARGE, key=5)
     relay.out(text, Result.TIMEOUT)
-    relay.policy.client_left(NOW, text)
+    relay.policy.text_over(NOW, text)
     assert relay.decide((Nack, Undeliverable)) == [] and relay.policy.lines == {}
 
 
