--- a/limelatch/benchlink/wire.py
+++ b/limelatch/benchlink/wire.py
@@ -178,8 +178,8 @@
             return record(CLOSE, ">H6s", relay, host)
         case li.Wake(after):
             return record(SCHEDULE, ">HQd", relay, 0, after / li.MS)
-        case li.LogLine(line):
-            return words(JOURNAL, relay, line)
+        case li.LogLine(line, host):
+            return words(JOURNAL, relay, f"host {host.hex()} {line}")
     raise TypeError(f"no record for {action!r}")
 
 
--- a/limelatch/configuration.py
+++ b/limelatch/configuration.py
@@ -99,15 +99,15 @@
     info, limits, rules = (settings.part(name) for name in ("familyInfo", "limits", "rules"))
     by_halves = info.word("losesWorth") == "halves"
     batches, apart = info.numbers("batchByKind"), info.items("routesApart")
-    kinds = [li.HostKind(int(batches[i]) if i < len(batches) else 1, apart[i] is True if i < len(apart) else False)
+    kinds = [li.HostKind(int(batches[i]) if i < len(batches) else 1, i < len(apart) and apart[i] is True)
              for i in range(max(len(settings.items("skus")), len(batches), len(apart)))]
     return li.Terms(
         seed=seed, relays=max(1, settings.count("peersTotal")), slots=info.count("slots"),
         max_texts=limits.count("maxOpen"), max_submits=limits.count("maxAttempts"),
-        max_advice=limits.span("maxRetryAfter"),
+        max_advice=limits.span("maxRetryAfter") if limits.flag("retryAfter") else 0,
         products=[product_of(row, by_halves) for row in settings.rows("classes")], kinds=kinds,
         zone_fees=info.numbers("carriage"),
-        rates_listed=settings.word("weightSource") in ("nominal", "rough"), advice_heard=limits.flag("retryAfter"),
+        rates_listed=settings.word("weightSource") in ("nominal", "rough"),
         cold_share=rules.number("coldShare", 1.0), cold_time=rules.span("cold"),
         fall_multiple=rules.number("fallMultiple", 1.0), fall_time=rules.span("tipAfter"),
         turn_gap=rules.span("turnGap"), conn_idle=limits.span("connIdle"))
--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -80,7 +80,6 @@
     kinds: list[HostKind]
     zone_fees: list[float] = field(default_factory=list)
     rates_listed: bool = False
-    advice_heard: bool = True
     cold_share: float = 1.0
     cold_time: int = 0
     fall_multiple: float = 1.0
@@ -117,8 +116,8 @@
 class Past:
     """What an earlier process of this relay did with a text that it took on and still owes its end.
 
-    `ran_at` and `ran_zone` say when and where the first submit went that may have run; `out`: one had no outcome
-    yet; `answered`: the text's final answer is given and only waits to be heard."""
+    `ran_at` and `ran_zone` say when and where the first submit went that may have run; `out`: one had no
+    outcome yet; `answered`: the text's final answer is given and only waits to be heard."""
 
     submits: int = 0
     ran_at: int | None = None
@@ -153,7 +152,7 @@
 
 @dataclass(slots=True)
 class Submit:
-    """Send the text to the host; stop waiting after `time_out`; then the connection may stand idle for `keep`."""
+    """Send the text to the host, stop waiting after `time_out`; let the connection stand idle for `keep`."""
 
     text: TextId
     host: HostId
@@ -199,9 +198,10 @@
 
 @dataclass(slots=True)
 class LogLine:
-    """One line for the relay's log."""
+    """One line for the relay's log, on a host."""
 
     line: str
+    host: HostId
 
 
 Action = Submit | Nack | Undeliverable | Probe | CloseIdle | Wake | LogLine
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -1,9 +1,9 @@
 """limelatch's decisions: which host gets which text, when, and what a text's final answer is.
 
-How to call it: make one `Policy(terms, now)` a relay, tell it each event (`hosts_listed`, `text_taken`,
-`submit_ended`, `text_over`), then call `decide(now)` once for the batch and carry out its actions in order.
-The interface is limelatch/interface.py; docs/design.md gives the reasons. `_plan` sets the wanted state,
-`_gate` checks the rules for every send, and `_emit` works out the difference to the present state.
+How to call it: make one `Policy(terms, now)` a relay, tell it each event (its public methods), then call
+`decide(now)` once for the batch and carry out its actions in order. The interface is limelatch/interface.py,
+the reasons are in docs/design.md. `_plan` sets the wanted state, `_gate` checks the rules for every send,
+`_emit` works out the difference to the present state; `may_go` asks again when a connection has come up.
 
 Beside the design (token bucket, jittered waits, delay window, slot caps) stand these mechanisms:
   1. health by symptom: hosts that mostly fail or do not answer get trials, shared by the relays that know;
@@ -19,9 +19,10 @@
 import heapq
 from collections import defaultdict, deque
 
-from limelatch.interface import (MS, SECOND, Action, CloseIdle, Effect, HostEntry, HostId, Listing, LogLine, Nack,
-                                 Past, Product, Result, Submit, SubmitReport, Terms, Text, TextId, Undeliverable,
-                                 Wake)
+from limelatch.chance import Chance
+from limelatch.interface import (MS, SECOND, Action, CloseIdle, Effect, HostEntry, HostId, Listing, LogLine,
+                                 Nack, Past, Product, Result, Submit, SubmitReport, Terms, Text, TextId,
+                                 Undeliverable, Wake)
 
 # The design's figures; tokens are counted in tenths.
 BUCKET, REFILL, TOKEN = 200, 1, 10
@@ -40,20 +41,10 @@
 TRIAL_PART = 0.7  # of what a cold destination bears, for the trials of all relays that know of its outage
 SEEN_BEFORE, RATE_AT_FIRST = 5 * SECOND, 2.0  # an outage is older than seen; a limit not yet known
 SCARCE, ROOM_LEFT = 0.9, 0.92  # share of the slots for shorter time-outs, of the room for nacks of held texts
+NEW = Past()  # of a text that no process had before
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
 
-class Chance:
-    """A linear congruential generator; the high bits are used."""
-
-    def __init__(self, seed: int) -> None:
-        self.state = seed
-
-    def below(self, bound: int) -> int:
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) % (1 << 64)
-        return (self.state >> 33) * max(1, bound) >> 31
-
-
 class Call:
     """One call out at a host: the texts that share it take one slot until all have their outcomes."""
 
@@ -66,17 +57,17 @@
 class Held:
     """A text that this relay has taken and not finally answered."""
 
-    def __init__(self, text: Text, row: Product) -> None:
-        self.text, self.row = text, row
-        self.submits, self.due = 0, 0
+    def __init__(self, text: Text, row: Product, submits: int) -> None:
+        self.text, self.row, self.submits, self.due = text, row, submits, 0
+        self.key = text.key if row.in_order else 0
         self.ran_at, self.zone = None, None  # when and where the first submit that may have run was sent
         self.call: Call | None = None
         self.verdict: Action | None = None
         self.until = text.valid_until  # too late to send it: its validity period, or its product's window
         self.sla_at = text.valid_until - row.validity_period + row.sla_time
 
-    def may_have_run(self, at: int, zone: int | None) -> None:
-        if self.ran_at is None:
+    def may_have_run(self, at: int | None, zone: int | None) -> None:
+        if self.ran_at is None and at is not None:
             self.ran_at, self.zone = at, zone
             if self.row.effect is Effect.REFERENCED:
                 self.until = min(self.until, at + self.row.repeat_window)
@@ -116,10 +107,10 @@
         step = abs(took - self.usual) // self.seen if self.seen <= 8 else self.usual >> 6
         self.usual += step if took > self.usual else -step
         self.recent.append(took)
-        if len(self.recent) == RECENT_CALLS and sorted(self.recent)[RECENT_CALLS // 2] > 2 * self.usual:
+        slow = len(self.recent) == RECENT_CALLS and sorted(self.recent)[RECENT_CALLS // 2] > 2 * self.usual
+        if slow:
             self.recent.clear()
-            return True
-        return False
+        return slow
 
 
 class Host:
@@ -127,10 +118,9 @@
         self.id, self.zone, self.kind = entry.host, entry.zone, entry.kind
         self.listing, self.dest, self.route = entry.listing, dest, route
         self.out: list[Call] = []
-        self.failing, self.sick = 0.0, False
+        self.failing, self.sick, self.seers = 0.0, False, 1.0
         self.back_at: int | None = None
         self.warm_credit, self.warm_at, self.last_ok, self.used_at = 0.0, 0, -GOOD_LATELY, 0
-        self.seers = 1.0
         self.gap, self.kept = 2 * IDLE_MOST, False  # time between calls; whether connections are kept
 
     def overdue(self, now: int) -> bool:
@@ -164,8 +154,7 @@
         self.rests: dict[int | bytes, int] = {}  # until when a key rests
         self.expiries: list[tuple[int, TextId]] = []
         self.slots_used, self.wake_at, self.stop_at = 0, now, NEVER
-        # for how long connections to each kind of destination stay idle
-        self.idle_most = [IDLE_MOST if terms.relays > KEEPERS else NEVER] * len(terms.kinds)
+        self.idle_most = [IDLE_MOST if terms.relays > KEEPERS else NEVER] * len(terms.kinds)  # of connections
         self.changed, self.closing, self.log = [], [], []  # texts to act on, hosts, lines
 
     def hosts_listed(self, now: int, entries: list[HostEntry], whole: bool) -> None:
@@ -189,20 +178,17 @@
         for host in dest.hosts:
             host.route.hosts = [other for other in dest.hosts if other.route is host.route]
 
-    def text_taken(self, now: int, text: Text, past: Past | None = None) -> None:
+    def text_taken(self, now: int, text: Text, past: Past = NEW) -> None:
         """A text from a client or, with its past, from this relay's time before a restart, in the same order.
 
         Guards against a repeat of what may have run when the process ended: its key rests, once-only ends."""
-        held = self.texts[text.id] = Held(text, self.terms.products[text.product])
-        ordered = held.row.in_order and text.key
-        if ordered:
-            self.lines.setdefault(text.key, deque()).append(text.id)
-        if past and past.ran_at is not None:
-            held.may_have_run(past.ran_at, past.ran_zone)
-            if past.out and ordered:
-                self.rests[text.key] = now + self.terms.turn_gap
-        held.submits = past.submits if past else 0
-        if past and past.answered:
+        held = self.texts[text.id] = Held(text, self.terms.products[text.product], past.submits)
+        if held.key:
+            self.lines.setdefault(held.key, deque()).append(text.id)
+        held.may_have_run(past.ran_at, past.ran_zone)
+        if past.out and held.key:
+            self.rests[held.key] = now + self.terms.turn_gap
+        if past.answered:
             self.unheard[text.id] = self.texts.pop(text.id)
         elif held.ran_at is not None and held.row.effect is Effect.ONCE_ONLY:
             self._end(now, held)
@@ -227,8 +213,8 @@
             self.closing.append(host)
         if report.result in MAY_HAVE_RUN:
             held.may_have_run(call.sent, host.zone)
-            if report.result is not Result.ERROR and held.row.in_order and held.text.key:
-                self.rests[held.text.key] = now + self.terms.turn_gap
+            if report.result is not Result.ERROR and held.key:
+                self.rests[held.key] = now + self.terms.turn_gap
         if report.over:
             self._forget(held)
         else:
@@ -245,12 +231,11 @@
     def may_go(self, now: int, text: TextId, host: HostId) -> bool:
         """Asked as the connection for a submit has come up: guards against a drain or wait told since."""
         held, host = self.texts.get(text), self.hosts.get(host)
-        ready = held and host and host.listing is Listing.READY and host.route.wait_until <= now
-        return bool(ready) and now < (held.text.valid_until if held.ran_at is None else held.until)
+        ready = held is not None and host is not None and host.listing is Listing.READY
+        return ready and host.route.wait_until <= now < held.until
 
     def decide(self, now: int) -> list[Action]:
-        self._expire(now)
-        self._make_room(now)
+        self._give_up(now)
         self._plan(now)
         return self._emit(now)
 
@@ -261,6 +246,10 @@
         many = self.terms.relays > KEEPERS and result in (Result.CONNECT, Result.TIMEOUT)
         if (many or result is Result.RESET) and (call.idle > STALE_LEAST or result is Result.CONNECT):
             self.idle_most[host.kind] = min(self.idle_most[host.kind], max(STALE_LEAST, call.idle * 3 // 4))
+        if report.told_wait:  # of several texts in a call some may be delivered and the others told to wait
+            used_up = report.limit_left is not None and report.limit_left < LIMIT_USED_UP
+            spread = TOLD_JITTER if used_up else max(TOLD_JITTER, report.told_wait)
+            route.wait_until = max(route.wait_until, now + report.told_wait + self.chance.below(spread))
         if result is Result.DELIVERED:
             host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
             host.last_ok, route.cuts = now, 0
@@ -272,21 +261,15 @@
             host.failing *= 1 - FAIL_STEP
             if host.sick:  # an outage mostly takes all hosts of a route, and so does its end
                 self._come_back(now, route)
-        elif result is Result.FULL:
-            used_up = report.limit_left is not None and report.limit_left < LIMIT_USED_UP
-            if report.told_wait:
-                spread = TOLD_JITTER if used_up else max(TOLD_JITTER, report.told_wait)
-                route.wait_until = max(route.wait_until, now + report.told_wait + self.chance.below(spread))
-            if counts:
-                self._refused(now, host, report.told_wait, report.limit_left)
+        elif result is Result.FULL and counts:
+            self._refused(now, host, report.told_wait, report.limit_left)
         elif (result is Result.CONNECT and now - host.last_ok < GOOD_LATELY
               or result is Result.RESET and report.took < route.usual // 2 and call.idle > STALE_LEAST):
             pass  # others hold its connections, or the path dropped an idle one: no outage
-        elif result not in (Result.MOOT, Result.CANCELLED) and counts:
+        elif result not in (Result.FULL, Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
-            good = host.last_ok > call.sent - (0 if result is Result.TIMEOUT else GOOD_LATELY)
-            light = good or result is Result.ERROR
-            self._failed(now, host, result.value, FAIL_STEP if light else SILENT_STEP)
+            ok = host.last_ok > call.sent - (0 if result is Result.TIMEOUT else GOOD_LATELY)
+            self._failed(now, host, result.value, FAIL_STEP if ok or result is Result.ERROR else SILENT_STEP)
 
     def _halve(self, now: int, route: Route, call: Call) -> None:
         if call.sent > route.halved_at:  # once for the calls that were out together
@@ -304,7 +287,7 @@
             for each in route.hosts:
                 if each is host or each.last_ok < now - GOOD_LATELY:
                     each.sick, each.back_at = True, None
-            self.log.append(f"host {host.id.hex()} sick: {why}, failing {host.failing:.2f}")
+            self.log.append(LogLine(f"sick: {why}, failing {host.failing:.2f}", host.id))
         if host.sick:
             self._next_trial(now, route)
 
@@ -347,7 +330,7 @@
             host.sick, host.back_at, host.failing = False, now, FAIL_STEP / 2
             host.seers, host.warm_at = self._seers(now, route), now
             host.warm_credit = self.chance.below(1000) / 1000  # many small parts add up to what is safe
-            self.log.append(f"host {host.id.hex()} back after {route.tries} trials, warming")
+            self.log.append(LogLine(f"back after {route.tries} trials, warming", host.id))
         route.tries = 0
 
     def _repeat_or_end(self, now: int, host: Host, held: Held) -> None:
@@ -386,9 +369,9 @@
         if dest.look_at > now:
             return []
         due = [held for held in dest.waiting.values() if held.due <= now]
-        ready = [held for held in due if self._has_turn(now, held)]
         if not due:
             dest.look_at = min(held.due for held in dest.waiting.values())
+        ready = [held for held in due if self._has_turn(now, held)]
         return sorted(ready, key=lambda held: self._rank(now, held))
 
     def _rank(self, now: int, held: Held) -> tuple:
@@ -407,8 +390,7 @@
         call, rest = Call(host, now), []  # a call that may be lost takes one text with it
         for held in ready:
             if call.texts < most and self._gate(now, held, host):
-                held.call = call
-                call.texts += 1
+                held.call, call.texts = call, call.texts + 1
                 del dest.waiting[held.text.id]
                 self.changed.append(held)
             else:
@@ -425,27 +407,22 @@
     def _gate(self, now: int, held: Held, host: Host) -> bool:
         """The rules, for every send: no text twice out, no effect twice, drains, waits and order kept."""
         done = held.verdict is not None or held.call is not None or held.submits >= self.terms.max_submits
-        if done or host.listing is not Listing.READY or host.route.wait_until > now:
+        if done or host.route.wait_until > now or now + host.patience() > self.stop_at:
             return False
-        if now + host.patience() > self.stop_at:
+        if host.listing is not Listing.READY or not self._has_turn(now, held):
             return False
         if held.ran_at is not None and held.row.effect is not Effect.RESENDABLE:
-            if held.row.effect is Effect.ONCE_ONLY or now >= held.until:
-                return False
-            if not held.row.repeats_anywhere and host.zone != held.zone:
+            elsewhere = not held.row.repeats_anywhere and host.zone != held.zone
+            if held.row.effect is Effect.ONCE_ONLY or now >= held.until or elsewhere:
                 return False
-        if held.row.effect is Effect.ONCE_ONLY and (host.sick or host.overdue(now)) and any(
-                other.row.effect is not Effect.ONCE_ONLY for other in host.dest.waiting.values()):
-            return False  # a text that may be repeated makes the trial
-        return self._has_turn(now, held)
+        if held.row.effect is not Effect.ONCE_ONLY or not host.sick and not host.overdue(now):
+            return True  # of those waiting a text that may be repeated makes the trial
+        return all(other.row.effect is Effect.ONCE_ONLY for other in host.dest.waiting.values())
 
     def _has_turn(self, now: int, held: Held) -> bool:
         """A product in order: only the first text of its key, and after the key's rest."""
-        if not held.row.in_order or not held.text.key:
-            return True
-        if self.lines[held.text.key][0] != held.text.id:
-            return False
-        return held.submits > 0 or self.rests.get(held.text.key, 0) <= now
+        first = not held.key or self.lines[held.key][0] == held.text.id
+        return first and (held.submits > 0 or self.rests.get(held.key, 0) <= now)
 
     def _opens_at(self, now: int, host: Host) -> int:
         """When the host takes one more call of this relay: slots, window, pace, health, warm-up."""
@@ -481,20 +458,18 @@
         since, passed, host.warm_at = now - host.back_at, now - host.warm_at, now
         if since >= terms.cold_time:
             host.back_at = None
-            self.log.append(f"host {host.id.hex()} warm after {since // SECOND} s")
+            self.log.append(LogLine(f"warm after {since // SECOND} s", host.id))
             return
         share = terms.cold_share + (1 - terms.cold_share) * since / terms.cold_time
         rate = (route.limit or RATE_AT_FIRST) / max(1, len(route.hosts)) * share * terms.fall_multiple
         host.warm_credit = min(1.0, host.warm_credit + rate / host.seers * passed / SECOND)
 
-    def _expire(self, now: int) -> None:
+    def _give_up(self, now: int) -> None:
+        """End texts that are out of time; nearly full, nack those with the least at stake to leave room."""
         while self.expiries and self.expiries[0][0] <= now:
             held = self.texts.get(heapq.heappop(self.expiries)[1])
             if held and held.call is None and held.verdict is None and held.until - LAST_MOMENT <= now:
                 self._end(now, held)
-
-    def _make_room(self, now: int) -> None:
-        """Nearly full: nack the held texts with the least at stake, so that others are not turned away."""
         over = len(self.texts) - int(self.terms.max_texts * ROOM_LEFT)
         if over > 0:
             idle = [h for h in self.texts.values() if h.call is None and h.verdict is None and h.may_nack()]
@@ -503,9 +478,9 @@
 
     def _end(self, now: int, held: Held) -> None:
         """The final answer: a nack with advice where coming again is harmless, else undeliverable."""
-        advice = self.terms.max_advice if self.terms.advice_heard else 0
-        self.dests[held.text.destination].waiting.pop(held.text.id, None)
-        held.verdict = Nack(held.text.id, advice) if held.may_nack() else Undeliverable(held.text.id)
+        text = held.text
+        self.dests[text.destination].waiting.pop(text.id, None)
+        held.verdict = Nack(text.id, self.terms.max_advice) if held.may_nack() else Undeliverable(text.id)
         self.changed.append(held)
 
     def _emit(self, now: int) -> list[Action]:
@@ -523,8 +498,7 @@
                 keep = min(self.idle_most[held.call.host.kind], self.terms.conn_idle * 9 // 10)
                 actions.append(Submit(held.text.id, held.call.host.id, min(self._time_out(held), left), keep))
                 held.submits += 1
-        actions += [CloseIdle(host.id) for host in self.closing if not host.out]
-        actions += [LogLine(line) for line in self.log]
+        actions += [CloseIdle(host.id) for host in self.closing if not host.out] + self.log
         if self.active:
             free = self.slots_used < self.terms.slots  # else an outcome comes first
             looks = [dest.look_at for dest in self.active.values() if free]
@@ -545,8 +519,8 @@
 
     def _add_host(self, entry: HostEntry) -> Host:
         dest, window = self.dests[entry.destination], max(1, self.terms.slots // 2)
-        route = Route(window) if self.terms.kinds[entry.kind].routes_apart else dest.shared or Route(window)
-        dest.shared = route
+        apart = self.terms.kinds[entry.kind].routes_apart
+        route = dest.shared = Route(window) if apart else dest.shared or Route(window)
         host = self.hosts[entry.host] = Host(entry, dest, route)
         host.sick = route.tries > 0 and all(each.sick for each in route.hosts)  # new in an outage
         dest.hosts.append(host)
@@ -556,29 +530,24 @@
         return self.chance.below(min(CAP, BASE << min(submits - 1, 20)) + 1)
 
     def _occupy(self, now: int, call: Call) -> None:
-        host = call.host
+        host, route, dest = call.host, call.host.route, call.host.dest
         host.out.append(call)
-        host.route.calls, host.dest.calls = host.route.calls + 1, host.dest.calls + 1
-        self.slots_used += 1
-        route = host.route
+        route.calls, dest.calls, self.slots_used = route.calls + 1, dest.calls + 1, self.slots_used + 1
         route.credit, host.warm_credit = route.credit - 1.0, host.warm_credit - 1.0
-        route.flow = route.flow * max(0.0, 1 - (now - route.flow_at) / FLOW_SPAN) + 1.0
-        route.flow_at = now
+        route.flow, route.flow_at = route.flow * max(0.0, 1 - (now - route.flow_at) / FLOW_SPAN) + 1.0, now
 
     def _release(self, now: int, call: Call) -> None:
+        host, route, dest = call.host, call.host.route, call.host.dest
         call.texts -= 1
         if call.texts == 0:
-            host = call.host
             host.out.remove(call)
-            host.used_at, host.kept, host.dest.look_at = now, True, 0
-            host.route.calls, host.dest.calls = host.route.calls - 1, host.dest.calls - 1
-            self.slots_used -= 1
+            host.used_at, host.kept, dest.look_at = now, True, 0
+            route.calls, dest.calls, self.slots_used = route.calls - 1, dest.calls - 1, self.slots_used - 1
 
     def _forget(self, held: Held) -> None:
-        text = held.text
-        self.texts.pop(text.id, None)
-        self.dests[text.destination].waiting.pop(text.id, None)
-        if held.row.in_order and text.key:
-            self.lines[text.key].remove(text.id)
-            if not self.lines[text.key]:
-                del self.lines[text.key]
+        self.texts.pop(held.text.id, None)
+        self.dests[held.text.destination].waiting.pop(held.text.id, None)
+        if held.key:
+            self.lines[held.key].remove(held.text.id)
+            if not self.lines[held.key]:
+                del self.lines[held.key]
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -35,8 +35,9 @@
                 say(log, "host of unknown kind left out", logging.WARNING, host=host, kind=row["type"])
                 continue
             zone = names.zones.index(row["zone"]) if row["zone"] in names.zones else -1
-            entries.append(HostEntry(host, int(row["group"]), zone, names.kinds.index(row["type"]),
-                                     float(row.get("weight") or 0.0), LISTINGS.get(row["status"], Listing.GONE)))
+            kind, rate = names.kinds.index(row["type"]), float(row.get("weight") or 0.0)
+            listing = LISTINGS.get(row["status"], Listing.GONE)
+            entries.append(HostEntry(host, int(row["group"]), zone, kind, rate, listing))
             addresses[host] = Address(address, int(port))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BadList(f"{type(error).__name__}: {error}") from None
@@ -111,7 +112,8 @@
 
     def connect(self) -> None:
         if not self._stopped:
-            self._connector = self.reactor.connectTCP(self.address.host, self.address.port, self, timeout=None)
+            address = self.address
+            self._connector = self.reactor.connectTCP(address.host, address.port, self, timeout=None)
             self.heard()
 
     def heard(self) -> None:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -74,7 +74,8 @@
         pairs, names = entry.pairs, self.plan.names
         known = pairs["product"] in names.products
         product = names.products.index(pairs["product"]) if known else 0
-        text = li.Text(entry.id, pairs["dest"], product, pairs["until"], pairs["customer"], pairs["key"].encode())
+        text = li.Text(entry.id, pairs["dest"], product, pairs["until"], pairs["customer"],
+                       pairs["key"].encode())
         owed = self._own(Owed(text, pairs["mark"].encode(), entry.body))
         past = li.Past(entry.submits, entry.ran_at, entry.ran_zone, entry.out, entry.notice is not None)
         self.policy.text_taken(now, text, past)
@@ -126,8 +127,8 @@
             client.answer("-BUSY")
         else:
             number = names.customers.index(customer) if customer in names.customers else 0
-            text = li.Text(handed.id, handed.destination, names.products.index(product), now + handed.valid_for,
-                           number, handed.order)
+            until = now + handed.valid_for
+            text = li.Text(handed.id, handed.destination, names.products.index(product), until, number, handed.order)
             self.arrived[handed.id] = self._own(Owed(text, handed.mark, handed.body, client))
             self.policy.text_taken(now, text)
             self.soon()
@@ -173,9 +174,9 @@
         owed, now = self.owed.get(parcel.text), self.clock.now()
         if owed is None:
             return
-        fields = [outcome.report.get(name) for name in ("x0", "x1")]
+        left, rate = outcome.report.get("x0"), outcome.report.get("x1")
         self.policy.submit_ended(now, li.SubmitReport(
-            parcel.text, call.host, outcome.result, now - call.sent, outcome.over, outcome.told_wait, *fields))
+            parcel.text, call.host, outcome.result, now - call.sent, outcome.over, outcome.told_wait, left, rate))
         if outcome.over:
             self.ledger.over(parcel.text)
             self._release(owed)
@@ -232,8 +233,8 @@
                     self.yard.close_idle(host)
                 case li.Wake(after):
                     self.deadlines.after(after, self.turn)
-                case li.LogLine(line):
-                    say(logging.getLogger("limelatch.policy"), line)
+                case li.LogLine(line, host):
+                    say(logging.getLogger("limelatch.policy"), line, host=host)
         for host, parcels in calls.items():
             self.yard.send(host, parcels)
         if self._stop_at is not None and not self.owed and not self.yard.calls_out:
@@ -251,8 +252,9 @@
     def _take_on(self, text: bytes, owed: Owed) -> None:
         """First the ledger, then the client's answer, and only then a call."""
         row, names = owed.text, self.plan.names
-        self.ledger.taken(text, owed.body, key=row.key.decode(), mark=owed.mark.decode(), dest=row.destination,
-                          product=names.products[row.product], customer=row.customer, until=row.valid_until)
+        self.ledger.taken(text, owed.body, key=row.key.decode(), mark=owed.mark.decode(),
+                          dest=row.destination, product=names.products[row.product], customer=row.customer,
+                          until=row.valid_until)
         client, owed.client = owed.client, None
         client.answer("+OK")
 
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -13,7 +13,7 @@
 
 from limelatch.configuration import Address
 from limelatch.interface import MS, SECOND, HostId, Result
-from limelatch.relay.deadlines import Deadline
+from limelatch.relay.deadlines import Clock, Deadline, Deadlines
 from limelatch.relay.ending import (
     OVER_STATE,
     OVER_STATUS,
@@ -171,7 +171,8 @@
 class Yard:
     """All connections to hosts, in numbered slots; the idle ones by host, the last used first."""
 
-    def __init__(self, reactor, deadlines, clock, driver, most: int, connect_wait: int, probe_wait: int) -> None:
+    def __init__(self, reactor, deadlines: Deadlines, clock: Clock, driver, most: int, connect_wait: int,
+                 probe_wait: int) -> None:
         self.reactor, self.deadlines, self.clock, self.driver = reactor, deadlines, clock, driver
         self.connect_wait, self.probe_wait = connect_wait, probe_wait
         self.connections: Slots[Connection] = Slots(most)
@@ -207,7 +208,8 @@
             return
         connection.deadline = self.deadlines.after(
             self.connect_wait, lambda: connection.give_up(Ending.UNREACHED))
-        connection.connector = self.reactor.connectTCP(address.host, address.port, Attempt(connection), timeout=None)
+        connection.connector = self.reactor.connectTCP(address.host, address.port, Attempt(connection),
+                                                       timeout=None)
 
     def _close_oldest_idle(self) -> None:
         for waiting in self.idle.values():
@@ -242,12 +244,13 @@
         try:
             outcomes = read_outcomes(call, answer, body)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
-            say(log, "answer not read", logging.WARNING, host=call.host, why=f"{type(error).__name__}: {error}")
+            say(log, "answer not read", logging.WARNING, host=call.host, why=repr(error))
             connection.give_up(Ending.GARBLED)
             return
         self._finish(call)
         if not call.parcels:
-            self.driver.probed(call, RESULT_OF_STATUS.get(answer.status, Result.ERROR), report_of(answer.headers))
+            result = RESULT_OF_STATUS.get(answer.status, Result.ERROR)
+            self.driver.probed(call, result, report_of(answer.headers))
         for each, outcome in zip(call.parcels, outcomes, strict=True):
             self.driver.ended(call, each, outcome)
         self._rest(connection, keep if answer.keeps else 0)
@@ -285,8 +288,8 @@
                 self.driver.ended(call, each, Outcome(Result.TIMEOUT))
             call.deadline = self.deadlines.at(min(each.due for each in rest), lambda: self._out_of_time(call))
             return
-        connection = call.connection
-        connection.give_up(Ending.SILENT if connection.asking or connection.number is None else Ending.UNREACHED)
+        asking = call.connection.asking
+        call.connection.give_up(Ending.SILENT if asking else Ending.UNREACHED)
 
     def _finish(self, call: Call) -> None:
         self.calls_out -= 1
@@ -303,7 +306,7 @@
         if connection in waiting:
             waiting.remove(connection)
         call, connection.call = connection.call, None
-        say(log, "host connection ended", logging.DEBUG, host=connection.host, why=ending.value, call=call is not None)
+        say(log, "host connection ended", logging.DEBUG, host=connection.host, why=ending.value)
         if call is None:
             return
         self._finish(call)
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -16,7 +16,7 @@
 NAMES = struct.Struct(">BH")  # kind of record and length of its pairs; a body follows these
 TAKEN, GOING, ENDED, OWED, OVER = range(1, 6)
 BLOCK = 512  # files count in whole blocks
-LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest is for growth and the new file
+LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest: growth, the new file
 LATER = 2048  # kept free for the later records of a text
 
 
@@ -126,7 +126,7 @@
         self._apply(record)
 
     def compact(self) -> None:
-        """Write the records that still matter to a new file, in the order of the texts, and put it in place."""
+        """Write the records that still matter to a new file, in the order of the texts; put it in place."""
         records = b"".join(b"".join(entry.records) for entry in self.entries.values())
         new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         os.write(new, records)
--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -62,13 +62,15 @@
             return
         if self.connection is None:
             if self._connector is None:
-                self._connector = self.reactor.connectTCP(self.address.host, self.address.port, self, timeout=None)
+                address = self.address
+                self._connector = self.reactor.connectTCP(address.host, address.port, self, timeout=None)
                 self._deadline = self.deadlines.after(self.wait, self._too_long)
             return
         if not self.connection.connected or self.connection.ending is not None:
             return
         self.out = list(self.owed)[:NOTICES_MOST]
-        body = b"".join(json.dumps({"ref": text.decode()} | self.owed[text]).encode() + b"\n" for text in self.out)
+        rows = [json.dumps({"ref": text.decode()} | self.owed[text]) + "\n" for text in self.out]
+        body = "".join(rows).encode()
         head = request_head("POST", "/reports", str(self.address), len(body),
                             [("Content-Type", "application/x-ndjson")])
         self._clear()
