--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -38,7 +38,7 @@
 
     reactor.callWhenRunning(begin)
     reactor.run(installSignalHandlers=True)
-    return 1 if faults else 0
+    return 1 if faults or driver.failed else 0
 
 
 if __name__ == "__main__":
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -100,6 +100,7 @@
         self.reactor, self.deadlines, self.address, self.names = reactor, deadlines, address, names
         self.silence, self.again, self.told = silence, again, told
         self.index: int | None = None
+        self.fresh = False  # the catalog itself has told a list since the start
         self.addresses: dict[bytes, Address] = {}
         self._watch: Watch | None = None
         self._deadline, self._connector, self._stopped = None, None, False
@@ -107,7 +108,7 @@
     def known(self, raw: dict) -> None:
         """The list as the relay last had it; it may be old, so the whole list is asked for."""
         if raw:
-            self.news(raw)
+            self._take(raw)
             self.index = None
 
     def connect(self) -> None:
@@ -129,6 +130,10 @@
             self._connector.stopConnecting()
 
     def news(self, raw: object) -> None:
+        self.fresh = True
+        self._take(raw)
+
+    def _take(self, raw: object) -> None:
         index, whole, entries, addresses = read_list(raw, self.names)
         self.index = index
         self.addresses = addresses if whole else self.addresses | addresses
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -8,7 +8,7 @@
 
 from twisted.internet.protocol import ServerFactory
 
-from limelatch.interface import MS
+from limelatch.interface import MS, SECOND
 from limelatch.relay.ending import Ending
 from limelatch.relay.lines import RingLines
 from limelatch.relay.logs import say
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 BODY_MOST = 64 * 1024
+LINGER = 5 * SECOND  # for a client that does not read its last answer
 ARGUMENTS_MOST, SKIP_MOST, REPLY_MOST = 16, 1024 * 1024, 256
 WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
 SIZE = re.compile(rb"[0-9]{1,9}\Z")
@@ -67,7 +68,7 @@
         self.hall, self.number = hall, None
         self.arguments: list[bytes] = []
         self.missing = 0  # arguments of the command still to come
-        self.too_large, self.skip, self.waiting = False, 0, False
+        self.too_large, self.skip, self.waiting, self.heard_at = False, 0, False, 0
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -75,12 +76,20 @@
         if self.number is None:
             self.end(Ending.CROWDED)
         elif self.hall.connections.full:
-            self.hall.hold()
+            self.hall.make_room(self)
 
     def end(self, ending: Ending) -> None:
         say(log, "client ended", logging.DEBUG if ending in (Ending.STOPPING, Ending.CLOSED_BY_PEER) else
             logging.WARNING, why=ending.value, peer=self.transport.getPeer().host)
         self.close(ending, finish_writing=True)
+        self.hall.driver.deadlines.after(LINGER, self.transport.abortConnection)  # if it reads no more
+
+    def between_requests(self) -> bool:
+        return not self.waiting and not self.missing and not self.inbound
+
+    def dataReceived(self, data: bytes) -> None:
+        self.heard_at = self.hall.driver.clock.now()
+        super().dataReceived(data)
 
     def held_back(self) -> bool:
         return self.waiting or self._outbound.free < REPLY_MOST
@@ -139,7 +148,7 @@
                 self.waiting = True
                 self.hall.driver.handed_in(handed, self)
             elif name == b"PING":
-                self.reply("+PONG" if len(arguments) == 1 else "-ERR PING takes nothing")
+                self.reply("-ERR stopping" if self.hall.stopping else "+PONG")
             elif name == b"QUIT":
                 self.reply("+OK")
                 self.end(Ending.CLOSED_BY_PEER)
@@ -186,7 +195,11 @@
     def listen(self, reactor, host: str, port: int) -> None:
         self.port = reactor.listenTCP(port, self, backlog=128, interface=host)
 
-    def hold(self) -> None:
+    def make_room(self, newest: Client) -> None:
+        """The table is full: close the connection that has asked nothing for longest, or hold the port."""
+        resting = [each for each in self.connections if each is not newest and each.between_requests()]
+        if resting:
+            min(resting, key=lambda client: client.heard_at).end(Ending.CROWDED)
         if self.port is not None:
             self._held = True
             self.port.stopReading()
@@ -200,5 +213,5 @@
         """Close what is between requests; connections that still come get one answer each."""
         self.stopping = True
         for client in self.connections:
-            if not client.waiting and not client.missing and not client.inbound:
+            if client.between_requests():
                 client.end(Ending.STOPPING)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -5,6 +5,8 @@
 import logging
 from dataclasses import dataclass
 
+from twisted.internet.error import CannotListenError
+
 from limelatch import interface as li
 from limelatch.configuration import RelayPlan
 from limelatch.policy import Policy
@@ -47,7 +49,7 @@
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
         self.zones: dict[li.HostId, int] = {}
         self.kinds: dict[li.HostId, int] = {}
-        self._turn_due, self.ready, self._stop_at = False, False, None
+        self._turn_due, self.ready, self._stop_at, self.failed = False, False, None, False
         self.yard = Yard(reactor, self.deadlines, clock, self, plan.host_connections, plan.connect_wait,
                          plan.probe_wait)
         self.desk = Desk(reactor, self.deadlines, plan.discovery, plan.notice_wait, plan.reconnect_wait,
@@ -90,8 +92,15 @@
         if not self.ready and self._stop_at is None:
             self.ready = True
             listen = self.plan.listen
-            self.hall.listen(self.reactor, listen.host, listen.port)
-            say(log, "serving", listen=listen, hosts=len(self.zones))
+            try:
+                self.hall.listen(self.reactor, listen.host, listen.port)
+            except CannotListenError as error:
+                say(log, "not serving", logging.ERROR, listen=listen, why=error.socketError)
+                self.failed = True
+                self.reactor.stop()
+                return
+            say(log, "serving", listen=listen, hosts=len(self.zones), fresh_list=self.catalog.fresh)
+            self.soon()
 
     def stop(self) -> None:
         """SIGTERM: nothing new is taken, calls that are out finish, then the relay ends."""
@@ -108,7 +117,6 @@
     def _exit(self) -> None:
         if self.reactor.running:
             say(log, "stopped", owed=len(self.owed), calls=self.yard.calls_out)
-            self.ledger.close()
             self.reactor.stop()
 
     # What the parties tell.
@@ -128,7 +136,8 @@
         else:
             number = names.customers.index(customer) if customer in names.customers else 0
             until = now + handed.valid_for
-            text = li.Text(handed.id, handed.destination, names.products.index(product), until, number, handed.order)
+            row = names.products.index(product)
+            text = li.Text(handed.id, handed.destination, row, until, number, handed.order)
             self.arrived[handed.id] = self._own(Owed(text, handed.mark, handed.body, client))
             self.policy.text_taken(now, text)
             self.soon()
@@ -156,9 +165,9 @@
         self.yard.listed(self.catalog.addresses)
         for host in [each for each in self.zones if each not in self.catalog.addresses]:
             del self.zones[host], self.kinds[host]
-        if self.catalog.index is not None and not self.ready:
-            self.deadlines.after(0, self.serve)
         self.soon()
+        if self.catalog.fresh and not self.ready:
+            self.deadlines.after(0, self.serve)
 
     def may_go(self, now: int, text: bytes, host: li.HostId) -> bool:
         return self.policy.may_go(now, text, host)
@@ -175,8 +184,8 @@
         if owed is None:
             return
         left, rate = outcome.report.get("x0"), outcome.report.get("x1")
-        self.policy.submit_ended(now, li.SubmitReport(
-            parcel.text, call.host, outcome.result, now - call.sent, outcome.over, outcome.told_wait, left, rate))
+        self.policy.submit_ended(now, li.SubmitReport(parcel.text, call.host, outcome.result, now - call.sent,
+                                                      outcome.over, outcome.told_wait, left, rate))
         if outcome.over:
             self.ledger.over(parcel.text)
             self._release(owed)
@@ -210,6 +219,8 @@
 
     def turn(self) -> None:
         self._turn_due = False
+        if not self.ready:
+            return  # what an earlier process took on waits for the list too
         actions = self.policy.decide(self.clock.now())
         for action in actions:
             if isinstance(action, (li.Nack, li.Undeliverable)) and action.text in self.arrived:
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -148,7 +148,8 @@
             self.close(ending)
         elif self.ending is None:
             self.ending = ending
-            self.connector.stopConnecting()
+            if self.connector is not None:
+                self.connector.stopConnecting()
 
 
 class Attempt(ClientFactory):
@@ -230,7 +231,7 @@
                 self.driver.ended(call, each, Outcome(RESULT_OF_ENDING[Ending.HELD_BACK]))
             if not call.parcels:
                 self._finish(call)
-                self._rest(connection, 0)
+                self._rest(connection, held[0].keep)
                 return
         self.driver.going(call)
         connection.ask(*write_call(call, str(self.addresses.get(call.host, "")), now))
@@ -310,10 +311,9 @@
         if call is None:
             return
         self._finish(call)
-        status = connection.answer.status if connection.asking and connection.answer else None
-        result = RESULT_OF_ENDING[ending]
-        if status == 200 and len(call.parcels) == 1:
-            result = Result.DELIVERED  # its first line is here; the rest means nothing
+        result, answer = RESULT_OF_ENDING[ending], connection.answer if connection.asking else None
+        if answer is not None and len(call.parcels) == 1:
+            result = RESULT_OF_STATUS.get(answer.status, result)  # its first line is here, which says all
         if not call.parcels:
             self.driver.probed(call, result, {})
         for each in call.parcels:
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -133,6 +133,3 @@
         os.replace(self._new, self.path)
         os.close(self._file)
         self._file, self.size = new, len(records)
-
-    def close(self) -> None:
-        os.close(self._file)
--- a/limelatch/relay/lines.py
+++ b/limelatch/relay/lines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 
 from twisted.internet import interfaces
 from twisted.protocols.basic import LineReceiver
@@ -18,8 +19,8 @@
 class Outflow:
     """Moves bytes from the outbound ring to the transport, which holds it back while it is choked."""
 
-    def __init__(self, transport, ring: Ring) -> None:
-        self.transport, self.ring, self.choked = transport, ring, False
+    def __init__(self, transport, ring: Ring, room: Callable[[], None]) -> None:
+        self.transport, self.ring, self.room, self.choked = transport, ring, room, False
         self.pieces: deque[bytes] = deque()  # the source, held back while the ring is full
 
     def send(self, pieces: list[bytes]) -> None:
@@ -47,6 +48,12 @@
     def resumeProducing(self) -> None:
         self.choked = False
         self.move()
+        self.room()
+
+    def finish(self) -> None:
+        """Hand on all that is left, since nothing will follow."""
+        self.choked = False
+        self.move()
 
     def stopProducing(self) -> None:
         self.choked = True
@@ -67,7 +74,7 @@
     def connectionMade(self) -> None:
         self.transport.bufferSize = READ_SIZE
         self.transport.setTcpNoDelay(True)
-        self.outflow = Outflow(self.transport, self._outbound)
+        self.outflow = Outflow(self.transport, self._outbound, self.pump)
         self.transport.registerProducer(self.outflow, True)
 
     def send(self, *pieces: bytes) -> None:
@@ -121,6 +128,7 @@
             return
         self.ending = ending
         if finish_writing:
+            self.outflow.finish()
             self.transport.unregisterProducer()
             self.transport.loseConnection()
         else:
