--- a/limelatch/configuration.py
+++ b/limelatch/configuration.py
@@ -14,6 +14,7 @@
 
 from limelatch import interface as li
 
+MEGABYTE = 1_000_000
 EFFECTS = {"pure": li.Effect.RESENDABLE, "token": li.Effect.REFERENCED, "side_effect": li.Effect.ONCE_ONLY}
 
 
@@ -160,11 +161,13 @@
     names: Names
     known: dict
     disk_bytes: int
+    memory_bytes: int
     client_connections: int
     host_connections: int
     connect_wait: int  # a connection to a host must be up by then
     probe_wait: int
-    stop_wait: int  # from SIGTERM to the exit at the latest
+    stop_least: int  # from SIGTERM to the exit at the earliest, since clients still come
+    stop_wait: int  # and at the latest
     notice_wait: int  # for a notice's answer, then it is sent again
     list_wait: int  # for the first list at the start, then the known one serves
     silence: int  # of the watch, then it is opened anew
@@ -223,8 +226,10 @@
         name=keys.word("name", "relay"), listen=address_of(keys, "listen"),
         discovery=address_of(keys, "discovery"), state=keys.word("state"), log_level=log_level, terms=terms,
         names=names_of(settings.raw), known=keys.part("known").raw,
-        disk_bytes=int(limits.number("disk_mb", 3) * 1_000_000), client_connections=sockets // 2,
+        disk_bytes=int(limits.number("disk_mb", 3) * MEGABYTE),
+        memory_bytes=int(limits.number("memory_mb", 192) * MEGABYTE), client_connections=sockets // 2,
         host_connections=sockets // 4, connect_wait=settings.part("limits").span("dialTimeout", 1000),
-        probe_wait=keys.span("probe_ms", 1500), stop_wait=keys.span("stop_ms", 3300),
+        probe_wait=keys.span("probe_ms", 1500), stop_least=keys.span("stop_least_ms", 500),
+        stop_wait=keys.span("stop_ms", 3300),
         notice_wait=keys.span("notice_ms", 1000), list_wait=keys.span("list_ms", 1000),
         silence=keys.span("silence_ms", 7000), reconnect_wait=keys.span("reconnect_ms", 250))
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -103,7 +103,7 @@
         self.fresh = False  # the catalog itself has told a list since the start
         self.addresses: dict[bytes, Address] = {}
         self._watch: Watch | None = None
-        self._deadline, self._connector, self._stopped = None, None, False
+        self._deadline, self._connector = None, None
 
     def known(self, raw: dict) -> None:
         """The list as the relay last had it; it may be old, so the whole list is asked for."""
@@ -112,10 +112,8 @@
             self.index = None
 
     def connect(self) -> None:
-        if not self._stopped:
-            address = self.address
-            self._connector = self.reactor.connectTCP(address.host, address.port, self, timeout=None)
-            self.heard()
+        self._connector = self.reactor.connectTCP(self.address.host, self.address.port, self, timeout=None)
+        self.heard()
 
     def heard(self) -> None:
         """The catalog lives: the silence counts from here."""
@@ -150,11 +148,5 @@
         self._watch = None
         if self._deadline is not None:
             self._deadline.cancel()
-        if not self._stopped:
-            say(log, "catalog lost", logging.WARNING, why=ending.value, index=self.index)
-            self.deadlines.after(self.again, self.connect)
-
-    def stop(self) -> None:
-        self._stopped = True
-        if self._watch is not None:
-            self._watch.close(Ending.STOPPING)
+        say(log, "catalog lost", logging.WARNING, why=ending.value, index=self.index)
+        self.deadlines.after(self.again, self.connect)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -43,13 +43,14 @@
         self.plan, self.reactor, self.clock = plan, reactor, clock
         self.deadlines = Deadlines(reactor, clock)
         self.policy = Policy(plan.terms, clock.now())
-        self.ledger = Ledger(plan.state, plan.disk_bytes)
+        self.ledger = Ledger(plan.state, plan.disk_bytes, plan.memory_bytes)
         self.slots: Slots[Owed] = Slots(plan.terms.max_texts)
         self.owed: dict[bytes, Owed] = {}
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
         self.zones: dict[li.HostId, int] = {}
         self.kinds: dict[li.HostId, int] = {}
-        self._turn_due, self.ready, self._stop_at, self.failed = False, False, None, False
+        self._turn_due, self.ready, self._stop_at = False, False, None
+        self.failed, self._ended = False, False
         self.yard = Yard(reactor, self.deadlines, clock, self, plan.host_connections, plan.connect_wait,
                          plan.probe_wait)
         self.desk = Desk(reactor, self.deadlines, plan.discovery, plan.notice_wait, plan.reconnect_wait,
@@ -112,10 +113,20 @@
         self.policy.stopping(self._stop_at)
         self.hall.stop()
         self.soon()
+        if not self.ready:
+            self._exit()
+        self.deadlines.after(self.plan.stop_least, self._exit_if_idle)
         self.deadlines.at(self._stop_at, self._exit)
 
+    def _exit_if_idle(self) -> None:
+        """End early, once clients have stopped coming, when nothing is owed and no call is out."""
+        least_over = self.clock.now() >= self._stop_at - self.plan.stop_wait + self.plan.stop_least
+        if least_over and not self.owed and not self.yard.calls_out:
+            self._exit()
+
     def _exit(self) -> None:
-        if self.reactor.running:
+        if not self._ended:
+            self._ended = True
             say(log, "stopped", owed=len(self.owed), calls=self.yard.calls_out)
             self.reactor.stop()
 
@@ -248,8 +259,8 @@
                     say(logging.getLogger("limelatch.policy"), line, host=host)
         for host, parcels in calls.items():
             self.yard.send(host, parcels)
-        if self._stop_at is not None and not self.owed and not self.yard.calls_out:
-            self.deadlines.after(0, self._exit)
+        if self._stop_at is not None:
+            self._exit_if_idle()
 
     def _refuse(self, owed: Owed, answer: li.Nack | li.Undeliverable) -> None:
         """The final answer in the turn of its arrival: the text was never taken on."""
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -307,7 +307,8 @@
         if connection in waiting:
             waiting.remove(connection)
         call, connection.call = connection.call, None
-        say(log, "host connection ended", logging.DEBUG, host=connection.host, why=ending.value)
+        level = logging.WARNING if ending in (Ending.GARBLED, Ending.CROWDED) else logging.DEBUG
+        say(log, "host connection ended", level, host=connection.host, why=ending.value)
         if call is None:
             return
         self._finish(call)
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -17,6 +17,7 @@
 TAKEN, GOING, ENDED, OWED, OVER = range(1, 6)
 BLOCK = 512  # files count in whole blocks
 LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest: growth, the new file
+MEMORY_SHARE = 0.1  # of the memory, for the same records, which are kept there too
 LATER = 2048  # kept free for the later records of a text
 
 
@@ -26,7 +27,6 @@
 
     id: bytes
     pairs: dict
-    body: bytes
     submits: int = 0
     out: bool = False  # a submit has gone out and not ended
     ran: bool = False  # one that has ended may have run
@@ -36,11 +36,17 @@
     records: list[bytes] = field(default_factory=list)
     size: int = 0
 
+    @property
+    def body(self) -> bytes:
+        taken = self.records[0]
+        return taken[HEAD.size + NAMES.size + NAMES.unpack_from(taken, HEAD.size)[1]:]
+
 
 class Ledger:
-    def __init__(self, folder: str, disk_bytes: int) -> None:
+    def __init__(self, folder: str, disk_bytes: int, memory_bytes: int) -> None:
         self.path, self._new = os.path.join(folder, "ledger"), os.path.join(folder, "ledger.new")
         self.disk = disk_bytes // BLOCK * BLOCK - 2 * BLOCK
+        self.live_most = min(self.disk * LIVE_SHARE, memory_bytes * MEMORY_SHARE)
         self.entries: dict[bytes, Entry] = {}
         self.live, self.size, self.cut = 0, 0, 0
         if os.path.exists(self._new):
@@ -67,10 +73,10 @@
     def _apply(self, record: bytes) -> None:
         kind, length = NAMES.unpack_from(record, HEAD.size)
         at = HEAD.size + NAMES.size
-        pairs, body = json.loads(record[at:at + length]), record[at + length:]
+        pairs = json.loads(record[at:at + length])
         text = pairs["id"].encode()
         if kind == TAKEN:
-            self.entries[text] = Entry(text, pairs, body)
+            self.entries[text] = Entry(text, pairs)
         entry = self.entries.get(text)
         if entry is None:
             return
@@ -95,7 +101,7 @@
     def has_room(self, body: int) -> bool:
         """Whether one more text fits, with all that will be written of it and of the others."""
         owed = (len(self.entries) + 1) * LATER
-        return self.live + body + owed <= self.disk * LIVE_SHARE
+        return self.live + body + owed <= self.live_most
 
     def taken(self, text: bytes, body: bytes, **pairs: object) -> None:
         self._write(TAKEN, text, pairs, body)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,17 @@
-"""What the tests share: terms, hosts, and a relay whose state a test sets directly."""
+"""What the tests share: a relay whose state a test sets directly, and stand-ins for the program's peers."""
+
+import http.server
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+from typing import NamedTuple
 
 import pytest
 
@@ -81,3 +94,211 @@
 
 
 FAILURES = (Result.ERROR, Result.TIMEOUT, Result.RESET)
+
+# What follows is for tests that start the program: stand-ins on sockets and a client of the relay.
+
+WAIT = 10  # seconds after which something awaited is missing
+SETTINGS = {
+    "classes": [
+        {"name": "notice", "effect": "token", "group": "zone", "dedupWindow": 10000, "deadline": 24000},
+        {"name": "charge", "effect": "side_effect", "oneAtATime": True, "deadline": 28000},
+        {"name": "report", "effect": "pure", "deadline": 16000}],
+    "familyInfo": {"slots": 8, "batchByKind": [1, 5, 1], "routesApart": [False, False, True]},
+    "limits": {"maxOpen": 50, "maxAttempts": 4, "maxRetryAfter": 2000, "retryAfter": True, "connIdle": 15000},
+    "peersTotal": 1, "projects": [{"name": "acme"}], "skus": ["single", "batching", "apart"], "zones": ["a", "b"],
+    "rules": {"cold": 12000, "coldShare": 0.2, "fallMultiple": 2.5, "tipAfter": 2000, "turnGap": 300}}
+
+
+class Party(http.server.ThreadingHTTPServer):
+    """A stand-in for whoever the relay speaks HTTP to: each request goes to `asked`, `reply` answers it."""
+
+    daemon_threads = True
+
+    def __init__(self, reply):
+        super().__init__(("127.0.0.1", 0), PartyHandler)
+        self.reply, self.asked, self.released = reply, queue.Queue(), threading.Event()
+        self.address = f"127.0.0.1:{self.server_address[1]}"
+        threading.Thread(target=self.serve_forever, args=(0.02,), daemon=True).start()
+
+    def next(self):
+        return self.asked.get(timeout=WAIT)
+
+    def handle_error(self, request, client_address):
+        pass  # the relay may close a connection at any time
+
+
+class PartyHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version, disable_nagle_algorithm = "HTTP/1.1", True
+
+    def handle_any(self):
+        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        request = Asked(self.path, self.headers, body, time.monotonic(), self)
+        self.server.asked.put(request)
+        answer = self.server.reply(request)
+        if answer is not None:
+            request.answer(*answer)
+
+    do_GET = do_POST = handle_any
+
+    def log_message(self, *words):
+        pass
+
+
+class Asked(NamedTuple):
+    """One request to a stand-in."""
+
+    path: str
+    headers: object
+    body: bytes
+    at: float
+    handler: PartyHandler
+
+    def answer(self, status, body=b"", **headers):
+        self.handler.send_response_only(status)
+        for name, value in headers.items():
+            self.handler.send_header(name.replace("_", "-"), value)
+        if status != 204:
+            self.handler.send_header("Content-Length", str(len(body)))
+        self.handler.end_headers()
+        self.handler.wfile.write(body)
+
+    def hang(self):
+        self.handler.server.released.wait(WAIT)
+        self.handler.close_connection = True
+
+    def cut(self):
+        self.handler.close_connection = True
+        self.handler.connection.shutdown(socket.SHUT_RDWR)
+
+
+class Agent(Party):
+    """Discovery and platform: keeps the list, tells changes to whoever watches, takes notices."""
+
+    def __init__(self):
+        self.rows, self.index, self.watches, self.notices = {}, 1, queue.Queue(), queue.Queue()
+        self.notice_status, self.changes = 204, {}
+        super().__init__(self.act)
+
+    def list(self, address, name="s-1", dest=1, kind="single", zone="a", status="active"):
+        self.index += 1
+        self.rows[name] = {"name": name, "address": address, "zone": zone, "type": kind, "group": dest,
+                           "status": status, "weight": 50.0, "since_ms": 0}
+        self.changes[self.index] = self.rows[name]
+
+    def page(self, rows, whole):
+        return json.dumps({"index": self.index, "snapshot": whole, "endpoints": rows}).encode() + b"\n"
+
+    def act(self, request):
+        if request.path == "/reports":
+            for line in request.body.splitlines():
+                self.notices.put(json.loads(line))
+            return (self.notice_status,)
+        if "stream=1" not in request.path:
+            return 200, self.page(list(self.rows.values()), True)
+        self.watches.put((request, int(request.path.rpartition("=")[2])))
+        request.handler.send_response_only(200)
+        request.handler.send_header("Transfer-Encoding", "chunked")
+        request.handler.end_headers()
+        request.hang()
+        return None
+
+    def tell(self, watch, raw=None):
+        """Write what changed since the watch's index, or these bytes, to it."""
+        request, index = watch
+        rows = [row for number, row in self.changes.items() if number > index]
+        raw = self.page(rows, False) if raw is None else raw
+        request.handler.wfile.write(b"%x\r\n%s\r\n" % (len(raw), raw))
+
+    def notice(self):
+        return self.notices.get(timeout=WAIT)
+
+
+class Client:
+    """A client of the relay, on one connection."""
+
+    def __init__(self, port):
+        self.socket = socket.create_connection(("127.0.0.1", port), timeout=WAIT)
+        self.lines, self.count = self.socket.makefile("rb"), 0
+
+    def ask(self, *words):
+        self.write(*words)
+        return self.lines.readline().strip().decode()
+
+    def write(self, *words):
+        words = [word if isinstance(word, bytes) else word.encode() for word in words]
+        self.socket.sendall(b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(w), w) for w in words))
+
+    def submit(self, text, product="report", body=b"hello", key="0000", dest=1, d=8000, mark="5c0f"):
+        return self.ask("SUBMIT", key, text, f"c={product},t=acme,d={d},k={mark},dest={dest}", body)
+
+
+class Program:
+    """The relay's process, started from its configuration."""
+
+    def __init__(self, folder, agent, **more):
+        with socket.create_server(("127.0.0.1", 0)) as spare:
+            self.port = spare.getsockname()[1]
+        self.state, self.file = folder / "state", folder / "relay.json"
+        self.state.mkdir()
+        plan = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": agent.address, "seed": "7",
+                "state": str(self.state), "limits": {"disk_mb": 3}, "settings": SETTINGS, "notice_ms": 300,
+                "reconnect_ms": 20, "stop_least_ms": 50} | more
+        self.file.write_text(json.dumps(plan))
+        self.process = None
+
+    def start(self):
+        """Start it and wait until it says that it serves."""
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "limelatch.relay"], stderr=subprocess.PIPE, text=True,
+            env=os.environ | {"RELAY_CONFIG": str(self.file)}, cwd=Path(__file__).parent.parent)
+        self.log = queue.Queue()
+        threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
+        self.says("event=serving")
+        return Client(self.port)
+
+    def _read(self, process):
+        for line in process.stderr:
+            self.log.put(line)
+
+    def says(self, words):
+        while words not in (line := self.log.get(timeout=WAIT)):
+            pass
+        return line
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait(WAIT)
+
+    def terminate(self):
+        self.process.send_signal(signal.SIGTERM)
+
+
+@pytest.fixture
+def agent():
+    agent = Agent()
+    yield agent
+    agent.released.set()
+    agent.shutdown()
+
+
+@pytest.fixture
+def party():
+    """Makes stand-ins for hosts."""
+    made = []
+
+    def make(reply=lambda request: (200,)):
+        made.append(Party(reply))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.released.set()
+        each.shutdown()
+
+
+@pytest.fixture
+def program(tmp_path, agent):
+    program = Program(tmp_path, agent)
+    yield program
+    if program.process is not None:
+        program.kill()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,234 @@
+"""The program on sockets: it is started, spoken to, killed and started again."""
+
+import json
+import os
+import queue
+import subprocess
+import sys
+
+import pytest
+from conftest import WAIT, Program
+
+
+def hang(request):
+    request.hang()
+
+
+def wait_once(seconds):
+    left = [seconds]
+
+    def reply(request):
+        if left:
+            request.answer(429, Retry_After=left.pop())
+            return None
+        return (200,)
+    return reply
+
+
+def test_a_text_goes_out_as_it_came_and_is_delivered(program, agent, party):
+    host = party()
+    agent.list(host.address)
+    client = program.start()
+    assert client.ask("PING") == "+PONG"
+    body = bytes(range(256))
+    assert client.submit("t1", "notice", body, mark="5c0f6e1a") == "+OK"
+    call = host.next()
+    assert (call.path, call.body, call.headers["X-Txn"]) == ("/v1/messages", body, "t1")
+    assert call.headers["Idempotency-Key"] == "5c0f6e1a" and call.headers["X-Remaining"].endswith("m")
+    assert client.submit("t2") == "+OK" and host.next().headers["X-Txn"] == "t2"
+    assert host.asked.empty() and agent.notices.empty()
+
+
+def test_a_told_wait_is_heeded_by_every_text(program, agent, party):
+    host = party(wait_once("0.6"))
+    agent.list(host.address)
+    client = program.start()
+    client.submit("t1")
+    told = host.next().at
+    client.submit("t2")
+    calls = [host.next(), host.next()]
+    assert {call.headers["X-Txn"] for call in calls} == {"t1", "t2"}
+    assert min(call.at for call in calls) - told >= 0.6
+
+
+def test_what_was_reset_and_may_not_run_twice_ends_by_a_notice_until_it_is_heard(program, agent, party):
+    host = party(lambda request: request.cut())
+    agent.list(host.address)
+    agent.notice_status = 503
+    client = program.start()
+    assert client.submit("t1", "charge", key="k1") == "+OK"
+    assert agent.notice() == agent.notice() == {"ref": "t1", "result": "dead"}
+    agent.notice_status = 204
+    agent.notice()
+    assert host.next() and host.asked.empty()
+
+
+def test_the_next_text_of_a_key_waits_until_the_notice_is_answered(program, agent, party):
+    host = party(lambda request: request.cut() if request.headers["X-Txn"] == "t1" else (200,))
+    agent.list(host.address)
+    agent.notice_status = 503
+    client = program.start()
+    client.submit("t1", "charge", key="k1")
+    client.submit("t2", "charge", key="k1")
+    assert host.next().headers["X-Txn"] == "t1"
+    agent.notice(), agent.notice()
+    assert host.asked.empty()
+    agent.notice_status = 204
+    assert host.next().headers["X-Txn"] == "t2"
+
+
+def test_a_bounce_tells_when_to_come_again(program, agent):
+    client = program.start()  # nobody takes texts for this destination
+    assert client.submit("t1", d=300) == "+OK"
+    assert agent.notice() == {"ref": "t1", "result": "bounced", "wait_ms": 2000}
+    assert client.submit("t2", d=50) == "-BUSY 2000"
+
+
+def test_texts_of_one_turn_share_a_batch(program, agent, party):
+    held = queue.Queue()
+
+    def reply(request):
+        if not request.path.endswith(":batch"):
+            held.get(timeout=WAIT)
+            return (200,)
+        rows = [{"id": row["id"], "state": "delivered"} for row in json.loads(request.body)]
+        return 200, json.dumps(rows).encode()
+
+    host = party(reply)
+    agent.list(host.address, kind="batching")
+    client = program.start()
+    for number in range(4):  # the window of a destination is half of eight slots at first
+        client.submit(f"a{number}")
+        host.next()
+    for number in range(3):
+        client.submit(f"b{number}", body=b"b%d" % number)
+    for _ in range(4):
+        held.put(None)
+    call = host.next()
+    assert call.path == "/v1/messages:batch"
+    assert [row["id"] for row in json.loads(call.body)] == ["b0", "b1", "b2"]
+    assert json.loads(call.body)[0] == {"id": "b0", "body": "YjA=", "key": "5c0f"}
+
+
+def test_a_call_out_at_a_kill_is_not_sent_again_if_it_may_not_run_twice(program, agent, party):
+    host = party(hang)
+    agent.list(host.address)
+    client = program.start()
+    client.submit("t1", "charge", key="k1")
+    client.submit("t2", "charge", key="k1")
+    host.next()
+    program.kill()
+    host.reply = lambda request: (200,)
+    program.start()
+    assert agent.notice() == {"ref": "t1", "result": "dead"}
+    assert host.next().headers["X-Txn"] == "t2"
+    assert host.asked.empty()
+
+
+def test_a_call_out_at_a_kill_goes_again_with_its_key_where_a_repeat_is_known(program, agent, party):
+    host = party(hang)
+    agent.list(host.address)
+    program.start().submit("t1", "notice", b"\0body", mark="5c0f6e1a")
+    host.next()
+    program.kill()
+    host.reply = lambda request: (200,)
+    program.start()
+    again = host.next()
+    assert (again.headers["X-Txn"], again.headers["Idempotency-Key"]) == ("t1", "5c0f6e1a")
+    assert again.body == b"\0body"
+
+
+def test_texts_and_notices_owed_at_a_kill_outlast_it_and_a_torn_tail(program, agent, party):
+    agent.notice_status = 503
+    client = program.start()
+    client.submit("t1", d=300)
+    assert agent.notice()["ref"] == "t1"
+    client.submit("t2")
+    program.kill()
+    with open(program.state / "ledger", "ab") as file:
+        file.write(b"\0\0\0\x40torn")
+    agent.notice_status = 204
+    host = party()
+    agent.list(host.address)
+    program.start()
+    assert agent.notice() == {"ref": "t1", "result": "bounced", "wait_ms": 2000}
+    assert host.next().headers["X-Txn"] == "t2"
+
+
+def test_sigterm_lets_calls_finish_and_takes_nothing_new(program, agent, party):
+    host = party(lambda request: None)
+    agent.list(host.address)
+    client = program.start()
+    client.submit("t1", "charge", key="k1")
+    call = host.next()
+    program.terminate()
+    program.says("event=stopping")
+    assert client.lines.readline() == b""  # closed between requests
+    other = type(client)(program.port)
+    assert other.submit("t3").startswith("-BUSY") and other.lines.readline() == b""
+    call.answer(200)
+    assert program.process.wait(WAIT) == 0
+    assert agent.notices.empty()
+
+
+def test_sigterm_ends_in_time_with_a_call_out_and_the_text_is_still_owed(tmp_path, agent, party):
+    program = Program(tmp_path, agent, stop_ms=300)
+    host = party(hang)
+    agent.list(host.address)
+    program.start().submit("t1", "notice")
+    host.next()
+    program.terminate()
+    assert program.process.wait(WAIT) == 0
+    host.reply = lambda request: (200,)
+    program.start()
+    assert host.next().headers["X-Txn"] == "t1"
+    program.kill()
+
+
+@pytest.mark.parametrize("command", [
+    [b"SUBMIT"], [b"FLUSHALL"], [b"SUBMIT", b"0", b"bad id\r\n", b"c=report,d=1,dest=1", b""],
+    [b"SUBMIT", b"0", b"t1", b"c=unknown,d=9000,dest=1", b""],
+    [b"SUBMIT", b"0", b"t1", b"c=report,d=x,dest=1", b""],
+    [b"SUBMIT", b"0", b"t1", b"c=report,d=9000,dest=1", bytes(64 * 1024 + 1)]])
+def test_a_bad_command_gets_an_error_and_the_connection_goes_on(program, agent, command):
+    client = program.start()
+    assert client.ask(*command).startswith("-ERR")
+    assert client.ask("PING") == "+PONG"
+
+
+def test_a_peer_that_sends_nonsense_loses_its_connection_and_nothing_else(program, agent, party):
+    host = party(lambda request: request.handler.wfile.write(b"nonsense\r\n\r\n") and None)
+    agent.list(host.address)
+    client = program.start()
+    bad = type(client)(program.port)
+    bad.socket.sendall(b"*1\r\n:5\r\n")
+    assert bad.lines.readline().startswith(b"-ERR") and bad.lines.readline() == b""
+    client.submit("t1", "charge", key="k1")
+    assert agent.notice() == {"ref": "t1", "result": "dead"}  # it may have run
+    assert client.ask("PING") == "+PONG"
+
+
+def test_the_watch_tells_of_drains_and_is_opened_again_at_its_index(program, agent, party):
+    first, second = party(), party()
+    agent.list(first.address)
+    client = program.start()
+    watch = agent.watches.get(timeout=WAIT)
+    agent.tell(watch, b"\n")
+    agent.list(first.address, status="leaving")
+    agent.list(second.address, "s-2")
+    agent.tell(watch)
+    agent.tell(watch, b"no json\n")
+    again = agent.watches.get(timeout=WAIT)
+    assert again[1] == agent.index
+    assert client.submit("t1") == "+OK" and second.next().headers["X-Txn"] == "t1"
+    assert first.asked.empty()
+
+
+def test_a_wrong_key_is_named_on_one_plain_line(tmp_path):
+    file = tmp_path / "relay.json"
+    file.write_text(json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "state": "s",
+                                "settings": {"classes": [{}], "limits": {"maxOpen": "many"}}}))
+    done = subprocess.run([sys.executable, "-m", "limelatch.relay"], capture_output=True, text=True,
+                          timeout=WAIT, env=os.environ | {"RELAY_CONFIG": str(file)})
+    assert done.returncode == 2
+    assert done.stderr.count("\n") == 1 and "settings.limits.maxOpen" in done.stderr
