--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,303 @@
+"""The relay's parts, one call each, without the program."""
+
+import pytest
+from conftest import SETTINGS
+from twisted.internet.task import Clock as Reactor
+from twisted.internet.testing import StringTransport
+
+from limelatch import configuration
+from limelatch.configuration import ConfigurationError, Keys, plan_of, terms_of
+from limelatch.interface import SECOND, Effect, Listing, Result
+from limelatch.relay.catalog import BadList, read_list
+from limelatch.relay.clients import BadCommand, read_submit
+from limelatch.relay.deadlines import Deadlines
+from limelatch.relay.ending import RESULT_OF_ENDING, Ending
+from limelatch.relay.hosts import Call, Outcome, Parcel, read_outcomes, told_wait
+from limelatch.relay.http import Answer, HttpCaller
+from limelatch.relay.ledger import BLOCK, Ledger
+from limelatch.relay.ring import Ring, RingFull
+from limelatch.relay.slots import Slots
+
+NAMES = configuration.names_of(SETTINGS)
+
+
+class Caller(HttpCaller):
+    """Keeps what a peer's bytes became."""
+
+    def __init__(self):
+        super().__init__(1024, 256)
+        self.got = []
+        self.makeConnection(Wire())
+        self.ask(b"GET / HTTP/1.1\r\n\r\n")
+
+    def answered(self, answer, body):
+        self.got.append((answer.status, body, answer.keeps))
+
+    def ended(self, ending):
+        self.got.append(ending)
+
+
+class Wire(StringTransport):
+    def setTcpNoDelay(self, on):
+        pass
+
+    def abortConnection(self):
+        self.disconnecting = True
+
+
+@pytest.fixture
+def ledger(tmp_path):
+    return Ledger(str(tmp_path), 100_000, 10_000_000)
+
+
+def take(ledger, text, body=b"body", key="k1"):
+    ledger.taken(text, body, key=key, mark="m", dest=1, product="charge", customer=0, until=9)
+
+
+def again(ledger):
+    """The ledger as the next process finds it."""
+    return Ledger(ledger.path.removesuffix("/ledger"), 100_000, 10_000_000)
+
+
+def test_a_ring_goes_round_grows_and_never_passes_its_bound():
+    ring = Ring(3000)
+    for start in range(0, 9000, 700):
+        ring.write(bytes((start + i) % 251 for i in range(1400)))
+        assert ring.read(1400) == bytes((start + i) % 251 for i in range(1400))
+    ring.write(b"x" * 2990)
+    with pytest.raises(RingFull):
+        ring.write(b"y" * 11)
+    assert len(ring) == 2990 and ring.free == 10
+
+
+def test_a_ring_finds_a_mark_that_lies_across_its_end():
+    ring = Ring(1024)
+    ring.write(b"x" * 1023)
+    ring.read(1020)
+    ring.write(b"y\r\nz")
+    assert ring.find(b"\r\n") == 4 and ring.read(6) == b"xxxy\r\n" and ring.find(b"\r\n") == -1
+
+
+def test_slots_are_numbered_used_again_and_bounded():
+    slots = Slots(2)
+    assert [slots.take("a"), slots.take("b"), slots.take("c")] == [0, 1, None]
+    slots.release(0)
+    assert slots.take("d") == 0 and sorted(slots) == ["b", "d"]
+    slots.release(1)
+    with pytest.raises(KeyError):
+        slots.release(1)
+
+
+@pytest.fixture
+def deadlines():
+    reactor = Reactor()
+    reactor.now = lambda: int(reactor.seconds() * SECOND)
+    return Deadlines(reactor, reactor), reactor
+
+
+def test_deadlines_share_one_timer_and_come_in_order(deadlines):
+    deadlines, reactor = deadlines
+    done = []
+    deadlines.at(2 * SECOND, lambda: done.append("late"))
+    deadlines.at(SECOND, lambda: done.append("early"))
+    deadlines.at(SECOND, lambda: done.append("cancelled")).cancel()
+    assert len(reactor.getDelayedCalls()) == 1
+    reactor.advance(1)
+    assert done == ["early"]
+    reactor.advance(1)
+    assert done == ["early", "late"] and reactor.getDelayedCalls() == []
+
+
+def test_a_fault_in_one_call_leaves_the_other_deadlines_due(deadlines):
+    deadlines, reactor = deadlines
+    done = []
+    deadlines.at(SECOND, lambda: 1 // 0)
+    deadlines.at(SECOND, lambda: done.append(1))
+    reactor.advance(1)
+    assert done == [1]
+
+
+def test_the_ledger_tells_what_is_owed_in_the_order_it_was_taken(ledger):
+    for text in (b"a", b"b", b"c", b"d"):
+        take(ledger, text, b"body of " + text)
+    ledger.going(b"a", 5, 1)
+    ledger.going(b"b", 6, 0)
+    ledger.ended(b"b", ran=True)
+    ledger.going(b"b", 7, 2)
+    ledger.ended(b"b", ran=False)
+    ledger.owed(b"c", {"result": "dead"})
+    ledger.over(b"d")
+    a, b, c = again(ledger).entries.values()
+    assert (a.id, a.body, a.submits, a.out, a.ran_at, a.ran_zone) == (b"a", b"body of a", 1, True, 5, 1)
+    assert (b.submits, b.out, b.ran_at, b.ran_zone) == (2, False, 6, 0)
+    assert (c.notice, c.pairs["key"]) == ({"result": "dead"}, "k1")
+
+
+def test_a_submit_that_never_ran_is_forgotten(ledger):
+    take(ledger, b"a")
+    ledger.going(b"a", 5, 1)
+    ledger.ended(b"a", ran=False)
+    assert again(ledger).entries[b"a"].ran_at is None
+
+
+@pytest.mark.parametrize("cut", range(1, 30, 7))
+def test_a_torn_tail_is_cut_and_the_ledger_goes_on(ledger, cut):
+    take(ledger, b"a")
+    kept = ledger.size
+    take(ledger, b"b")
+    with open(ledger.path, "r+b") as file:
+        file.truncate(ledger.size - cut)
+    torn = again(ledger)
+    assert list(torn.entries) == [b"a"] and torn.size == kept and torn.cut > 0
+    take(torn, b"c")
+    assert list(again(ledger).entries) == [b"a", b"c"]
+
+
+def test_a_changed_byte_is_not_taken_for_a_record(ledger):
+    take(ledger, b"a")
+    with open(ledger.path, "r+b") as file:
+        file.seek(ledger.size - 1)
+        file.write(b"X")
+    assert list(again(ledger).entries) == []
+
+
+def test_compaction_keeps_old_and_new_file_under_the_disk_limit(ledger, monkeypatch, tmp_path):
+    import os
+    most, replace = [], os.replace
+
+    def watched(old, new):
+        most.append(sum(-(-each.stat().st_size // BLOCK) * BLOCK for each in tmp_path.iterdir()))
+        replace(old, new)
+
+    monkeypatch.setattr(os, "replace", watched)
+    take(ledger, b"stays", b"s" * 9000)
+    for number in range(300):
+        text = b"t%d" % number
+        take(ledger, text, b"x" * 900)
+        ledger.over(text)
+    assert len(most) > 2 and max(most) <= 100_000 and ledger.size <= 100_000
+    take(ledger, b"last")
+    assert list(again(ledger).entries) == [b"stays", b"last"]
+
+
+def test_without_room_no_text_is_taken(ledger):
+    assert ledger.has_room(30_000)
+    take(ledger, b"a", b"x" * 30_000)
+    assert not ledger.has_room(30_000)
+    ledger.over(b"a")
+    assert ledger.has_room(30_000)
+
+
+def test_every_ending_means_something_to_the_module():
+    assert set(RESULT_OF_ENDING) == set(Ending)
+    assert RESULT_OF_ENDING[Ending.CUT_SHORT] is Result.CONNECT
+    assert RESULT_OF_ENDING[Ending.BROKEN] is Result.RESET
+
+
+@pytest.mark.parametrize("raw, got", [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", (200, b"hi", True)),
+    (b"HTTP/1.1 204 No Content\r\n\r\n", (204, b"", True)),
+    (b"HTTP/1.1 503\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", (503, b"", False)),
+    (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+     b"2\r\nhi\r\n0\r\n\r\n", (200, b"hi", True))])
+def test_answers_are_read_however_they_are_cut(raw, got):
+    for size in (1, 7, len(raw)):
+        caller = Caller()
+        for at in range(0, len(raw), size):
+            caller.dataReceived(raw[at:at + size])
+        assert caller.got == [got]
+
+
+@pytest.mark.parametrize("raw", [
+    b"SSH-2.0-x\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n", b"HTTP/1.1 200 OK\r\nno colon\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"x" * 9000])
+def test_a_garbled_answer_ends_the_connection(raw):
+    caller = Caller()
+    caller.dataReceived(raw)
+    assert caller.ending is Ending.GARBLED and caller.transport.disconnecting
+
+
+def test_a_choked_transport_holds_back_ring_and_source():
+    caller = Caller()
+    caller.transport.clear()
+    caller.outflow.pauseProducing()
+    caller.send(b"x" * 1000)
+    assert caller.transport.value() == b"" and len(caller.outflow.ring) == 256 and caller.outflow.pieces
+    caller.outflow.resumeProducing()
+    assert caller.transport.value() == b"x" * 1000 and caller.outflow.empty
+
+
+def outcomes(status, body=b"", texts=(b"a",), **headers):
+    call = Call(b"s-1", [Parcel(text, b"", b"", 0, 0, 0) for text in texts], 0)
+    told = {name.replace("_", "-").encode(): value for name, value in headers.items()}
+    return read_outcomes(call, Answer(status, told), body)
+
+
+@pytest.mark.parametrize("status, headers, outcome", [
+    (200, {}, Outcome(Result.DELIVERED, True)), (500, {}, Outcome(Result.ERROR)),
+    (429, {"retry_after": b"0.25"}, Outcome(Result.FULL, False, 2500)), (503, {}, Outcome(Result.FULL)),
+    (503, {"x_no_slot": b"1"}, Outcome(Result.MOOT)), (504, {}, Outcome(Result.MOOT)),
+    (410, {}, Outcome(Result.MOOT, True)), (418, {}, Outcome(Result.ERROR)),
+    (200, {"x_pressure": b"x0=0.4,x1=25,x2=?"}, Outcome(Result.DELIVERED, True, 0, {"x0": 0.4, "x1": 25.0}))])
+def test_an_answer_says_how_a_call_fared(status, headers, outcome):
+    assert outcomes(status, **headers) == [outcome]
+
+
+def test_a_batch_answer_says_how_each_text_fared():
+    body = b'[{"id":"b","state":"refused"},{"id":"a","state":"delivered"}]'
+    assert outcomes(200, body, (b"a", b"b"), retry_after=b"1") == [
+        Outcome(Result.DELIVERED, True, SECOND), Outcome(Result.FULL, False, SECOND)]
+    assert outcomes(413, b"", (b"a", b"b")) == [Outcome(Result.MOOT)] * 2
+    with pytest.raises(KeyError):
+        outcomes(200, body, (b"a", b"c"))
+
+
+def test_a_told_wait_is_rounded_up_and_a_date_is_none():
+    assert told_wait({b"retry-after": b"0.00001"}) == 1
+    assert told_wait({b"retry-after": b"Tue, 01 Dec 2026 12:00:00 GMT"}) == 0
+
+
+def test_submit_names_what_it_hands_in():
+    names = b"c=notice,t=acme,d=80.5,k=5c,dest=7,r=1"
+    handed = read_submit([b"SUBMIT", b"0000", b"9b1f", names, b"\r\n\0"])
+    assert (handed.id, handed.order, handed.destination, handed.valid_for) == (b"9b1f", b"", 7, 805)
+    assert (handed.mark, handed.body, handed.product, handed.customer) == (b"5c", b"\r\n\0", b"notice", b"acme")
+    with pytest.raises(BadCommand):
+        read_submit([b"SUBMIT", b"0", b"a\r\nX-Evil: 1", b"d=1,dest=7", b""])
+
+
+ROW = {"name": "s-1", "address": "127.0.0.1:80", "zone": "b", "type": "apart", "group": 3,
+       "status": "leaving"}
+
+
+def test_the_list_is_read_in_the_modules_numbers():
+    rows = [ROW, ROW | {"name": "s-2", "type": "unheard of"}]
+    index, whole, entries, addresses = read_list({"index": 4, "snapshot": True, "endpoints": rows}, NAMES)
+    assert (index, whole, len(entries), str(addresses[b"s-1"])) == (4, True, 1, "127.0.0.1:80")
+    assert (entries[0].zone, entries[0].kind, entries[0].listing) == (1, 2, Listing.DRAINING)
+
+
+@pytest.mark.parametrize("raw", [[], {}, {"index": 1, "snapshot": True, "endpoints": [{"name": "x"}]}])
+def test_a_list_that_cannot_be_read_is_named_so(raw):
+    with pytest.raises(BadList):
+        read_list(raw, NAMES)
+
+
+def test_settings_get_defaults_and_unknown_effects_never_run_twice():
+    terms = terms_of(1, {"classes": [{"effect": "new"}], "unknown": 1, "limits": None})
+    assert terms.products[0].effect is Effect.ONCE_ONLY and (terms.slots, terms.max_texts) == (1, 1)
+
+
+@pytest.mark.parametrize("raw, key", [
+    ({"listen": "localhost"}, "listen"), ({"listen": "127.0.0.1:99999"}, "listen"),
+    ({"settings": []}, "settings"),
+    ({"settings": {"classes": [{"deadline": -1}]}}, "settings.classes[0].deadline"),
+    ({"settings": {"classes": []}}, "settings.classes"), ({"limits": {"sockets": "x"}}, "limits.sockets"),
+    ({"log_level": "loud"}, "log_level"), ({"seed": "xyz"}, "seed"), ({"state": ""}, "state"),
+    ({"settings": SETTINGS | {"familyInfo": {"batchByKind": ["x"]}}}, "settings.familyInfo.batchByKind")])
+def test_a_wrong_value_is_named_by_its_key(raw, key):
+    good = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "state": "s", "settings": SETTINGS}
+    assert plan_of(Keys(good)).terms.slots == 8
+    with pytest.raises(ConfigurationError) as error:
+        plan_of(Keys(good | raw))
+    assert str(error.value).startswith(key + ":")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,9 +1,9 @@
 """The six rules, each where it could break."""
 
 import pytest
-from conftest import CHARGE, FAILURES, HOST, NOW, REPORT, ROUTE, TWIN, S
+from conftest import CHARGE, FAILURES, HOST, NOTICE, NOW, REPORT, ROUTE, TWIN, S
 
-from limelatch.interface import Listing, Nack, Result, Submit, Undeliverable
+from limelatch.interface import Listing, Nack, Past, Result, Submit, Text, Undeliverable
 from limelatch.policy import TOLD_JITTER
 
 
@@ -131,3 +131,66 @@
     relay.host(ROUTE).route.wait_until = NOW + S
     text = relay.take(dest=2)
     assert relay.sent() == {text: TWIN}
+
+
+def resume(relay, product, past, key=0):
+    """A text that this relay took on before it was started anew."""
+    text = relay.take(product, key=key)
+    relay.policy.text_over(NOW, text)
+    relay.policy.text_taken(NOW, Text(text, 1, product, NOW + 20 * S, 0, key), past)
+    return text
+
+
+def test_what_may_have_run_before_a_restart_never_goes_again_if_once_only(relay):
+    text = resume(relay, CHARGE, Past(1, NOW - S, 0, out=True), key=5)
+    assert relay.decide() == [Undeliverable(text)]
+
+
+def test_a_key_rests_after_a_call_that_was_out_at_the_restart(relay):
+    first = resume(relay, CHARGE, Past(1, NOW - S, 0, out=True), key=5)
+    second = resume(relay, CHARGE, Past(), key=5)
+    relay.decide()
+    relay.policy.text_over(NOW, first)
+    assert relay.sent(NOW + 2900) == {} and relay.sent(NOW + 3100) == {second: HOST}
+
+
+def test_a_notice_owed_from_before_a_restart_keeps_its_place_in_the_key(relay):
+    first = resume(relay, CHARGE, Past(1, NOW - S, 0, answered=True), key=5)
+    second = resume(relay, CHARGE, Past(), key=5)
+    assert relay.decide(Undeliverable) == [] and relay.sent(NOW + S) == {}
+    relay.policy.text_over(NOW + S, first)
+    assert relay.sent(NOW + 2 * S) == {second: HOST}
+
+
+def test_a_repeat_after_a_restart_keeps_to_window_and_group(relay):
+    relay.list(TWIN, zone=1)
+    text = resume(relay, NOTICE, Past(1, NOW - 8 * S, 1, out=True))
+    assert relay.sent() == {text: TWIN}
+    late = resume(relay, NOTICE, Past(1, NOW - 11 * S, 1, out=True))
+    assert relay.decide(Undeliverable) == [Undeliverable(late)]
+
+
+def test_a_relay_that_stops_sends_only_what_will_be_answered_in_time(relay):
+    relay.policy.stopping(NOW + 2 * S)
+    relay.take(REPORT)
+    assert len(relay.sent(NOW)) == 1
+    relay.take(REPORT)
+    assert relay.sent(NOW + S) == {}
+
+
+def test_a_drain_or_a_wait_told_while_a_connection_comes_up_holds_the_text_back(relay):
+    text = relay.take(REPORT)
+    host = relay.out(text)
+    assert relay.policy.may_go(NOW, text, host)
+    relay.host().route.wait_until = NOW + S
+    assert not relay.policy.may_go(NOW, text, host) and relay.policy.may_go(NOW + S, text, host)
+    relay.list(HOST, listing=Listing.DRAINING)
+    assert not relay.policy.may_go(NOW + S, text, host)
+
+
+def test_a_wait_told_beside_a_delivery_is_heeded(relay):
+    first = relay.take(REPORT)
+    relay.out(first, Result.DELIVERED, over=True, told_wait=S)
+    relay.take(REPORT)
+    assert relay.sent(NOW + S - 1) == {}
+    assert len(relay.sent(NOW + 3 * S)) == 1
