--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -148,5 +148,7 @@
         self._watch = None
         if self._deadline is not None:
             self._deadline.cancel()
+        if not self.reactor.running:
+            return  # the relay ends
         say(log, "catalog lost", logging.WARNING, why=ending.value, index=self.index)
         self.deadlines.after(self.again, self.connect)
--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -119,7 +119,7 @@
         self._clear()
         self.connection = self._connector = None
         self.out = []
-        if ending is not Ending.CLOSED_BY_PEER:
+        if ending is not Ending.CLOSED_BY_PEER and self.reactor.running:
             say(log, "platform lost", logging.WARNING, why=ending.value, owed=len(self.owed))
         if self.owed and not self._paused:
             self._pause()
