--- a/limelatch/configuration.py
+++ b/limelatch/configuration.py
@@ -232,4 +232,4 @@
         probe_wait=keys.span("probe_ms", 1500), stop_least=keys.span("stop_least_ms", 500),
         stop_wait=keys.span("stop_ms", 3300),
         notice_wait=keys.span("notice_ms", 1000), list_wait=keys.span("list_ms", 1000),
-        silence=keys.span("silence_ms", 7000), reconnect_wait=keys.span("reconnect_ms", 250))
+        silence=keys.span("silence_ms", 4500), reconnect_wait=keys.span("reconnect_ms", 250))
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -6,7 +6,9 @@
 import re
 from dataclasses import dataclass
 
+from twisted.internet import interfaces
 from twisted.internet.protocol import ServerFactory
+from zope.interface import implementer
 
 from limelatch.interface import MS, SECOND
 from limelatch.relay.ending import Ending
@@ -58,6 +60,7 @@
                   int(dest), int(float(span) * MS), mark, body)
 
 
+@implementer(interfaces.IHalfCloseableProtocol)
 class Client(RingLines):
     """One client's connection. While a text waits for its answer nothing more is read from it."""
 
@@ -68,7 +71,8 @@
         self.hall, self.number = hall, None
         self.arguments: list[bytes] = []
         self.missing = 0  # arguments of the command still to come
-        self.too_large, self.skip, self.waiting, self.heard_at = False, 0, False, 0
+        self.too_large, self.skip, self.waiting, self.all_said = False, 0, False, False
+        self.heard_at = hall.driver.clock.now()
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -79,8 +83,6 @@
             self.hall.make_room(self)
 
     def end(self, ending: Ending) -> None:
-        say(log, "client ended", logging.DEBUG if ending in (Ending.STOPPING, Ending.CLOSED_BY_PEER) else
-            logging.WARNING, why=ending.value, peer=self.transport.getPeer().host)
         self.close(ending, finish_writing=True)
         self.hall.driver.deadlines.after(LINGER, self.transport.abortConnection)  # if it reads no more
 
@@ -166,13 +168,25 @@
         """The answer to the text that waits; then the next request is read."""
         self.waiting = False
         self.reply(line)
-        if self.hall.stopping:
+        self.pump()
+        if self.hall.stopping and self.between_requests():
             self.end(Ending.STOPPING)
-        else:
-            self.pump()
+        elif self.all_said:
+            self.readConnectionLost()
+
+    def readConnectionLost(self) -> None:
+        """The client has said all and may still read: it gets the answer that it waits for."""
+        self.all_said = True
+        if not self.waiting:
+            self.end(Ending.CLOSED_BY_PEER)
+
+    def writeConnectionLost(self) -> None:
+        self.end(Ending.CLOSED_BY_PEER)
 
     def connectionLost(self, reason) -> None:
         self.ending = self.ending or Ending.CLOSED_BY_PEER
+        level = logging.WARNING if self.ending in (Ending.GARBLED, Ending.CROWDED) else logging.DEBUG
+        say(log, "client ended", level, why=self.ending.value, peer=self.transport.getPeer().host)
         if self.number is not None:
             self.hall.connections.release(self.number)
             self.hall.release()
@@ -196,11 +210,14 @@
         self.port = reactor.listenTCP(port, self, backlog=128, interface=host)
 
     def make_room(self, newest: Client) -> None:
-        """The table is full: close the connection that has asked nothing for longest, or hold the port."""
-        resting = [each for each in self.connections if each is not newest and each.between_requests()]
+        """The table is full: close the connection silent for longest, or hold the port if all await answers."""
+        resting = [each for each in self.connections if each is not newest and not each.waiting]
         if resting:
-            min(resting, key=lambda client: client.heard_at).end(Ending.CROWDED)
-        if self.port is not None:
+            silent = min(resting, key=lambda client: client.heard_at)
+            silent.end(Ending.CROWDED)
+            self.connections.release(silent.number)
+            silent.number = None
+        else:
             self._held = True
             self.port.stopReading()
 
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -44,7 +44,7 @@
         self.deadlines = Deadlines(reactor, clock)
         self.policy = Policy(plan.terms, clock.now())
         self.ledger = Ledger(plan.state, plan.disk_bytes, plan.memory_bytes)
-        self.slots: Slots[Owed] = Slots(plan.terms.max_texts)
+        self.slots: Slots[Owed] = Slots(max(plan.terms.max_texts, len(self.ledger.entries)))
         self.owed: dict[bytes, Owed] = {}
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
         self.zones: dict[li.HostId, int] = {}
@@ -80,7 +80,8 @@
         text = li.Text(entry.id, pairs["dest"], product, pairs["until"], pairs["customer"],
                        pairs["key"].encode())
         owed = self._own(Owed(text, pairs["mark"].encode(), entry.body))
-        past = li.Past(entry.submits, entry.ran_at, entry.ran_zone, entry.out, entry.notice is not None)
+        answered = entry.notice is not None or not known
+        past = li.Past(entry.submits, entry.ran_at, entry.ran_zone, entry.out, answered)
         self.policy.text_taken(now, text, past)
         if entry.notice is not None:
             self.desk.notice(entry.id, entry.notice)
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -61,6 +61,7 @@
     host: HostId
     parcels: list[Parcel]
     sent: int
+    batched: bool = False  # written as a batch, and so answered as one
     deadline: Deadline | None = None
     connection: Connection | None = None
 
@@ -86,14 +87,14 @@
 def read_outcomes(call: Call, answer: Answer, body: bytes) -> list[Outcome]:
     """What an answer says of each text of its call; raises ValueError where it can't be read."""
     wait, report = told_wait(answer.headers), report_of(answer.headers)
-    if len(call.parcels) > 1 and answer.status == 200:
+    if call.batched and answer.status == 200:
         states = {row["id"].encode(): row["state"] for row in json.loads(body)}
         return [Outcome(RESULT_OF_STATE[states[each.text]], states[each.text] in OVER_STATE, wait, report)
                 for each in call.parcels]
     result = RESULT_OF_STATUS.get(answer.status, Result.ERROR)
     if answer.status == 503 and answer.headers.get(b"x-no-slot") == b"1":
         result = Result.MOOT
-    if len(call.parcels) > 1 and answer.status == 400:
+    if call.batched and answer.status == 400:
         result = Result.MOOT  # a batch that was not read
     return [Outcome(result, answer.status in OVER_STATUS, wait, report) for _ in call.parcels]
 
@@ -126,7 +127,7 @@
         super().__init__(ANSWER_MOST, OUTBOUND)
         self.yard, self.host, self.call = yard, host, call
         self.number, self.connector, self.deadline = None, None, None
-        self.up = False
+        self.up, self.rested_at = False, 0
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -152,8 +153,8 @@
                 self.connector.stopConnecting()
 
 
-class Attempt(ClientFactory):
-    """One attempt to connect."""
+class Dial(ClientFactory):
+    """One try to connect."""
 
     noisy = False
 
@@ -209,14 +210,17 @@
             return
         connection.deadline = self.deadlines.after(
             self.connect_wait, lambda: connection.give_up(Ending.UNREACHED))
-        connection.connector = self.reactor.connectTCP(address.host, address.port, Attempt(connection),
+        connection.connector = self.reactor.connectTCP(address.host, address.port, Dial(connection),
                                                        timeout=None)
 
     def _close_oldest_idle(self) -> None:
-        for waiting in self.idle.values():
-            if waiting:
-                waiting.pop(0).give_up(Ending.CROWDED)
-                return
+        resting = [waiting[0] for waiting in self.idle.values() if waiting]
+        if resting:
+            oldest = min(resting, key=lambda connection: connection.rested_at)
+            self.idle[oldest.host].remove(oldest)
+            oldest.give_up(Ending.IDLE)
+            self.connections.release(oldest.number)
+            oldest.number = None
 
     def go(self, connection: Connection) -> None:
         """The connection is up: write its call, less the texts that are not to go any more."""
@@ -233,6 +237,7 @@
                 self._finish(call)
                 self._rest(connection, held[0].keep)
                 return
+        call.batched = len(call.parcels) > 1
         self.driver.going(call)
         connection.ask(*write_call(call, str(self.addresses.get(call.host, "")), now))
 
@@ -265,6 +270,7 @@
             connection.give_up(Ending.IDLE)
             return
         connection.deadline = self.deadlines.after(keep, lambda: connection.give_up(Ending.IDLE))
+        connection.rested_at = self.clock.now()
         self.idle[connection.host].append(connection)
 
     def close_idle(self, host: HostId) -> None:
@@ -313,7 +319,7 @@
             return
         self._finish(call)
         result, answer = RESULT_OF_ENDING[ending], connection.answer if connection.asking else None
-        if answer is not None and len(call.parcels) == 1:
+        if answer is not None and not call.batched:
             result = RESULT_OF_STATUS.get(answer.status, result)  # its first line is here, which says all
         if not call.parcels:
             self.driver.probed(call, result, {})
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -229,6 +229,7 @@
 
 def outcomes(status, body=b"", texts=(b"a",), **headers):
     call = Call(b"s-1", [Parcel(text, b"", b"", 0, 0, 0) for text in texts], 0)
+    call.batched = len(texts) > 1
     told = {name.replace("_", "-").encode(): value for name, value in headers.items()}
     return read_outcomes(call, Answer(status, told), body)
 
@@ -252,6 +253,12 @@
         outcomes(200, body, (b"a", b"c"))
 
 
+def test_a_batch_of_which_one_text_is_left_is_still_answered_as_a_batch():
+    call = Call(b"s-1", [Parcel(b"a", b"", b"", 0, 0, 0)], 0, batched=True)  # the other's validity ended
+    body = b'[{"id":"b","state":"delivered"},{"id":"a","state":"refused"}]'
+    assert read_outcomes(call, Answer(200), body) == [Outcome(Result.FULL)]
+
+
 def test_a_told_wait_is_rounded_up_and_a_date_is_none():
     assert told_wait({b"retry-after": b"0.00001"}) == 1
     assert told_wait({b"retry-after": b"Tue, 01 Dec 2026 12:00:00 GMT"}) == 0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -3,6 +3,7 @@
 import json
 import os
 import queue
+import socket
 import subprocess
 import sys
 
@@ -208,6 +209,22 @@
     assert client.ask("PING") == "+PONG"
 
 
+def test_a_client_that_has_said_all_still_gets_its_answer(program, agent):
+    client = program.start()
+    client.write("SUBMIT", "0", "t1", "c=report,t=acme,d=9000,dest=1", "hello")
+    client.socket.shutdown(socket.SHUT_WR)
+    assert client.lines.read() == b"+OK\r\n"
+
+
+def test_a_full_table_closes_the_connection_that_is_silent_for_longest(tmp_path, agent):
+    program = Program(tmp_path, agent, limits={"sockets": 64})
+    client = program.start()
+    others = [type(client)(program.port) for _ in range(32)]
+    assert [other.ask("PING") for other in others[1:]] == ["+PONG"] * 31
+    assert client.lines.readline() == b""
+    program.kill()
+
+
 def test_the_watch_tells_of_drains_and_is_opened_again_at_its_index(program, agent, party):
     first, second = party(), party()
     agent.list(first.address)
