--- a/limelatch/configuration.py
+++ b/limelatch/configuration.py
@@ -231,5 +231,5 @@
         host_connections=sockets // 4, connect_wait=settings.part("limits").span("dialTimeout", 1000),
         probe_wait=keys.span("probe_ms", 1500), stop_least=keys.span("stop_least_ms", 500),
         stop_wait=keys.span("stop_ms", 3300),
-        notice_wait=keys.span("notice_ms", 1000), list_wait=keys.span("list_ms", 1000),
+        notice_wait=keys.span("notice_ms", 250), list_wait=keys.span("list_ms", 1000),
         silence=keys.span("silence_ms", 4500), reconnect_wait=keys.span("reconnect_ms", 250))
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -210,7 +210,7 @@
         self.port = reactor.listenTCP(port, self, backlog=128, interface=host)
 
     def make_room(self, newest: Client) -> None:
-        """The table is full: close the connection silent for longest, or hold the port if all await answers."""
+        """The table is full: close the connection silent for longest; hold the port if all await answers."""
         resting = [each for each in self.connections if each is not newest and not each.waiting]
         if resting:
             silent = min(resting, key=lambda client: client.heard_at)
--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -50,7 +50,7 @@
         self.owed: dict[bytes, dict] = {}
         self.out: list[bytes] = []
         self.connection: Reporting | None = None
-        self._connector, self._deadline, self._paused = None, None, False
+        self._connector, self._deadline, self._paused, self._losses = None, None, False, 0
 
     def notice(self, text: bytes, words: dict) -> None:
         self.owed[text] = words
@@ -92,17 +92,18 @@
         self._clear()
         out, self.out = self.out, []
         if status == 204:
+            self._losses = 0
             for text in out:
                 self.owed.pop(text, None)
                 self.settled(text)
             self.send()
         else:
             say(log, "notices not taken", logging.ERROR, status=status, notices=len(out))
-            self._pause()
+            self._pause(self.again)
 
-    def _pause(self) -> None:
+    def _pause(self, wait: int) -> None:
         self._paused = True
-        self.deadlines.after(self.again, self._resume)
+        self.deadlines.after(wait, self._resume)
 
     def _resume(self) -> None:
         self._paused = False
@@ -121,5 +122,6 @@
         self.out = []
         if ending is not Ending.CLOSED_BY_PEER and self.reactor.running:
             say(log, "platform lost", logging.WARNING, why=ending.value, owed=len(self.owed))
-        if self.owed and not self._paused:
-            self._pause()
+        if self.owed and not self._paused:  # a kept connection may break under a request: again at once
+            self._pause(self.again if self._losses else 0)
+        self._losses += 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -64,6 +64,17 @@
     assert host.next() and host.asked.empty()
 
 
+def test_a_notice_lost_with_its_connection_goes_again(program, agent):
+    taken, agent.reply = agent.reply, lambda request: request.cut()
+    client = program.start()
+    assert client.submit("t1", d=50) == "-BUSY 2000"
+    client.submit("t2", d=300)
+    while agent.next().path != "/reports":
+        pass
+    agent.reply = taken
+    assert agent.notice() == {"ref": "t2", "result": "bounced", "wait_ms": 2000}
+
+
 def test_the_next_text_of_a_key_waits_until_the_notice_is_answered(program, agent, party):
     host = party(lambda request: request.cut() if request.headers["X-Txn"] == "t1" else (200,))
     agent.list(host.address)
