A client's next text read while a turn answers waits for a later turn

Seen by reading: an answer lets the connection read on, and a text that a client sent without waiting was put into the table that the turn was walking (Driver.turn). With the old lines the new test gets no answer to its second text. Destinations and validity are bounded too.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -20,6 +20,7 @@
 
 BODY_MOST = 64 * 1024
 LINGER = 5 * SECOND  # for a client that does not read its last answer
+DESTINATION_MOST = 65535  # since the module remembers each destination
 ARGUMENTS_MOST, SKIP_MOST, REPLY_MOST = 16, 1024 * 1024, 256
 WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
 SIZE = re.compile(rb"[0-9]{1,9}\Z")
@@ -54,8 +55,9 @@
     mark, dest, span = values.get(b"k", b""), values.get(b"dest", b""), values.get(b"d", b"")
     if mark and not WORD.match(mark):
         raise BadCommand("k takes 1 to 64 letters and digits")
-    if not SIZE.match(dest) or not re.fullmatch(rb"-?[0-9]{1,9}(\.[0-9]{1,6})?", span):
-        raise BadCommand("dest and d are wanted as numbers")
+    numbered = SIZE.match(dest) and int(dest) <= DESTINATION_MOST
+    if not numbered or not re.fullmatch(rb"-?[0-9]{1,9}(\.[0-9]{1,6})?", span):
+        raise BadCommand(f"dest, up to {DESTINATION_MOST}, and d are wanted as numbers")
     return Handed(text, b"" if not order.strip(b"0") else order, values.get(b"c", b""), values.get(b"t", b""),
                   int(dest), int(float(span) * MS), mark, body)
 
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -10,7 +10,7 @@
 from limelatch import interface as li
 from limelatch.configuration import RelayPlan
 from limelatch.policy import Policy
-from limelatch.relay.catalog import Catalog
+from limelatch.relay.catalog import BadList, Catalog
 from limelatch.relay.clients import Client, Hall, Handed
 from limelatch.relay.deadlines import Clock, Deadlines
 from limelatch.relay.hosts import Call, Outcome, Parcel, Yard
@@ -61,7 +61,10 @@
 
     def start(self) -> None:
         """Take up what the ledger holds, then wait for the first list before serving."""
-        self.catalog.known(self.plan.known)
+        try:
+            self.catalog.known(self.plan.known)
+        except BadList as error:
+            say(log, "known list not read", logging.WARNING, why=error)
         now = self.clock.now()
         if self.ledger.cut:
             say(log, "torn tail of the ledger cut", logging.WARNING, bytes=self.ledger.cut)
@@ -147,8 +150,9 @@
             client.answer("-BUSY")
         else:
             number = names.customers.index(customer) if customer in names.customers else 0
-            until = now + handed.valid_for
             row = names.products.index(product)
+            most = self.plan.terms.products[row].validity_period or handed.valid_for
+            until = now + min(handed.valid_for, most)
             text = li.Text(handed.id, handed.destination, row, until, number, handed.order)
             self.arrived[handed.id] = self._own(Owed(text, handed.mark, handed.body, client))
             self.policy.text_taken(now, text)
@@ -234,12 +238,12 @@
         if not self.ready:
             return  # what an earlier process took on waits for the list too
         actions = self.policy.decide(self.clock.now())
+        arrived, self.arrived = self.arrived, {}  # an answer may bring a client's next text, for a later turn
         for action in actions:
-            if isinstance(action, (li.Nack, li.Undeliverable)) and action.text in self.arrived:
-                self._refuse(self.arrived.pop(action.text), action)
-        for text, owed in self.arrived.items():
+            if isinstance(action, (li.Nack, li.Undeliverable)) and action.text in arrived:
+                self._refuse(arrived.pop(action.text), action)
+        for text, owed in arrived.items():
             self._take_on(text, owed)
-        self.arrived.clear()
         calls: dict[li.HostId, list[Parcel]] = {}
         for action in actions:
             match action:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -220,6 +220,19 @@
     assert client.ask("PING") == "+PONG"
 
 
+def test_texts_handed_in_without_waiting_are_answered_in_turn(program, agent, party):
+    host = party()
+    agent.list(host.address)
+    client = program.start()
+    for number in range(5):
+        span = 50 if number == 2 else 9000
+        client.write("SUBMIT", "0", f"t{number}", f"c=report,t=acme,d={span},dest=1", "hello")
+    client.write("PING")
+    assert [client.lines.readline().strip() for _ in range(6)] == [
+        b"+OK", b"+OK", b"-BUSY 2000", b"+OK", b"+OK", b"+PONG"]
+    assert {host.next().headers["X-Txn"] for _ in range(4)} == {"t0", "t1", "t3", "t4"}
+
+
 def test_a_client_that_has_said_all_still_gets_its_answer(program, agent):
     client = program.start()
     client.write("SUBMIT", "0", "t1", "c=report,t=acme,d=9000,dest=1", "hello")
