--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -34,7 +34,7 @@
 SICK_SHARE, FAIL_STEP, SILENT_STEP = 0.5, 0.3, 0.6  # smoothed share of failures of a sick host, and its steps
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 GOOD_LATELY, KEEPERS = 2 * SECOND, 5  # since a delivery that speaks against an outage; more relays than these
-IDLE_MOST, STALE_LEAST = 6 * SECOND, 500 * MS  # keep connections for this, less where connects or calls fail
+IDLE_MOST, STALE_LEAST, KEEP_PART = 6 * SECOND, 500 * MS, 0.9  # connections idle; part of the hosts' own time
 LIMIT_USED_UP, TOLD_SHUT, REFUSED_OFTEN = 0.15, 3 * SECOND, 8  # share left; wait, cuts in a row of an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
 PACE_STEP, FLOW_SPAN = 0.05, 5 * SECOND  # growth of the pace by a delivery; span of a relay's own rate
@@ -495,7 +495,7 @@
                 if held.call.idle > self.idle_most[held.call.host.kind]:
                     held.call.idle = 0
                     actions.append(CloseIdle(held.call.host.id))
-                keep = min(self.idle_most[held.call.host.kind], self.terms.conn_idle * 9 // 10)
+                keep = min(self.idle_most[held.call.host.kind], int(self.terms.conn_idle * KEEP_PART))
                 actions.append(Submit(held.text.id, held.call.host.id, min(self._time_out(held), left), keep))
                 held.submits += 1
         actions += [CloseIdle(host.id) for host in self.closing if not host.out] + self.log
