--- a/limelatch/configuration.py
+++ b/limelatch/configuration.py
@@ -19,7 +19,7 @@
 
 
 class ConfigurationError(Exception):
-    """A key's value can't be used; the message names the key."""
+    """A key's value can't be used; it names the key."""
 
 
 class Keys:
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -27,7 +27,7 @@
 
 
 class BadCommand(Exception):
-    """The command can't be carried out; the message goes to the client."""
+    """The command can't be carried out; the client is told why."""
 
 
 @dataclass(slots=True)
