--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -53,7 +53,7 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        self._ask(None if self.catalog.index is None else self.catalog.index)
+        self._ask(self.catalog.index)
 
     def _ask(self, index: int | None) -> None:
         target = "/catalog/members" + ("" if index is None else f"?stream=1&index={index}")
