Integration tests hold under load: own loopback address, no race with a stand-in's answer

Seen in 36 parallel runs: three failures. The stand-in told the test of a watch before its headers were written; a text could go before the relay had read the wait; a spare port was taken by another run. All three in the tests.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -197,10 +197,10 @@
             return (self.notice_status,)
         if "stream=1" not in request.path:
             return 200, self.page(list(self.rows.values()), True)
-        self.watches.put((request, int(request.path.rpartition("=")[2])))
         request.handler.send_response_only(200)
         request.handler.send_header("Transfer-Encoding", "chunked")
         request.handler.end_headers()
+        self.watches.put((request, int(request.path.rpartition("=")[2])))  # from here on the test writes
         request.hang()
         return None
 
@@ -218,8 +218,8 @@
 class Client:
     """A client of the relay, on one connection."""
 
-    def __init__(self, port):
-        self.socket = socket.create_connection(("127.0.0.1", port), timeout=WAIT)
+    def __init__(self, address):
+        self.socket = socket.create_connection(address, timeout=WAIT)
         self.lines, self.count = self.socket.makefile("rb"), 0
 
     def ask(self, *words):
@@ -238,11 +238,12 @@
     """The relay's process, started from its configuration."""
 
     def __init__(self, folder, agent, **more):
-        with socket.create_server(("127.0.0.1", 0)) as spare:
+        self.address = "127.{}.{}.{}".format(*(1 + number % 254 for number in os.urandom(3)))
+        with socket.create_server((self.address, 0)) as spare:
             self.port = spare.getsockname()[1]
         self.state, self.file = folder / "state", folder / "relay.json"
         self.state.mkdir()
-        plan = {"name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": agent.address, "seed": "7",
+        plan = {"name": "n0", "listen": f"{self.address}:{self.port}", "discovery": agent.address, "seed": "7",
                 "state": str(self.state), "limits": {"disk_mb": 3}, "settings": SETTINGS, "notice_ms": 300,
                 "reconnect_ms": 20, "stop_least_ms": 50} | more
         self.file.write_text(json.dumps(plan))
@@ -256,7 +257,10 @@
         self.log = queue.Queue()
         threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
         self.says("event=serving")
-        return Client(self.port)
+        return self.client()
+
+    def client(self):
+        return Client((self.address, self.port))
 
     def _read(self, process):
         for line in process.stderr:
@@ -299,8 +303,20 @@
 
 
 @pytest.fixture
-def program(tmp_path, agent):
-    program = Program(tmp_path, agent)
-    yield program
-    if program.process is not None:
-        program.kill()
+def plan(tmp_path, agent):
+    """Makes the test's program, its configuration with these keys instead."""
+    made = []
+
+    def make(**more):
+        made.append(Program(tmp_path, agent, **more))
+        return made[-1]
+
+    yield make
+    for each in made:
+        if each.process is not None:
+            each.kill()
+
+
+@pytest.fixture
+def program(plan):
+    return plan()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,26 +6,16 @@
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
-from conftest import WAIT, Program
+from conftest import SETTINGS, WAIT
 
 
 def hang(request):
     request.hang()
 
 
-def wait_once(seconds):
-    left = [seconds]
-
-    def reply(request):
-        if left:
-            request.answer(429, Retry_After=left.pop())
-            return None
-        return (200,)
-    return reply
-
-
 def test_a_text_goes_out_as_it_came_and_is_delivered(program, agent, party):
     host = party()
     agent.list(host.address)
@@ -40,13 +30,16 @@
     assert host.asked.empty() and agent.notices.empty()
 
 
-def test_a_told_wait_is_heeded_by_every_text(program, agent, party):
-    host = party(wait_once("0.6"))
+def test_a_told_wait_is_heeded_by_every_text(plan, agent, party):
+    program = plan(settings=SETTINGS | {"familyInfo": {"slots": 1}})
+    host = party(lambda request: None)
     agent.list(host.address)
     client = program.start()
     client.submit("t1")
-    told = host.next().at
-    client.submit("t2")
+    call = host.next()
+    client.submit("t2")  # waits for the only slot
+    host.reply, told = lambda request: (200,), time.monotonic()
+    call.answer(429, Retry_After="0.6")
     calls = [host.next(), host.next()]
     assert {call.headers["X-Txn"] for call in calls} == {"t1", "t2"}
     assert min(call.at for call in calls) - told >= 0.6
@@ -176,15 +169,15 @@
     program.terminate()
     program.says("event=stopping")
     assert client.lines.readline() == b""  # closed between requests
-    other = type(client)(program.port)
+    other = program.client()
     assert other.submit("t3").startswith("-BUSY") and other.lines.readline() == b""
     call.answer(200)
     assert program.process.wait(WAIT) == 0
     assert agent.notices.empty()
 
 
-def test_sigterm_ends_in_time_with_a_call_out_and_the_text_is_still_owed(tmp_path, agent, party):
-    program = Program(tmp_path, agent, stop_ms=300)
+def test_sigterm_ends_in_time_with_a_call_out_and_the_text_is_still_owed(plan, agent, party):
+    program = plan(stop_ms=300)
     host = party(hang)
     agent.list(host.address)
     program.start().submit("t1", "notice")
@@ -194,7 +187,6 @@
     host.reply = lambda request: (200,)
     program.start()
     assert host.next().headers["X-Txn"] == "t1"
-    program.kill()
 
 
 @pytest.mark.parametrize("command", [
@@ -212,7 +204,7 @@
     host = party(lambda request: request.handler.wfile.write(b"nonsense\r\n\r\n") and None)
     agent.list(host.address)
     client = program.start()
-    bad = type(client)(program.port)
+    bad = program.client()
     bad.socket.sendall(b"*1\r\n:5\r\n")
     assert bad.lines.readline().startswith(b"-ERR") and bad.lines.readline() == b""
     client.submit("t1", "charge", key="k1")
@@ -240,13 +232,12 @@
     assert client.lines.read() == b"+OK\r\n"
 
 
-def test_a_full_table_closes_the_connection_that_is_silent_for_longest(tmp_path, agent):
-    program = Program(tmp_path, agent, limits={"sockets": 64})
+def test_a_full_table_closes_the_connection_that_is_silent_for_longest(plan, agent):
+    program = plan(limits={"sockets": 64})
     client = program.start()
-    others = [type(client)(program.port) for _ in range(32)]
+    others = [program.client() for _ in range(32)]
     assert [other.ask("PING") for other in others[1:]] == ["+PONG"] * 31
     assert client.lines.readline() == b""
-    program.kill()
 
 
 def test_the_watch_tells_of_drains_and_is_opened_again_at_its_index(program, agent, party):
