--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -243,7 +243,7 @@
             self.port = spare.getsockname()[1]
         self.state, self.file = folder / "state", folder / "relay.json"
         self.state.mkdir()
-        plan = {"name": "n0", "listen": f"{self.address}:{self.port}", "discovery": agent.address, "seed": "7",
+        plan = {"listen": f"{self.address}:{self.port}", "discovery": agent.address, "seed": "7",
                 "state": str(self.state), "limits": {"disk_mb": 3}, "settings": SETTINGS, "notice_ms": 300,
                 "reconnect_ms": 20, "stop_least_ms": 50} | more
         self.file.write_text(json.dumps(plan))
