--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -12,7 +12,16 @@
 from limelatch.relay.clients import BadCommand, read_submit
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.ending import RESULT_OF_ENDING, Ending
-from limelatch.relay.hosts import Call, Outcome, Parcel, read_outcomes, told_wait
+from limelatch.relay.hosts import (
+    Call,
+    Connection,
+    Outcome,
+    Parcel,
+    Yard,
+    read_outcomes,
+    told_wait,
+    write_call,
+)
 from limelatch.relay.http import Answer, HttpCaller
 from limelatch.relay.ledger import BLOCK, Ledger
 from limelatch.relay.ring import Ring, RingFull
@@ -259,6 +268,71 @@
     assert read_outcomes(call, Answer(200), body) == [Outcome(Result.FULL)]
 
 
+class Ears:
+    """A driver that only listens."""
+
+    def __init__(self, goes=True):
+        self.goes, self.ends = goes, []
+
+    def may_go(self, now, text, host):
+        return self.goes
+
+    def going(self, call):
+        pass
+
+    def ended(self, call, parcel, outcome):
+        self.ends.append((parcel.text, outcome.result))
+
+
+def call_out(deadlines, driver, *parcels):
+    """A connection that has just come up for a call with these texts."""
+    deadlines, reactor = deadlines
+    yard = Yard(reactor, deadlines, reactor, driver, 4, SECOND, SECOND)
+    yard.addresses[b"s-1"], yard.calls_out = "127.0.0.1:80", 1
+    call = Call(b"s-1", list(parcels), 0)
+    call.deadline = deadlines.at(min(each.due for each in parcels), lambda: yard._out_of_time(call))
+    call.connection = Connection(yard, b"s-1", call)
+    call.connection.number = yard.connections.take(call.connection)
+    call.connection.deadline = deadlines.at(SECOND, None)
+    call.connection.makeConnection(Wire())
+    return yard, call.connection
+
+
+def test_a_text_held_back_as_the_connection_comes_up_writes_nothing(deadlines):
+    driver = Ears(goes=False)
+    yard, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", 9 * SECOND, 9 * SECOND, SECOND))
+    assert driver.ends == [(b"a", Result.MOOT)] and connection.transport.value() == b""
+    assert yard.idle[b"s-1"] == [connection] and yard.calls_out == 0
+    deadlines[1].advance(1)
+    assert connection.ending is Ending.IDLE
+
+
+def test_a_batch_gives_up_a_text_whose_validity_ends_and_waits_on_for_the_others(deadlines):
+    driver = Ears()
+    _, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", SECOND, SECOND, 0),
+                             Parcel(b"b", b"", b"y", 3 * SECOND, 9 * SECOND, 0))
+    assert connection.transport.value().startswith(b"POST /v1/messages:batch HTTP/1.1\r\n")
+    deadlines[1].advance(1)
+    assert driver.ends == [(b"a", Result.TIMEOUT)] and connection.ending is None
+    deadlines[1].advance(2)
+    assert connection.ending is Ending.SILENT
+    connection.connectionLost(None)
+    assert driver.ends == [(b"a", Result.TIMEOUT), (b"b", Result.TIMEOUT)]
+
+
+def test_a_first_line_of_200_delivers_though_the_connection_breaks(deadlines):
+    driver = Ears()
+    _, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", SECOND, SECOND, 0))
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Le")
+    connection.connectionLost(None)
+    assert driver.ends == [(b"a", Result.DELIVERED)]
+
+
+def test_a_probe_asks_for_the_hosts_health():
+    assert write_call(Call(b"s-1", [], 0), "127.0.0.1:80", 0) == [
+        b"GET /ping HTTP/1.1\r\nHost: 127.0.0.1:80\r\n\r\n"]
+
+
 def test_a_told_wait_is_rounded_up_and_a_date_is_none():
     assert told_wait({b"retry-after": b"0.00001"}) == 1
     assert told_wait({b"retry-after": b"Tue, 01 Dec 2026 12:00:00 GMT"}) == 0
