SIGHUP: the configuration is read again, catalog and platform move to the new address

Now the configuration module reads the file again, all or nothing; a bad one is logged with its key. The catalog asks the new address for the whole list, since an index means nothing to another one; the list held serves until then. Owed notices go to the new address, one that was out goes there again. Other keys that changed are logged as wanting a restart.

--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -16,7 +16,7 @@
 
 
 def main() -> int:
-    """Serve until SIGTERM."""
+    """Serve until SIGTERM; SIGHUP reads the configuration again."""
     try:
         plan = relay_plan(os.environ)
         logs.start(plan.log_level)
@@ -26,7 +26,14 @@
         return 2
     faults: list[Exception] = []
 
+    def configure() -> None:
+        try:
+            driver.configured(relay_plan(os.environ))
+        except ConfigurationError as error:  # the one in force stays, whole
+            logs.say(logging.getLogger(__name__), "configuration not taken", logging.ERROR, why=error)
+
     def begin() -> None:
+        signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(configure))
         signal.signal(signal.SIGTERM, lambda number, frame: reactor.callFromThread(driver.stop))
         signal.signal(signal.SIGINT, lambda number, frame: reactor.callFromThread(driver.stop))
         try:
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -111,6 +111,17 @@
             self._take(raw)
             self.index = None
 
+    def move(self, address: Address) -> None:
+        """Watch at another address, the whole list first: an index means nothing to another catalog.
+
+        The list held serves until the new one has told its own."""
+        if address != self.address:
+            self.address, self.index = address, None
+            if self._watch is not None:
+                self._watch.close(Ending.MOVED)
+            elif self._connector is not None and self._connector.state == "connecting":
+                self._connector.stopConnecting()
+
     def connect(self) -> None:
         self._connector = self.reactor.connectTCP(self.address.host, self.address.port, self, timeout=None)
         self.heard()
@@ -151,4 +162,4 @@
         if not self.reactor.running:
             return  # the relay ends
         say(log, "catalog lost", logging.WARNING, why=ending.value, index=self.index)
-        self.deadlines.after(self.again, self.connect)
+        self.deadlines.after(0 if ending is Ending.MOVED else self.again, self.connect)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from twisted.internet.error import CannotListenError
 
@@ -21,6 +21,7 @@
 
 log = logging.getLogger(__name__)
 
+TAKEN_AT_ONCE = {"discovery", "log_level", "known", "stop_wait", "stop_least"}  # on SIGHUP
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.MOOT)
 
 
@@ -107,6 +108,17 @@
             say(log, "serving", listen=listen, hosts=len(self.zones), fresh_list=self.catalog.fresh)
             self.soon()
 
+    def configured(self, plan: RelayPlan) -> None:
+        """SIGHUP: take the keys that can change while texts are held; the others need a restart."""
+        plan = replace(plan, terms=replace(plan.terms, seed=self.plan.terms.seed))  # new in each reading
+        later = sorted(name for name in vars(plan) if getattr(plan, name) != getattr(self.plan, name)
+                       and name not in TAKEN_AT_ONCE)
+        self.plan = replace(self.plan, **{name: getattr(plan, name) for name in TAKEN_AT_ONCE})
+        self.catalog.move(plan.discovery)
+        self.desk.move(plan.discovery)
+        logging.getLogger().setLevel(plan.log_level)
+        say(log, "configured", discovery=plan.discovery, owed=len(self.owed), restart_for=",".join(later))
+
     def stop(self) -> None:
         """SIGTERM: nothing new is taken, calls that are out finish, then the relay ends."""
         if self._stop_at is not None:
--- a/limelatch/relay/ending.py
+++ b/limelatch/relay/ending.py
@@ -21,6 +21,7 @@
     IDLE = "idle"  # closed by the relay between requests
     CROWDED = "crowded"  # all slots for connections are taken
     STOPPING = "stopping"  # the relay stops
+    MOVED = "moved"  # the catalog or the platform has a new address
 
 
 # What becomes of a call that is out when its connection ends.
@@ -36,6 +37,7 @@
     Ending.IDLE: Result.CONNECT,
     Ending.CROWDED: Result.CONNECT,
     Ending.STOPPING: Result.CANCELLED,
+    Ending.MOVED: Result.CANCELLED,
 }
 
 # What a host's answer says; an answer not named here may have run.
--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -52,6 +52,15 @@
         self.connection: Reporting | None = None
         self._connector, self._deadline, self._paused, self._losses = None, None, False, 0
 
+    def move(self, address: Address) -> None:
+        """Send notices to another address from now on; those that no one has answered go there again."""
+        if address != self.address:
+            self.address = address
+            if self.connection is not None:
+                self.connection.close(Ending.MOVED)
+            elif self._connector is not None:
+                self._connector.stopConnecting()
+
     def notice(self, text: bytes, words: dict) -> None:
         self.owed[text] = words
         self.send()
@@ -120,7 +129,7 @@
         self._clear()
         self.connection = self._connector = None
         self.out = []
-        if ending is not Ending.CLOSED_BY_PEER and self.reactor.running:
+        if ending not in (Ending.CLOSED_BY_PEER, Ending.MOVED) and self.reactor.running:
             say(log, "platform lost", logging.WARNING, why=ending.value, owed=len(self.owed))
         if self.owed and not self._paused:  # a kept connection may break under a request: again at once
             self._pause(self.again if self._losses else 0)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -275,6 +275,11 @@
         self.process.kill()
         self.process.wait(WAIT)
 
+    def configure(self, **more):
+        """Replace the file and have the program read it."""
+        self.file.write_text(json.dumps(json.loads(self.file.read_text()) | more))
+        self.process.send_signal(signal.SIGHUP)
+
     def terminate(self):
         self.process.send_signal(signal.SIGTERM)
 
@@ -287,6 +292,9 @@
     agent.shutdown()
 
 
+other_agent = agent  # another, at another address
+
+
 @pytest.fixture
 def party():
     """Makes stand-ins for hosts."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -256,6 +256,43 @@
     assert first.asked.empty()
 
 
+def test_sighup_moves_the_watch_and_owed_notices_to_the_new_address(program, agent, party, other_agent):
+    agent.list(party().address, name="s-1")
+    for _ in range(3):  # the old index is not one of the new catalog's
+        other_agent.list((host := party()).address, name="s-2")
+    agent.notice_status, other_agent.index = 503, 2
+    client = program.start()
+    agent.watches.get(timeout=WAIT)
+    client.submit("t1", d=150, dest=2)
+    assert agent.notice()["ref"] == "t1"
+    program.configure(discovery=other_agent.address)
+    assert other_agent.notice() == {"ref": "t1", "result": "bounced", "wait_ms": 2000}
+    assert other_agent.watches.get(timeout=WAIT)[1] == 2
+    assert client.submit("t2") == "+OK" and host.next().headers["X-Txn"] == "t2"
+
+
+def test_the_list_held_serves_until_a_new_catalog_has_told_its_own(program, agent, party):
+    host = party()
+    agent.list(host.address)
+    client = program.start()
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        program.configure(discovery=f"127.0.0.1:{silent.getsockname()[1]}")
+        silent.accept()
+        assert client.submit("t1") == "+OK" and host.next().headers["X-Txn"] == "t1"
+
+
+def test_a_bad_configuration_is_logged_with_its_key_and_the_old_one_stays(program, agent, party, other_agent):
+    host = party()
+    client = program.start()
+    watch = agent.watches.get(timeout=WAIT)
+    program.configure(discovery=other_agent.address, limits={"sockets": "many"})
+    assert "limits.sockets" in program.says("configuration not taken")
+    agent.list(host.address)
+    agent.tell(watch)
+    assert client.submit("t1") == "+OK" and host.next().headers["X-Txn"] == "t1"
+    assert other_agent.asked.empty()
+
+
 def test_a_wrong_key_is_named_on_one_plain_line(tmp_path):
     file = tmp_path / "relay.json"
     file.write_text(json.dumps({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "state": "s",
