Of a spoilt answer only a 200 is true; its key rests and its connection is never used again

Now a result of its own, SPOILT: may have run, may still run, weighs on the host's health like an error. With it, from reading: a connection with bytes left over, or unread on its socket, is not used again (a second 200 would pass for the next call's); heads are bounded in all and read strictly; two lengths, or a length beside a coding, garble; a load report is taken whole or not at all; a batch's 410 or 504 says nothing of its texts.

--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -27,6 +27,7 @@
 
     DELIVERED = "delivered"
     ERROR = "error"
+    SPOILT = "spoilt"  # its answer can't be read: it may have run, and may still be running
     FULL = "full"
     TIMEOUT = "timeout"
     CONNECT = "connect"
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -42,7 +42,7 @@
 SEEN_BEFORE, RATE_AT_FIRST = 5 * SECOND, 2.0  # an outage is older than seen; a limit not yet known
 SCARCE, ROOM_LEFT = 0.9, 0.92  # share of the slots for shorter time-outs, of the room for nacks of held texts
 NEW = Past()  # of a text that no process had before
-MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+ANSWERED, UNANSWERED = (Result.ERROR, Result.SPOILT), (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 
 
 class Call:
@@ -211,7 +211,7 @@
         if not host.out and host.gap > self.idle_most[host.kind]:
             host.kept = False
             self.closing.append(host)
-        if report.result in MAY_HAVE_RUN:
+        if report.result in ANSWERED + UNANSWERED:  # it may have run
             held.may_have_run(call.sent, host.zone)
             if report.result is not Result.ERROR and held.key:
                 self.rests[held.key] = now + self.terms.turn_gap
@@ -269,7 +269,7 @@
         elif result not in (Result.FULL, Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
             ok = host.last_ok > call.sent - (0 if result is Result.TIMEOUT else GOOD_LATELY)
-            self._failed(now, host, result.value, FAIL_STEP if ok or result is Result.ERROR else SILENT_STEP)
+            self._failed(now, host, result.value, FAIL_STEP if ok or result in ANSWERED else SILENT_STEP)
 
     def _halve(self, now: int, route: Route, call: Call) -> None:
         if call.sent > route.halved_at:  # once for the calls that were out together
--- a/limelatch/relay/ending.py
+++ b/limelatch/relay/ending.py
@@ -31,7 +31,7 @@
     Ending.CUT_SHORT: Result.CONNECT,
     Ending.BROKEN: Result.RESET,
     Ending.SILENT: Result.TIMEOUT,
-    Ending.GARBLED: Result.ERROR,
+    Ending.GARBLED: Result.SPOILT,
     Ending.HELD_BACK: Result.MOOT,
     Ending.CLOSED_BY_PEER: Result.RESET,
     Ending.IDLE: Result.CONNECT,
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -6,6 +6,7 @@
 import json
 import logging
 import re
+import socket
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -28,8 +29,8 @@
 
 log = logging.getLogger(__name__)
 
-ANSWER_MOST, OUTBOUND = 64 * 1024, 32 * 1024
-REPORT = re.compile(rb"\s*([0-9A-Za-z_]+)\s*=\s*(-?[0-9.eE+-]+)\s*\Z")
+ANSWER_MOST, OUTBOUND, REPORT_MOST = 64 * 1024, 32 * 1024, 1e6
+REPORT = re.compile(rb"\s*([0-9A-Za-z_]+)\s*=\s*([0-9]{1,9}(?:\.[0-9]{0,18})?(?:[eE]-?[0-9]{1,2})?)\s*\Z")
 
 
 @dataclass(slots=True)
@@ -73,15 +74,10 @@
 
 
 def report_of(headers: dict[bytes, bytes]) -> dict[str, float]:
-    """X-Pressure: names and values; a value that can't be read is left out."""
-    found = {}
-    for pair in headers.get(b"x-pressure", b"").split(b","):
-        if match := REPORT.match(pair):
-            try:
-                found[match[1].decode()] = float(match[2])
-            except ValueError:
-                continue
-    return found
+    """X-Pressure: names and values; a report that can't be read whole, or is beyond reason, says nothing."""
+    pairs = [REPORT.match(pair) for pair in headers.get(b"x-pressure", b"").split(b",")]
+    found = {match[1].decode(): float(match[2]) for match in pairs if match}
+    return found if all(pairs) and all(value <= REPORT_MOST for value in found.values()) else {}
 
 
 def read_outcomes(call: Call, answer: Answer, body: bytes) -> list[Outcome]:
@@ -92,11 +88,14 @@
         return [Outcome(RESULT_OF_STATE[states[each.text]], states[each.text] in OVER_STATE, wait, report)
                 for each in call.parcels]
     result = RESULT_OF_STATUS.get(answer.status, Result.ERROR)
+    if call.batched and answer.status in (410, 504):  # these speak of one text
+        result = Result.ERROR
     if answer.status == 503 and answer.headers.get(b"x-no-slot") == b"1":
         result = Result.MOOT
     if call.batched and answer.status == 400:
         result = Result.MOOT  # a batch that was not read
-    return [Outcome(result, answer.status in OVER_STATUS, wait, report) for _ in call.parcels]
+    over = answer.status in OVER_STATUS and result is not Result.ERROR
+    return [Outcome(result, over, wait, report) for _ in call.parcels]
 
 
 def write_call(call: Call, host: str, now: int) -> list[bytes]:
@@ -129,6 +128,18 @@
         self.number, self.connector, self.deadline = None, None, None
         self.up, self.rested_at = False, 0
 
+    def clean(self) -> bool:
+        """Whether nothing is left of its last call, either way, and its peer has sent nothing since.
+
+        Guards against a second answer, or noise, that would pass for the answer to the next call."""
+        if self.ending is not None or not self.connected or self.inbound or not self.outflow.empty:
+            return False
+        try:
+            self.transport.socket.recv(1, socket.MSG_PEEK)
+        except OSError as error:
+            return isinstance(error, BlockingIOError)
+        return False  # bytes, or the peer's end
+
     def connectionMade(self) -> None:
         super().connectionMade()
         self.up = True
@@ -190,12 +201,13 @@
         due = min(each.due for each in parcels) if parcels else now + self.probe_wait
         call.deadline = self.deadlines.at(due, lambda: self._out_of_time(call))
         while (waiting := self.idle.get(host)) and (connection := waiting.pop()):
-            if connection.ending is None and connection.connected:
-                connection.deadline.cancel()
+            connection.deadline.cancel()
+            if connection.clean():
                 connection.call = call
                 call.connection = connection
                 self.go(connection)
                 return
+            connection.give_up(Ending.GARBLED if connection.inbound else Ending.CLOSED_BY_PEER)
         self._connect(call)
 
     def _connect(self, call: Call) -> None:
@@ -249,7 +261,7 @@
         keep = min((each.keep for each in call.parcels), default=0)
         try:
             outcomes = read_outcomes(call, answer, body)
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             say(log, "answer not read", logging.WARNING, host=call.host, why=repr(error))
             connection.give_up(Ending.GARBLED)
             return
@@ -266,7 +278,7 @@
         connection.call = None
         if connection.ending is not None:
             return
-        if keep <= 0 or connection.host not in self.addresses:
+        if keep <= 0 or connection.host not in self.addresses or not connection.clean():
             connection.give_up(Ending.IDLE)
             return
         connection.deadline = self.deadlines.after(keep, lambda: connection.give_up(Ending.IDLE))
@@ -318,9 +330,9 @@
         if call is None:
             return
         self._finish(call)
-        result, answer = RESULT_OF_ENDING[ending], connection.answer if connection.asking else None
-        if answer is not None and not call.batched:
-            result = RESULT_OF_STATUS.get(answer.status, result)  # its first line is here, which says all
+        result, answer = RESULT_OF_ENDING[ending], connection.answer
+        if answer is not None and answer.status == 200 and not call.batched:
+            result = Result.DELIVERED  # its first line says all; of a spoilt one any other line says nothing
         if not call.parcels:
             self.driver.probed(call, result, {})
         for each in call.parcels:
--- a/limelatch/relay/http.py
+++ b/limelatch/relay/http.py
@@ -9,7 +9,10 @@
 from limelatch.relay.lines import RingLines
 
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9][0-9])(?: .*)?\Z")
-HEADERS_MOST = 100
+HEADER = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\x7e\x80-\xff]*)\Z")
+LENGTH = re.compile(rb"[0-9]{1,15}\Z")
+FRAMING = (b"content-length", b"transfer-encoding")
+HEAD_MOST = 16 * 1024  # bytes of an answer's heads and trailers, interim answers included
 
 
 @dataclass(slots=True)
@@ -39,11 +42,13 @@
         self.asking = False  # a request is out
         self.answer: Answer | None = None
         self._body: list[bytes] = []
+        self._held = self._head = 0  # bytes of this answer's body that are kept, and of its heads so far
         self._step = self._status
 
     def ask(self, *pieces: bytes) -> None:
         """Send a whole request."""
         self.asking, self.answer, self._body, self._step = True, None, [], self._status
+        self._held = self._head = 0
         self.send(*pieces)
 
     def answered(self, answer: Answer, body: bytes) -> None:
@@ -59,8 +64,10 @@
         raise NotImplementedError
 
     def lineReceived(self, line: bytes) -> None:
-        if not self.asking:
-            self.close(Ending.GARBLED)  # an answer that nobody asked for
+        if self._step not in (self._chunk_size, self._chunk_end):
+            self._head += len(line) + 2
+        if not self.asking or self._head > HEAD_MOST:
+            self.close(Ending.GARBLED)  # an answer that nobody asked for, or a head that does not end
         else:
             self._step(line)
 
@@ -76,11 +83,12 @@
         if not line:
             self._headers_end()
             return
-        name, colon, value = line.partition(b":")
-        if not colon or len(self.answer.headers) >= HEADERS_MOST:
-            self.close(Ending.GARBLED)
+        match = HEADER.match(line)
+        name, value = (match[1].lower(), match[2].strip()) if match else (b"", b"")
+        if not match or name in FRAMING and self.answer.headers.get(name, value) != value:
+            self.close(Ending.GARBLED)  # no header, or two lengths: nobody knows where the answer ends
             return
-        self.answer.headers[name.strip().lower()] = value.strip()
+        self.answer.headers[name] = value
 
     def _headers_end(self) -> None:
         headers, status = self.answer.headers, self.answer.status
@@ -91,12 +99,14 @@
         self.answer.keeps = b"close" not in options and (self.answer.keeps or b"keep-alive" in options)
         if status in (204, 304):
             self._whole()
-        elif headers.get(b"transfer-encoding", b"").lower() == b"chunked":
+        elif (coding := headers.get(b"transfer-encoding")) is not None:
+            if coding.lower() != b"chunked" or b"content-length" in headers:
+                self.close(Ending.GARBLED)
             self._step = self._chunk_size
         elif (length := headers.get(b"content-length")) is None:
             self.answer.keeps = False  # the body lasts until the connection ends, and nobody needs it
             self._whole()
-        elif not length.isdigit() or int(length) > self.body_most:
+        elif not LENGTH.match(length) or int(length) > self.body_most:
             self.close(Ending.GARBLED)
         elif int(length):
             self._step = None
@@ -130,7 +140,8 @@
             self._whole()
         elif not self.body_part(data):
             self._body.append(data)
-            if sum(map(len, self._body)) > self.body_most:
+            self._held += len(data)
+            if self._held > self.body_most:
                 self.close(Ending.GARBLED)
 
     def _whole(self) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -93,7 +93,7 @@
     return bench
 
 
-FAILURES = (Result.ERROR, Result.TIMEOUT, Result.RESET)
+FAILURES = (Result.ERROR, Result.SPOILT, Result.TIMEOUT, Result.RESET)
 
 # What follows is for tests that start the program: stand-ins on sockets and a client of the relay.
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,5 +1,7 @@
 """The relay's parts, one call each, without the program."""
 
+import socket
+
 import pytest
 from conftest import SETTINGS
 from twisted.internet.task import Clock as Reactor
@@ -47,6 +49,11 @@
 
 
 class Wire(StringTransport):
+    def __init__(self):
+        super().__init__()
+        self.socket, self.peer = socket.socketpair()
+        self.socket.setblocking(False)
+
     def setTcpNoDelay(self, on):
         pass
 
@@ -219,10 +226,16 @@
 
 @pytest.mark.parametrize("raw", [
     b"SSH-2.0-x\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\n", b"HTTP/1.1 200 OK\r\nno colon\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"x" * 9000])
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"x" * 9000,
+    b"HTTP/1.1 503 No\r\nContent-Length: 0\r\nContent-Length: 7\r\n\r\n",
+    b"HTTP/1.1 503 No\r\nTransfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 429 No\r\nContent-Length: -1\r\n\r\n", b"HTTP/1.1 503 No\r\n\x07\xff: x\r\n\r\n",
+    b"HTTP/1.1 503 No\r\n" + b"a: %s\r\n" % (b"x" * 5000) * 5,
+    b"HTTP/1.1 100 Go\r\n\r\n" * 2000])
 def test_a_garbled_answer_ends_the_connection(raw):
     caller = Caller()
-    caller.dataReceived(raw)
+    for at in range(0, len(raw), 1000):
+        caller.dataReceived(raw[at:at + 1000])
     assert caller.ending is Ending.GARBLED and caller.transport.disconnecting
 
 
@@ -248,7 +261,9 @@
     (429, {"retry_after": b"0.25"}, Outcome(Result.FULL, False, 2500)), (503, {}, Outcome(Result.FULL)),
     (503, {"x_no_slot": b"1"}, Outcome(Result.MOOT)), (504, {}, Outcome(Result.MOOT)),
     (410, {}, Outcome(Result.MOOT, True)), (418, {}, Outcome(Result.ERROR)),
-    (200, {"x_pressure": b"x0=0.4,x1=25,x2=?"}, Outcome(Result.DELIVERED, True, 0, {"x0": 0.4, "x1": 25.0}))])
+    (200, {"x_pressure": b"x0=0.4, x1=2.5e1"}, Outcome(Result.DELIVERED, True, 0, {"x0": 0.4, "x1": 25.0})),
+    (200, {"x_pressure": b"x0=0.4,x1=?"}, Outcome(Result.DELIVERED, True)),
+    (200, {"x_pressure": b"x0=0.4,x1=9e99"}, Outcome(Result.DELIVERED, True))])
 def test_an_answer_says_how_a_call_fared(status, headers, outcome):
     assert outcomes(status, **headers) == [outcome]
 
@@ -258,6 +273,7 @@
     assert outcomes(200, body, (b"a", b"b"), retry_after=b"1") == [
         Outcome(Result.DELIVERED, True, SECOND), Outcome(Result.FULL, False, SECOND)]
     assert outcomes(413, b"", (b"a", b"b")) == [Outcome(Result.MOOT)] * 2
+    assert outcomes(410, b"", (b"a", b"b")) == [Outcome(Result.ERROR)] * 2  # this speaks of one text
     with pytest.raises(KeyError):
         outcomes(200, body, (b"a", b"c"))
 
@@ -328,6 +344,26 @@
     assert driver.ends == [(b"a", Result.DELIVERED)]
 
 
+@pytest.mark.parametrize("line, result", [(b"200 OK", Result.DELIVERED), (b"503 No", Result.SPOILT),
+                                          (b"429 No", Result.SPOILT), (b"410 No", Result.SPOILT)])
+def test_of_a_spoilt_answer_only_a_first_line_of_200_is_true(deadlines, line, result):
+    driver = Ears()
+    _, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", SECOND, SECOND, 0))
+    connection.dataReceived(b"HTTP/1.1 " + line + b"\r\nContent-Length: 3000000000\r\n\r\nxx")
+    connection.connectionLost(None)
+    assert driver.ends == [(b"a", result)]
+
+
+@pytest.mark.parametrize("raw, later", [(b"no more", b""), (b"", b"HTTP/1.1 200 OK\r\n\r\n"), (b"", b"")])
+def test_a_connection_with_more_than_its_answer_is_never_used_again(deadlines, raw, later):
+    driver = Ears()
+    yard, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", SECOND, SECOND, SECOND))
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" + raw)
+    assert driver.ends == [(b"a", Result.DELIVERED)] and (connection in yard.idle[b"s-1"]) != bool(raw)
+    connection.transport.peer.sendall(later)  # not read yet
+    assert connection.clean() != bool(raw or later)
+
+
 def test_a_probe_asks_for_the_hosts_health():
     assert write_call(Call(b"s-1", [], 0), "127.0.0.1:80", 0) == [
         b"GET /ping HTTP/1.1\r\nHost: 127.0.0.1:80\r\n\r\n"]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -102,10 +102,11 @@
     assert len(relay.sent(NOW + 12 * S)) == 1 and host.back_at is None
 
 
-def test_texts_of_a_key_go_in_turn_and_rest_after_a_time_out(relay):
+@pytest.mark.parametrize("result", [Result.TIMEOUT, Result.SPOILT])
+def test_texts_of_a_key_go_in_turn_and_rest_after_what_may_still_run(relay, result):
     first, second = relay.take(CHARGE, key=5), relay.take(CHARGE, key=5)
     relay.host().last_ok = NOW + 1
-    relay.out(first, Result.TIMEOUT)
+    relay.out(first, result)
     assert relay.sent(NOW) == {} and relay.sent(NOW + 3000) == {}  # its answer is not heard yet
     relay.policy.text_over(NOW + 3000, first)
     assert relay.sent(NOW + 3200) == {second: HOST}
