--- a/limelatch/configuration.py
+++ b/limelatch/configuration.py
@@ -164,6 +164,9 @@
     memory_bytes: int
     client_connections: int
     host_connections: int
+    client_bytes: int  # of commands that are not whole yet, of all clients together
+    client_command: int  # for a client's first command, and for the rest of a begun one
+    client_idle: int  # between a client's commands
     connect_wait: int  # a connection to a host must be up by then
     probe_wait: int
     stop_least: int  # from SIGTERM to the exit at the earliest, since clients still come
@@ -229,6 +232,8 @@
         disk_bytes=int(limits.number("disk_mb", 3) * MEGABYTE),
         memory_bytes=int(limits.number("memory_mb", 192) * MEGABYTE), client_connections=sockets // 2,
         host_connections=sockets // 4, connect_wait=settings.part("limits").span("dialTimeout", 1000),
+        client_bytes=int(limits.number("memory_mb", 192) * MEGABYTE / 8),
+        client_command=keys.span("client_command_ms", 2000), client_idle=keys.span("client_idle_ms", 4000),
         probe_wait=keys.span("probe_ms", 1500), stop_least=keys.span("stop_least_ms", 500),
         stop_wait=keys.span("stop_ms", 3300),
         notice_wait=keys.span("notice_ms", 250), list_wait=keys.span("list_ms", 1000),
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -116,7 +116,7 @@
 
         The list held serves until the new one has told its own."""
         if address != self.address:
-            self.address, self.index = address, None
+            self.address, self.index, self.fresh = address, None, False
             if self._watch is not None:
                 self._watch.close(Ending.MOVED)
             elif self._connector is not None and self._connector.state == "connecting":
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -50,6 +50,7 @@
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
         self.zones: dict[li.HostId, int] = {}
         self.kinds: dict[li.HostId, int] = {}
+        self.destinations: set[int] = set()  # that the catalog has told since the start
         self._turn_due, self.ready, self._stop_at = False, False, None
         self.failed, self._ended = False, False
         self.yard = Yard(reactor, self.deadlines, clock, self, plan.host_connections, plan.connect_wait,
@@ -58,7 +59,7 @@
                          self.notice_heard)
         self.catalog = Catalog(reactor, self.deadlines, plan.discovery, plan.names, plan.silence,
                                plan.reconnect_wait, self.listed)
-        self.hall = Hall(self, plan.client_connections)
+        self.hall = Hall(self, plan.client_connections, plan.client_bytes)
 
     def start(self) -> None:
         """Take up what the ledger holds, then wait for the first list before serving."""
@@ -156,6 +157,8 @@
             client.answer(f"-ERR unknown class {product[:40]!r}")
         elif names.customers and customer and customer not in names.customers:
             client.answer(f"-ERR unknown tenant {customer[:40]!r}")
+        elif self.catalog.fresh and handed.destination not in self.destinations:
+            client.answer("-ERR unknown destination")  # else it would be held until its validity ends
         elif handed.id in self.owed:
             client.answer("-ERR this id was handed in before")
         elif self._stop_at is not None or self.slots.full or not self.ledger.has_room(len(handed.body)):
@@ -189,6 +192,7 @@
                 self.catalog.addresses.pop(entry.host, None)
             else:
                 self.zones[entry.host], self.kinds[entry.host] = entry.zone, entry.kind
+            self.destinations.add(entry.destination)
         self.policy.hosts_listed(self.clock.now(), entries, whole)
         self.yard.listed(self.catalog.addresses)
         for host in [each for each in self.zones if each not in self.catalog.addresses]:
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -24,7 +24,7 @@
     Ending,
 )
 from limelatch.relay.http import Answer, HttpCaller, request_head
-from limelatch.relay.logs import say
+from limelatch.relay.logs import HeldDown, say
 from limelatch.relay.slots import Slots
 
 log = logging.getLogger(__name__)
@@ -191,7 +191,7 @@
         self.connections: Slots[Connection] = Slots(most)
         self.idle: defaultdict[HostId, list[Connection]] = defaultdict(list)
         self.addresses: dict[HostId, Address] = {}
-        self.calls_out = 0
+        self.calls_out, self.held_down = 0, HeldDown(log, clock)
 
     def send(self, host: HostId, parcels: list[Parcel]) -> None:
         """One call with these texts, or a probe; its outcomes go to the driver."""
@@ -262,7 +262,7 @@
         try:
             outcomes = read_outcomes(call, answer, body)
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
-            say(log, "answer not read", logging.WARNING, host=call.host, why=repr(error))
+            self.held_down("answer not read", host=call.host, why=repr(error))
             connection.give_up(Ending.GARBLED)
             return
         self._finish(call)
@@ -325,8 +325,10 @@
         if connection in waiting:
             waiting.remove(connection)
         call, connection.call = connection.call, None
-        level = logging.WARNING if ending in (Ending.GARBLED, Ending.CROWDED) else logging.DEBUG
-        say(log, "host connection ended", level, host=connection.host, why=ending.value)
+        if ending in (Ending.GARBLED, Ending.CROWDED):
+            self.held_down(f"host connection {ending.value}", host=connection.host)
+        else:
+            say(log, "host connection ended", logging.DEBUG, host=connection.host, why=ending.value)
         if call is None:
             return
         self._finish(call)
--- a/limelatch/relay/logs.py
+++ b/limelatch/relay/logs.py
@@ -7,6 +7,7 @@
 import sys
 import time
 
+from limelatch.interface import SECOND
 from twisted.logger import STDLibLogObserver, globalLogBeginner
 
 
@@ -34,6 +35,24 @@
     log.log(level, event, extra={"pairs": pairs})
 
 
+class HeldDown:
+    """Warnings that anybody outside can cause: so many a second of one event, and how many were left out."""
+
+    def __init__(self, log: logging.Logger, clock, most: int = 5) -> None:
+        self.log, self.clock, self.most = log, clock, most
+        self._since: dict[str, int] = {}
+        self._count: dict[str, int] = {}
+
+    def __call__(self, event: str, **pairs: object) -> None:
+        now, count = self.clock.now(), self._count.get(event, 0) + 1
+        if now - self._since.get(event, 0) >= SECOND:
+            left_out = {"left_out": count - 1 - self.most} if count - 1 > self.most else {}
+            self._since[event], count, pairs = now, 1, pairs | left_out
+        self._count[event] = count
+        if count <= self.most:
+            say(self.log, event, logging.WARNING, **pairs)
+
+
 def start(level: str) -> None:
     """Log to standard error from now on."""
     handler = logging.StreamHandler(sys.stderr)
--- a/limelatch/relay/ring.py
+++ b/limelatch/relay/ring.py
@@ -10,7 +10,7 @@
 
 
 class Ring:
-    """Bytes go in at one end and out at the other; the cells grow by doubling up to the bound."""
+    """Bytes go in at one end and out at the other; the cells double up to the bound, until all is read."""
 
     def __init__(self, bound: int) -> None:
         self.bound = bound
@@ -59,6 +59,8 @@
         data = self.peek(count)
         self._held -= len(data)
         self._head = (self._head + len(data)) % len(self._cells) if self._held else 0
+        if not self._held and len(self._cells) > FIRST_SIZE:
+            self._cells = bytearray(min(self.bound, FIRST_SIZE))  # one large block costs no room for good
         return data
 
     def find(self, mark: bytes) -> int:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,5 +1,6 @@
 """The relay's parts, one call each, without the program."""
 
+import logging
 import socket
 
 import pytest
@@ -26,6 +27,7 @@
 )
 from limelatch.relay.http import Answer, HttpCaller
 from limelatch.relay.ledger import BLOCK, Ledger
+from limelatch.relay.logs import HeldDown
 from limelatch.relay.ring import Ring, RingFull
 from limelatch.relay.slots import Slots
 
@@ -94,6 +96,22 @@
     assert ring.find(b"\r\n") == 4 and ring.read(6) == b"xxxy\r\n" and ring.find(b"\r\n") == -1
 
 
+def test_a_ring_gives_back_the_room_of_a_large_block_once_it_is_read():
+    ring = Ring(100_000)
+    ring.write(bytes(90_000))
+    ring.read(90_000)
+    assert len(ring._cells) == 1024
+
+
+def test_warnings_that_outsiders_cause_are_held_down_and_counted(deadlines, caplog):
+    held_down = HeldDown(logging.getLogger("x"), deadlines[1])
+    for _ in range(9):
+        held_down("bad")
+    deadlines[1].advance(1)
+    held_down("bad")
+    assert [each.pairs for each in caplog.records] == [{}] * 5 + [{"left_out": 4}]
+
+
 def test_slots_are_numbered_used_again_and_bounded():
     slots = Slots(2)
     assert [slots.take("a"), slots.take("b"), slots.take("c")] == [0, 1, None]
