--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -510,12 +510,12 @@
         return actions
 
     def _time_out(self, held: Held) -> int:
-        """The design's time-out, or as long as an answer may be missing when slots are scarce.
+        """The design's, half a repeat window at most: a lost answer once used it up and no repeat could go.
 
-        Guards against lost answers holding most slots; not for once-only texts, which it would end."""
+        While slots are scarce as long as an answer may be missing; not for once-only texts: it ends them."""
         scarce = self.slots_used > SCARCE * self.terms.slots and held.row.effect is not Effect.ONCE_ONLY
-        known = held.call.host.route.seen >= RECENT_CALLS
-        return (held.call.host.patience() if known else GUIDE_TIME_OUT) if scarce else TIME_OUT
+        known = held.call.host.patience() if held.call.host.route.seen >= RECENT_CALLS else GUIDE_TIME_OUT
+        return known if scarce else min(TIME_OUT, held.row.repeat_window // 2 or TIME_OUT)
 
     def _add_host(self, entry: HostEntry) -> Host:
         dest, window = self.dests[entry.destination], max(1, self.terms.slots // 2)
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -2,7 +2,7 @@
 
 from conftest import CHARGE, HOST, NOTICE, NOW, REPORT, ROUTE, TWIN, S
 
-from limelatch.interface import CloseIdle, Listing, LogLine, Nack, Result, Wake
+from limelatch.interface import CloseIdle, Listing, LogLine, Nack, Result, Submit, Wake
 from limelatch.policy import GUIDE_TIME_OUT, IDLE_MOST, REFUSED_OFTEN, TIME_OUT, TOLD_SHUT, Call
 
 
@@ -63,6 +63,14 @@
     assert (relay.policy._time_out(notice), relay.policy._time_out(charge)) == (12_000, TIME_OUT)
 
 
+def test_a_time_out_leaves_a_referenced_text_half_its_window_for_the_repeat(relay):
+    """Lost answers once cost the text: 9 s of its window of 10 s were over before it could go again."""
+    text = relay.take(NOTICE)
+    assert relay.decide(Submit)[0].time_out == 5 * S
+    relay.end(text, Result.TIMEOUT, NOW + 5 * S)
+    assert relay.held(text).verdict is None and relay.held(text).due < NOW + 10 * S
+
+
 def test_a_reset_after_idleness_is_a_dead_connection_and_no_outage(relay):
     """A path that drops idle connections once looked like an outage of every host."""
     relay.out(relay.take(REPORT), Result.DELIVERED, over=True)
