Kept connections are given up while many are reset; keys rest after a 200 that broke off

A text in order now ends with its call, and such a 200 is SPOILT and over: delivered, but its key rests. Now the share of calls reset on kept connections is followed by kind; over 8 percent none is kept, over 2 percent a once-only text takes a new one; a quick reset at a host that answers is no outage.

--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -139,6 +139,7 @@
     told_wait: int = 0
     limit_left: float | None = None
     limit_rate: float | None = None
+    idle: int | None = None  # how long its connection had stood idle; 0 if it was new, None if nobody knows
 
 
 @dataclass(slots=True)
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -1,9 +1,8 @@
 """limelatch's decisions: which host gets which text, when, and what a text's final answer is.
 
-How to call it: make one `Policy(terms, now)` a relay, tell it each event (its public methods), then call
-`decide(now)` once for the batch and carry out its actions in order. The interface is limelatch/interface.py,
-the reasons are in docs/design.md. `_plan` sets the wanted state, `_gate` checks the rules for every send,
-`_emit` works out the difference to the present state; `may_go` asks again when a connection has come up.
+One `Policy(terms, now)` a relay: tell it each event, call `decide(now)` and carry out its actions in order
+(limelatch/interface.py; reasons: docs/design.md). `_plan` sets the wanted state, `_gate` checks the rules for
+every send, `_emit` works out the difference; `may_go` asks again when a connection has come up.
 
 Beside the design (token bucket, jittered waits, delay window, slot caps) stand these mechanisms:
   1. health by symptom: hosts that mostly fail or do not answer get trials, shared by the relays that know;
@@ -35,11 +34,11 @@
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 GOOD_LATELY, KEEPERS = 2 * SECOND, 5  # since a delivery that speaks against an outage; more relays than these
 IDLE_MOST, STALE_LEAST, KEEP_PART = 6 * SECOND, 500 * MS, 0.9  # connections idle; part of the hosts' own time
+STALE_STEP, STALE_FADE, STALE_SHARE, STALE_ONCE = 0.1, 0.02, 0.08, 0.02  # of kept connections that reset
 LIMIT_USED_UP, TOLD_SHUT, REFUSED_OFTEN = 0.15, 3 * SECOND, 8  # share left; wait, cuts in a row of an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
 PACE_STEP, FLOW_SPAN = 0.05, 5 * SECOND  # growth of the pace by a delivery; span of a relay's own rate
-TRIAL_PART = 0.7  # of what a cold destination bears, for the trials of all relays that know of its outage
-SEEN_BEFORE, RATE_AT_FIRST = 5 * SECOND, 2.0  # an outage is older than seen; a limit not yet known
+TRIAL_PART, SEEN_BEFORE, RATE_AT_FIRST = 0.7, 5 * SECOND, 2.0  # of what a cold one bears; age; unknown limit
 SCARCE, ROOM_LEFT = 0.9, 0.92  # share of the slots for shorter time-outs, of the room for nacks of held texts
 NEW = Past()  # of a text that no process had before
 ANSWERED, UNANSWERED = (Result.ERROR, Result.SPOILT), (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
@@ -88,8 +87,7 @@
         self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
         self.credit, self.credit_at, self.cut_at, self.cuts = 1.0, 0, 0, 0
         self.flow, self.flow_at = 0.0, 0  # this relay's calls of late, fading over a span
-        self.wait_until, self.down_at = 0, 0  # a told wait's end; when an outage began
-        self.tries, self.trial_at = 0, 0  # trials in that outage, and the time of the next one
+        self.wait_until = self.down_at = self.tries = self.trial_at = 0  # a told wait; an outage, its trials
 
     def refill(self, now: int, relays: int) -> None:
         passed, self.credit_at = (now - self.credit_at) / SECOND, now
@@ -118,15 +116,12 @@
         self.id, self.zone, self.kind = entry.host, entry.zone, entry.kind
         self.listing, self.dest, self.route = entry.listing, dest, route
         self.out: list[Call] = []
-        self.failing, self.sick, self.seers = 0.0, False, 1.0
-        self.back_at: int | None = None
+        self.failing, self.sick, self.seers, self.back_at = 0.0, False, 1.0, None
         self.warm_credit, self.warm_at, self.last_ok, self.used_at = 0.0, 0, -GOOD_LATELY, 0
         self.gap, self.kept = 2 * IDLE_MOST, False  # time between calls; whether connections are kept
 
     def overdue(self, now: int) -> bool:
-        """A call has been out for too long, and none has succeeded since: one more a span, of one text.
-
-        Guards against filling a host that hangs or went silent with texts that may be lost there."""
+        """A call is out for too long with no success since: one more a span, lest a silent host fills up."""
         return bool(self.out) and self.last_ok < self.out[0].sent < now - self.patience()
 
     def patience(self) -> int:
@@ -155,6 +150,7 @@
         self.expiries: list[tuple[int, TextId]] = []
         self.slots_used, self.wake_at, self.stop_at = 0, now, NEVER
         self.idle_most = [IDLE_MOST if terms.relays > KEEPERS else NEVER] * len(terms.kinds)  # of connections
+        self.stale = [0.0] * len(terms.kinds)  # smoothed share of calls on kept connections that were reset
         self.changed, self.closing, self.log = [], [], []  # texts to act on, hosts, lines
 
     def hosts_listed(self, now: int, entries: list[HostEntry], whole: bool) -> None:
@@ -241,16 +237,18 @@
 
     def _learn(self, now: int, host: Host, call: Call, report: SubmitReport, counts: bool) -> None:
         """Take an outcome into the bucket, the window, the pace and the host's health."""
-        route, result = host.route, report.result
+        route, result, kind = host.route, report.result, host.kind
         route.learn_limit(report.limit_rate)
+        idle, reset = call.idle if report.idle is None else report.idle, result is Result.RESET
+        self.stale[kind] += (STALE_STEP if idle else STALE_FADE) * ((reset and idle > 0) - self.stale[kind])
         many = self.terms.relays > KEEPERS and result in (Result.CONNECT, Result.TIMEOUT)
-        if (many or result is Result.RESET) and (call.idle > STALE_LEAST or result is Result.CONNECT):
-            self.idle_most[host.kind] = min(self.idle_most[host.kind], max(STALE_LEAST, call.idle * 3 // 4))
+        if (many or reset) and (idle > STALE_LEAST or result is Result.CONNECT):
+            self.idle_most[kind] = min(self.idle_most[kind], max(STALE_LEAST, idle * 3 // 4))
         if report.told_wait:  # of several texts in a call some may be delivered and the others told to wait
             used_up = report.limit_left is not None and report.limit_left < LIMIT_USED_UP
             spread = TOLD_JITTER if used_up else max(TOLD_JITTER, report.told_wait)
             route.wait_until = max(route.wait_until, now + report.told_wait + self.chance.below(spread))
-        if result is Result.DELIVERED:
+        if result is Result.DELIVERED or result is Result.SPOILT and report.over:
             host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
             host.last_ok, route.cuts = now, 0
             left = PACE_STEP if report.limit_left is None else report.limit_left  # by what others leave
@@ -264,8 +262,8 @@
         elif result is Result.FULL and counts:
             self._refused(now, host, report.told_wait, report.limit_left)
         elif (result is Result.CONNECT and now - host.last_ok < GOOD_LATELY
-              or result is Result.RESET and report.took < route.usual // 2 and call.idle > STALE_LEAST):
-            pass  # others hold its connections, or the path dropped an idle one: no outage
+              or reset and report.took < route.usual // 2 and (idle or now - host.last_ok < GOOD_LATELY)):
+            pass  # others hold its connections, or a connection was lost at a host that answers: no outage
         elif result not in (Result.FULL, Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
             ok = host.last_ok > call.sent - (0 if result is Result.TIMEOUT else GOOD_LATELY)
@@ -371,8 +369,7 @@
         due = [held for held in dest.waiting.values() if held.due <= now]
         if not due:
             dest.look_at = min(held.due for held in dest.waiting.values())
-        ready = [held for held in due if self._has_turn(now, held)]
-        return sorted(ready, key=lambda held: self._rank(now, held))
+        return sorted([h for h in due if self._has_turn(now, h)], key=lambda held: self._rank(now, held))
 
     def _rank(self, now: int, held: Held) -> tuple:
         """Texts that can still make their SLA time, the nearest first; then the late ones by revenue."""
@@ -415,9 +412,8 @@
             elsewhere = not held.row.repeats_anywhere and host.zone != held.zone
             if held.row.effect is Effect.ONCE_ONLY or now >= held.until or elsewhere:
                 return False
-        if held.row.effect is not Effect.ONCE_ONLY or not host.sick and not host.overdue(now):
-            return True  # of those waiting a text that may be repeated makes the trial
-        return all(other.row.effect is Effect.ONCE_ONLY for other in host.dest.waiting.values())
+        sound = held.row.effect is not Effect.ONCE_ONLY or not host.sick and not host.overdue(now)
+        return sound or all(other.row.effect is Effect.ONCE_ONLY for other in host.dest.waiting.values())
 
     def _has_turn(self, now: int, held: Held) -> bool:
         """A product in order: only the first text of its key, and after the key's rest."""
@@ -491,17 +487,16 @@
                 actions.append(held.verdict)
                 self.unheard[held.text.id] = self.texts.pop(held.text.id)
             elif held.call is not None:
-                left = held.text.valid_until - now
-                if held.call.idle > self.idle_most[held.call.host.kind]:
-                    held.call.idle = 0
-                    actions.append(CloseIdle(held.call.host.id))
-                keep = min(self.idle_most[held.call.host.kind], int(self.terms.conn_idle * KEEP_PART))
-                actions.append(Submit(held.text.id, held.call.host.id, min(self._time_out(held), left), keep))
+                left, host, call = held.text.valid_until - now, held.call.host, held.call
+                keep = min(self._keep(host, False), int(self.terms.conn_idle * KEEP_PART))
+                if call.idle > self._keep(host, held.row.effect is Effect.ONCE_ONLY):
+                    call.idle = 0
+                    actions.append(CloseIdle(host.id))
+                actions.append(Submit(held.text.id, host.id, min(self._time_out(held), left), keep))
                 held.submits += 1
         actions += [CloseIdle(host.id) for host in self.closing if not host.out] + self.log
         if self.active:
-            free = self.slots_used < self.terms.slots  # else an outcome comes first
-            looks = [dest.look_at for dest in self.active.values() if free]
+            looks = [dest.look_at for dest in self.active.values() if self.slots_used < self.terms.slots]
             wake_at = max(now + PERIOD, min(looks + [self.expiries[0][0]]))
             if wake_at < self.wake_at or self.wake_at <= now:
                 self.wake_at = wake_at
@@ -509,6 +504,11 @@
         self.changed, self.closing, self.log = [], [], []
         return actions
 
+    def _keep(self, host: Host, once: bool) -> int:
+        """How long connections stand idle; -1: not at all, lest calls go to those closed after an answer."""
+        stale = self.stale[host.kind] > (STALE_ONCE if once else STALE_SHARE)  # once-only texts risk less
+        return -1 if stale else self.idle_most[host.kind]
+
     def _time_out(self, held: Held) -> int:
         """The design's, half a repeat window at most: a lost answer once used it up and no repeat could go.
 
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -217,7 +217,7 @@
             return
         left, rate = outcome.report.get("x0"), outcome.report.get("x1")
         self.policy.submit_ended(now, li.SubmitReport(parcel.text, call.host, outcome.result, now - call.sent,
-                                                      outcome.over, outcome.told_wait, left, rate))
+                                                      outcome.over, outcome.told_wait, left, rate, call.idle))
         if outcome.over:
             self.ledger.over(parcel.text)
             self._release(owed)
@@ -308,7 +308,8 @@
         if len(calls.get(host, [])) >= most:
             self.yard.send(host, calls.pop(host))
         calls.setdefault(host, []).append(
-            Parcel(text, owed.mark, owed.body, now + time_out, owed.text.valid_until, keep))
+            Parcel(text, owed.mark, owed.body, now + time_out, owed.text.valid_until, keep,
+                   bool(owed.text.key) and self.plan.terms.products[owed.text.product].in_order))
 
     def _end_later(self, owed: Owed, notice: dict) -> None:
         """The final answer of a text that was taken on is a notice, owed until it is answered."""
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -43,6 +43,7 @@
     due: int  # when the relay stops waiting
     last: int  # when the text's validity ends
     keep: int  # for how long the connection may stand idle afterwards
+    ordered: bool = False  # other texts of its key wait until it is over
 
 
 @dataclass(slots=True)
@@ -63,6 +64,7 @@
     parcels: list[Parcel]
     sent: int
     batched: bool = False  # written as a batch, and so answered as one
+    idle: int = 0  # how long its connection had stood idle; 0 for a new one
     deadline: Deadline | None = None
     connection: Connection | None = None
 
@@ -203,8 +205,8 @@
         while (waiting := self.idle.get(host)) and (connection := waiting.pop()):
             connection.deadline.cancel()
             if connection.clean():
-                connection.call = call
-                call.connection = connection
+                call.connection, connection.call = connection, call
+                call.idle = max(1, now - connection.rested_at)
                 self.go(connection)
                 return
             connection.give_up(Ending.GARBLED if connection.inbound else Ending.CLOSED_BY_PEER)
@@ -301,7 +303,8 @@
         now = self.clock.now()
         late = [each for each in call.parcels if each.due <= now]
         rest = [each for each in call.parcels if each.due > now]
-        if rest and all(each.due >= each.last for each in late):
+        # A text in order can't end alone: its submit stays out, and the next of its key would go beside it.
+        if rest and all(each.due >= each.last and not each.ordered for each in late):
             call.parcels = rest
             for each in late:
                 self.driver.ended(call, each, Outcome(Result.TIMEOUT))
@@ -332,10 +335,10 @@
         if call is None:
             return
         self._finish(call)
-        result, answer = RESULT_OF_ENDING[ending], connection.answer
+        result, over, answer = RESULT_OF_ENDING[ending], False, connection.answer
         if answer is not None and answer.status == 200 and not call.batched:
-            result = Result.DELIVERED  # its first line says all; of a spoilt one any other line says nothing
+            result, over = Result.SPOILT, True  # its first line is true; the call may run on
         if not call.parcels:
             self.driver.probed(call, result, {})
         for each in call.parcels:
-            self.driver.ended(call, each, Outcome(result, over=result is Result.DELIVERED))
+            self.driver.ended(call, each, Outcome(result, over))
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -3,7 +3,7 @@
 from conftest import CHARGE, HOST, NOTICE, NOW, REPORT, ROUTE, TWIN, S
 
 from limelatch.interface import CloseIdle, Listing, LogLine, Nack, Result, Submit, Wake
-from limelatch.policy import GUIDE_TIME_OUT, IDLE_MOST, REFUSED_OFTEN, TIME_OUT, TOLD_SHUT, Call
+from limelatch.policy import GUIDE_TIME_OUT, IDLE_MOST, REFUSED_OFTEN, STALE_ONCE, TIME_OUT, TOLD_SHUT, Call
 
 
 def sick(relay, cause=Result.CONNECT):
@@ -63,6 +63,22 @@
     assert (relay.policy._time_out(notice), relay.policy._time_out(charge)) == (12_000, TIME_OUT)
 
 
+def test_kept_connections_are_given_up_while_many_of_them_are_reset(relay):
+    """Hosts that close after an answer once had a tenth of all calls reset, and were taken for sick."""
+    relay.out(relay.take(REPORT), Result.DELIVERED, idle=0, over=True)
+    text, now = relay.take(REPORT), NOW + S
+    relay.out(text, Result.RESET, took=100, idle=300)
+    assert not relay.host().failing
+    relay.held(text).due = now
+    actions = relay.decide(now=now)
+    assert [CloseIdle, Submit] == [type(a) for a in actions if isinstance(a, (CloseIdle, Submit))]
+    assert next(a.keep for a in actions if isinstance(a, Submit)) <= 0
+    relay.end(text, Result.DELIVERED, now, over=True, idle=0)
+    for _ in range(80):  # calls on new connections: it fades
+        relay.out(relay.take(REPORT, now=now), Result.DELIVERED, now, over=True, idle=0)
+    assert relay.policy.stale[0] < STALE_ONCE
+
+
 def test_a_time_out_leaves_a_referenced_text_half_its_window_for_the_repeat(relay):
     """Lost answers once cost the text: 9 s of its window of 10 s were over before it could go again."""
     text = relay.take(NOTICE)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -112,6 +112,14 @@
     assert relay.sent(NOW + 3200) == {second: HOST}
 
 
+def test_the_next_text_of_a_key_rests_after_an_answer_of_which_only_the_first_line_came(relay):
+    """The text is delivered, but nobody knows whether its call still runs."""
+    first, second = relay.take(CHARGE, key=5), relay.take(CHARGE, key=5)
+    relay.out(first, Result.SPOILT, over=True)
+    assert relay.sent(NOW + 2990) == {} and relay.sent(NOW + 3200) == {second: HOST}
+    assert not relay.host().failing
+
+
 def test_another_key_does_not_wait(relay):
     first, second = relay.take(CHARGE, key=5), relay.take(CHARGE, key=6)
     assert set(relay.sent()) == {first, second}
