--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -27,8 +27,7 @@
 BUCKET, REFILL, TOKEN = 200, 1, 10
 BASE, CAP, TIME_OUT, GUIDE_TIME_OUT = 600 * MS, 8 * SECOND, 9 * SECOND, 3 * SECOND  # the guide's: few slots
 TOLD_JITTER, RECENT_CALLS = 150 * MS, 7  # on top of a told wait; calls whose median is held to the usual
-# Ours.
-PERIOD, LAST_MOMENT, NEVER = 20 * MS, 100 * MS, 1 << 62  # least wait of the timer; least time of a submit
+PERIOD, LAST_MOMENT, NEVER = 20 * MS, 100 * MS, 1 << 62  # ours from here: the timer's least wait; a submit's
 USUAL_AT_FIRST = 400 * MS  # latency taken as usual before any is known
 SICK_SHARE, FAIL_STEP, SILENT_STEP = 0.5, 0.3, 0.6  # smoothed share of failures of a sick host, and its steps
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
@@ -267,7 +266,8 @@
         elif result not in (Result.FULL, Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
             ok = host.last_ok > call.sent - (0 if result is Result.TIMEOUT else GOOD_LATELY)
-            self._failed(now, host, result.value, FAIL_STEP if ok or result in ANSWERED else SILENT_STEP)
+            step = FAIL_STEP if ok or result in ANSWERED else SILENT_STEP
+            self._failed(now, host, result.value, step / 2 if ok and result is Result.TIMEOUT else step)
 
     def _halve(self, now: int, route: Route, call: Call) -> None:
         if call.sent > route.halved_at:  # once for the calls that were out together
@@ -488,8 +488,8 @@
                 self.unheard[held.text.id] = self.texts.pop(held.text.id)
             elif held.call is not None:
                 left, host, call = held.text.valid_until - now, held.call.host, held.call
-                keep = min(self._keep(host, False), int(self.terms.conn_idle * KEEP_PART))
-                if call.idle > self._keep(host, held.row.effect is Effect.ONCE_ONLY):
+                keep = min(self._keep(host.kind, False), int(self.terms.conn_idle * KEEP_PART))
+                if call.idle > self._keep(host.kind, held.row.effect is Effect.ONCE_ONLY):
                     call.idle = 0
                     actions.append(CloseIdle(host.id))
                 actions.append(Submit(held.text.id, host.id, min(self._time_out(held), left), keep))
@@ -504,18 +504,18 @@
         self.changed, self.closing, self.log = [], [], []
         return actions
 
-    def _keep(self, host: Host, once: bool) -> int:
+    def _keep(self, kind: int, once: bool) -> int:
         """How long connections stand idle; -1: not at all, lest calls go to those closed after an answer."""
-        stale = self.stale[host.kind] > (STALE_ONCE if once else STALE_SHARE)  # once-only texts risk less
-        return -1 if stale else self.idle_most[host.kind]
+        return -1 if self.stale[kind] > (STALE_ONCE if once else STALE_SHARE) else self.idle_most[kind]
 
     def _time_out(self, held: Held) -> int:
-        """The design's, half a repeat window at most: a lost answer once used it up and no repeat could go.
+        """The design's; a referenced text must not lose its repeat window to one answer that never comes.
 
         While slots are scarce as long as an answer may be missing; not for once-only texts: it ends them."""
         scarce = self.slots_used > SCARCE * self.terms.slots and held.row.effect is not Effect.ONCE_ONLY
         known = held.call.host.patience() if held.call.host.route.seen >= RECENT_CALLS else GUIDE_TIME_OUT
-        return known if scarce else min(TIME_OUT, held.row.repeat_window // 2 or TIME_OUT)
+        least = held.row.repeat_window // 4 if held.row.effect is Effect.REFERENCED else TIME_OUT
+        return known if scarce else min(TIME_OUT, max(2 * known, least))
 
     def _add_host(self, entry: HostEntry) -> Host:
         dest, window = self.dests[entry.destination], max(1, self.terms.slots // 2)
