--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -10,15 +10,15 @@
 import os
 import struct
 import zlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 HEAD = struct.Struct(">II")  # length and checksum of what follows
 NAMES = struct.Struct(">BH")  # kind of record and length of its pairs; a body follows these
-TAKEN, GOING, ENDED, OWED, OVER = range(1, 6)
+TAKEN, GOING, ENDED, OWED, OVER, STATE = range(1, 7)
 BLOCK = 512  # files count in whole blocks
 LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest: growth, the new file
 MEMORY_SHARE = 0.1  # of the memory, for the same records, which are kept there too
-LATER = 2048  # kept free for the later records of a text
+LATER = 384  # kept free for a text's state and its notice, which are all that a new file holds beside it
 
 
 @dataclass
@@ -33,12 +33,11 @@
     ran_at: int | None = None  # when and where the first went that may have run
     ran_zone: int | None = None
     notice: dict | None = None
-    records: list[bytes] = field(default_factory=list)
-    size: int = 0
+    taken: bytes = b""  # its first record
 
     @property
     def body(self) -> bytes:
-        taken = self.records[0]
+        taken = self.taken
         return taken[HEAD.size + NAMES.size + NAMES.unpack_from(taken, HEAD.size)[1]:]
 
 
@@ -76,7 +75,8 @@
         pairs = json.loads(record[at:at + length])
         text = pairs["id"].encode()
         if kind == TAKEN:
-            self.entries[text] = Entry(text, pairs)
+            self.entries[text] = Entry(text, pairs, taken=record)
+            self.live += len(record) + LATER
         entry = self.entries.get(text)
         if entry is None:
             return
@@ -88,20 +88,18 @@
             entry.out, entry.ran = False, entry.ran or pairs["ran"]
             if not entry.ran:
                 entry.ran_at = entry.ran_zone = None
+        elif kind == STATE:
+            entry.submits, entry.out, entry.ran = pairs["submits"], pairs["out"], pairs["ran"]
+            entry.ran_at, entry.ran_zone = pairs["at"], pairs["zone"]
         elif kind == OWED:
             entry.out, entry.notice = False, pairs["notice"]
-        if kind == OVER:
-            self.live -= entry.size
+        elif kind == OVER:
+            self.live -= len(entry.taken) + LATER
             del self.entries[text]
-        else:
-            entry.records.append(record)
-            entry.size += len(record)
-            self.live += len(record)
 
     def has_room(self, body: int) -> bool:
         """Whether one more text fits, with all that will be written of it and of the others."""
-        owed = (len(self.entries) + 1) * LATER
-        return self.live + body + owed <= self.live_most
+        return self.live + body + 2 * LATER <= self.live_most
 
     def taken(self, text: bytes, body: bytes, **pairs: object) -> None:
         self._write(TAKEN, text, pairs, body)
@@ -122,18 +120,29 @@
             self._write(OVER, text, {})
 
     def _write(self, kind: int, text: bytes, pairs: dict, body: bytes = b"") -> None:
-        words = json.dumps({"id": text.decode()} | pairs, separators=(",", ":")).encode()
-        payload = NAMES.pack(kind, len(words)) + words + body
-        record = HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+        record = self._record(kind, text, pairs, body)
         if self.size + len(record) + self.live > self.disk - BLOCK:
             self.compact()
         os.write(self._file, record)
         self.size += len(record)
         self._apply(record)
 
+    @staticmethod
+    def _record(kind: int, text: bytes, pairs: dict, body: bytes = b"") -> bytes:
+        words = json.dumps({"id": text.decode()} | pairs, separators=(",", ":")).encode()
+        payload = NAMES.pack(kind, len(words)) + words + body
+        return HEAD.pack(len(payload), zlib.crc32(payload)) + payload
+
+    def _kept(self, entry: Entry) -> bytes:
+        """What still matters of a text: as it was taken, its state in one record, the notice it is owed."""
+        state = {"submits": entry.submits, "out": entry.out, "ran": entry.ran, "at": entry.ran_at,
+                 "zone": entry.ran_zone}
+        return (entry.taken + (self._record(STATE, entry.id, state) if entry.submits else b"")
+                + (self._record(OWED, entry.id, {"notice": entry.notice}) if entry.notice else b""))
+
     def compact(self) -> None:
-        """Write the records that still matter to a new file, in the order of the texts; put it in place."""
-        records = b"".join(b"".join(entry.records) for entry in self.entries.values())
+        """Write what still matters to a new file, in the order of the texts; put it in place."""
+        records = b"".join(self._kept(entry) for entry in self.entries.values())
         new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
         os.write(new, records)
         os.replace(self._new, self.path)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -26,7 +26,7 @@
     write_call,
 )
 from limelatch.relay.http import Answer, HttpCaller
-from limelatch.relay.ledger import BLOCK, Ledger
+from limelatch.relay.ledger import BLOCK, LATER, Ledger
 from limelatch.relay.logs import HeldDown
 from limelatch.relay.ring import Ring, RingFull
 from limelatch.relay.slots import Slots
@@ -167,6 +167,25 @@
     assert (c.notice, c.pairs["key"]) == ({"result": "dead"}, "k1")
 
 
+def test_a_new_file_keeps_each_text_s_state_in_the_room_that_is_kept_free_for_it(ledger):
+    """Every submit once kept its records, with room for 2 KB a text: others were refused untaken."""
+    take(ledger, b"a" * 64)
+    for at in range(40):
+        ledger.going(b"a" * 64, at, 1)
+        ledger.ended(b"a" * 64, ran=at > 2)
+    ledger.going(b"a" * 64, 99, 2)
+    before = ledger.entries[b"a" * 64]
+    ledger.compact()
+    after, taken = again(ledger).entries[b"a" * 64], len(before.taken)
+    assert (after.submits, after.out, after.ran, after.ran_at, after.ran_zone) == (41, True, True, 3, 1)
+    ledger.owed(b"a" * 64, {"result": "bounced", "wait_ms": 2000})
+    ledger.compact()
+    assert again(ledger).entries[b"a" * 64].notice["wait_ms"] == 2000 and ledger.size - taken <= LATER
+    while ledger.has_room(10):
+        take(ledger, b"t%d" % len(ledger.entries), b"x" * 10)
+    assert len(ledger.entries) > 60 and ledger.size <= 100_000
+
+
 def test_a_submit_that_never_ran_is_forgotten(ledger):
     take(ledger, b"a")
     ledger.going(b"a", 5, 1)
