Clients between commands are closed after 2 s, a quarter of that while half the table is taken

A log of the client table shows it full, 128 of 192 connections idle after one answer: all that clients may hold, so others could not get in. At fault: client_idle of 4 s.

--- a/limelatch/configuration.py
+++ b/limelatch/configuration.py
@@ -233,7 +233,7 @@
         memory_bytes=int(limits.number("memory_mb", 192) * MEGABYTE), client_connections=sockets // 2,
         host_connections=sockets // 4, connect_wait=settings.part("limits").span("dialTimeout", 1000),
         client_bytes=int(limits.number("memory_mb", 192) * MEGABYTE / 8),
-        client_command=keys.span("client_command_ms", 2000), client_idle=keys.span("client_idle_ms", 4000),
+        client_command=keys.span("client_command_ms", 2000), client_idle=keys.span("client_idle_ms", 2000),
         probe_wait=keys.span("probe_ms", 1500), stop_least=keys.span("stop_least_ms", 500),
         stop_wait=keys.span("stop_ms", 3300),
         notice_wait=keys.span("notice_ms", 250), list_wait=keys.span("list_ms", 1000),
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -20,6 +20,8 @@
 
 BODY_MOST = 64 * 1024
 LINGER = SECOND // 2  # for a client that does not read its last answer
+LOOK_MOST = SECOND // 2  # between two looks at a connection's silence
+CROWD_PART = 4  # a crowded hall closes those between commands so many times sooner
 BAD_MOST = 8  # bad commands on one connection, then it is closed
 DESTINATION_MOST = 65535  # since the module remembers each destination
 ARGUMENTS_MOST, SKIP_MOST, REPLY_MOST = 16, 1024 * 1024, 256
@@ -88,7 +90,7 @@
         if self.number is None:
             self.end(Ending.CROWDED)
         else:
-            self.deadline = self.hall.driver.deadlines.at(self.due(), self._look)
+            self.deadline = self.hall.driver.deadlines.after(LOOK_MOST, self._look)
             if self.hall.connections.full:
                 self.hall.make_room(self)
 
@@ -96,7 +98,7 @@
         """Until when this connection may stay as it is: the first command and a begun one have to come."""
         plan = self.hall.driver.plan
         if self.asked and self.between_requests():
-            return self.heard_at + plan.client_idle
+            return self.heard_at + plan.client_idle // (CROWD_PART if self.hall.crowded else 1)
         return self.begun_at + plan.client_command
 
     def _look(self) -> None:
@@ -105,7 +107,8 @@
         if now >= due and not self.waiting:
             self.end(Ending.SILENT)
         else:
-            self.deadline = self.hall.driver.deadlines.at(max(due, now + SECOND // 10), self._look)
+            self.deadline = self.hall.driver.deadlines.at(
+                min(max(due, now + SECOND // 10), now + LOOK_MOST), self._look)
 
     def end(self, ending: Ending) -> None:
         if self.ending is None:
@@ -258,6 +261,11 @@
             self.held, largest.held = self.held - largest.held, 0
             largest.end(Ending.CROWDED)
 
+    @property
+    def crowded(self) -> bool:
+        """Half the table is taken: guards against clients that ask once, stay and take the room of others."""
+        return len(self.connections) * 2 > self.connections.size
+
     def make_room(self, newest: Client) -> None:
         """The table is full: close the connection silent for longest; hold the port if all await answers."""
         resting = [each for each in self.connections
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -66,14 +66,16 @@
 def test_kept_connections_are_given_up_while_many_of_them_are_reset(relay):
     """Hosts that close after an answer once had a tenth of all calls reset, and were taken for sick."""
     relay.out(relay.take(REPORT), Result.DELIVERED, idle=0, over=True)
-    text, now = relay.take(REPORT), NOW + S
-    relay.out(text, Result.RESET, took=100, idle=300)
+    now = NOW + S
+    for _ in range(2):
+        text = relay.take(REPORT)
+        relay.out(text, Result.RESET, took=100, idle=300)
+        relay.held(text).due = now
     assert not relay.host().failing
-    relay.held(text).due = now
-    actions = relay.decide(now=now)
-    assert [CloseIdle, Submit] == [type(a) for a in actions if isinstance(a, (CloseIdle, Submit))]
-    assert next(a.keep for a in actions if isinstance(a, Submit)) <= 0
-    relay.end(text, Result.DELIVERED, now, over=True, idle=0)
+    actions = [each for each in relay.decide(now=now) if isinstance(each, (CloseIdle, Submit))]
+    assert [type(each) for each in actions[:2]] == [CloseIdle, Submit] and actions[1].keep <= 0
+    for action in actions[1::2]:
+        relay.end(action.text, Result.DELIVERED, now, over=True, idle=0)
     for _ in range(80):  # calls on new connections: it fades
         relay.out(relay.take(REPORT, now=now), Result.DELIVERED, now, over=True, idle=0)
     assert relay.policy.stale[0] < STALE_ONCE
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -250,6 +250,14 @@
     assert client.ask("PING") == "+PONG" and client.lines.read() == b""
 
 
+def test_clients_that_ask_once_and_stay_are_closed_sooner_while_the_table_is_half_full(plan, agent):
+    program = plan(limits={"sockets": 64}, client_idle_ms=8000)
+    clients = [program.start()] + [program.client() for _ in range(16)]
+    assert [client.ask("PING") for client in clients] == ["+PONG"] * 17
+    started = time.monotonic()
+    assert clients[0].lines.read() == b"" and time.monotonic() - started < 5
+
+
 def test_bad_commands_without_end_are_answered_up_to_a_bound(program, agent):
     client = program.start()
     client.socket.sendall(b"NONSENSE\r\n" * 100)
