--- a/limelatch/configuration/files.py
+++ b/limelatch/configuration/files.py
@@ -16,7 +16,8 @@
 from limelatch.configuration.platform import UNITS, read_platform
 from limelatch.configuration.reading import OWN, Reader, Unit
 
-JSON_MOST, TOML_MOST = 8_000_000, 1_000_000  # bytes of a file; the parsers' time grows with it
+JSON_MOST, TOML_MOST = 8_000_000, 500_000  # bytes of a file; the parsers' time grows with it
+LINES_MOST = 500_000  # bytes of a file whose lines are looked up
 KEY_MOST = 2000  # dots in a key of TOML, whose parser goes as deep
 VARIABLES = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY",
              "state": "RELAY_STATE"}
@@ -151,13 +152,16 @@
 
 def located(faults: list[Fault], text: str, form: Form) -> list[Fault]:
     """The faults with the lines where they stand, if the library that finds them is at hand."""
-    if not faults or not text:
+    if not faults or not 0 < len(text) <= LINES_MOST:
         return faults
     try:
         from limelatch.configuration.places import lines_of
     except ImportError:  # the platform's build does without it
         return faults
-    lines = lines_of(text, form is Form.OWN)
+    try:
+        lines = lines_of(text, form is Form.OWN)
+    except RecursionError:
+        return faults
     found = [each if each.line else replace(each, line=line_for(each.path, lines)) for each in faults]
     return sorted(found, key=lambda each: each.line)
 
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -1,8 +1,8 @@
 """limelatch's decisions: which host gets which text, when, and what a text's final answer is.
 
 One `Policy(terms, now)` a relay: tell it each event, call `decide(now)` and carry out its actions in order
-(limelatch/interface.py; reasons: docs/design/decisions.md). `_plan` sets the wanted state, `_gate` checks the rules for
-every send, `_emit` works out the difference; `may_go` asks again when a connection has come up.
+(limelatch/interface.py; reasons: docs/design/decisions.md). `_plan` sets the wanted state, `_gate` checks
+the rules for every send, `_emit` works out the difference; `may_go` asks again when a connection has come up.
 
 Beside the design (token bucket, jittered waits, delay window, slot caps) stand these mechanisms:
   1. health by symptom: hosts that mostly fail or do not answer get trials, shared by the relays that know;
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import time
 
 import pytest
 from conftest import SETTINGS
@@ -99,6 +100,15 @@
     assert words in str(fault) and len(str(fault)) < 300
 
 
+@pytest.mark.parametrize("content, name", [
+    (b"a." * 900 + b"b = 1\n", "a.toml"), (json.dumps({"a": [{"b": [1, {"c": "x"}]}] * 160_000}).encode(),
+                                           "a.json"),
+    (b"".join(b"[[x]]\na%d = 1\nb.c = 2\n" % number for number in range(20_000)), "a.toml")])
+def test_an_odd_file_gets_its_faults_within_a_second(file, content, name):
+    path, began = file(content, name), time.monotonic()
+    assert faults(path) and time.monotonic() - began < 1
+
+
 def test_a_folder_a_pipe_and_nothing_are_no_configuration(tmp_path):
     os.mkfifo(tmp_path / "pipe")
     for path in (tmp_path, tmp_path / "pipe", tmp_path / "none"):
