Laboratory, first part: scenarios, world, fleet stage, record and checker

Change: limelatch/lab. A scenario is TOML, checked like the configuration by the same reader, with 16 in a library; a world of partners (limits, queues, outages, cold returns, falls, repeats known by floor) on any clock; the fleet stage runs decision modules alone in virtual time; one record form (msgspec in zstd blocks); a checker that judges the six rules from the record.

--- a/limelatch/configuration/reading.py
+++ b/limelatch/configuration/reading.py
@@ -117,12 +117,13 @@
     units: Mapping[str, Unit]
     strict: bool  # whether an unknown key is a fault
     where: Callable[[str], str] = str  # a key's path in the model, as the file has it
+    root: type[msgspec.Struct] = Installation
     faults: list[Fault] = field(default_factory=list)
     told: set[str] = field(default_factory=set)
 
-    def read(self, raw: object) -> Installation | None:
-        """The model; None where anything is wrong."""
-        found = self.table(Installation, raw, "")
+    def read(self, raw: object) -> msgspec.Struct | None:
+        """The model, of the root's type; None where anything is wrong."""
+        found = self.table(self.root, raw, "")
         return found if not self.faults else None
 
     def fault(self, path: str, wanted: str, value: object) -> None:
@@ -155,7 +156,7 @@
 
         full = f"{path}.{name}" if path else name
         own = {each: f"{path}.{each}" if path else each for each in keys_of(kind)}
-        elsewhere = {name: table for table, name in all_keys() if name not in own}
+        elsewhere = {name: table for table, name in all_keys(self.root) if name not in own}
         near = get_close_matches(name, own, 1, NEAR)
         if near:
             hint = f"; did you mean {own[near[0]]}?"
@@ -210,8 +211,8 @@
 
 
 @cache
-def all_keys() -> list[tuple[str, str]]:
-    """Every key of people's own form: the path of its table, and its name."""
+def all_keys(root: type[msgspec.Struct] = Installation) -> list[tuple[str, str]]:
+    """Every key of a model in people's own form: the path of its table, and its name."""
     found: list[tuple[str, str]] = []
 
     def walk(kind: type[msgspec.Struct], path: str) -> None:
@@ -224,5 +225,5 @@
             elif key.notes.get("own", True) is not False:
                 found.append((path, name))
 
-    walk(Installation, "")
+    walk(root, "")
     return found
--- /dev/null
+++ b/limelatch/lab/scenario/__init__.py
@@ -0,0 +1,6 @@
+"""Scenarios: TOML files of partners, clients, relays and a time-line of faults, checked before a run."""
+
+from limelatch.lab.scenario.load import library, load, parse
+from limelatch.lab.scenario.model import Scenario
+
+__all__ = ["Scenario", "library", "load", "parse"]
