--- /dev/null
+++ b/limelatch/lab/stages/real.py
@@ -0,0 +1,120 @@
+"""What both processes of the sockets stage share: a clock in real time, bodies of texts, their messages."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from limelatch.interface import SECOND
+
+STAGE = "sockets"
+ALLOWANCES = {"limit": 500, "wait": 1000, "restart": 15_000, "answer": 3000, "arrival": 1}  # the protocol's
+BEAT = 0.01  # seconds between two looks at how late the loop is
+
+
+class RealClock:
+    """Ticks since the origin, 0 before it; every process of the machine with that origin reads the same."""
+
+    def __init__(self, origin: float) -> None:
+        self.origin = origin
+        self.loop = asyncio.get_running_loop()
+
+    def now(self) -> int:
+        return int(max(0.0, time.monotonic() - self.origin) * SECOND)
+
+    def at(self, when: int, call: Callable[..., None], *arguments: object) -> None:
+        delay = self.origin + when / SECOND - time.monotonic()
+        if delay <= 0:
+            self.loop.call_soon(call, *arguments)
+        else:
+            self.loop.call_later(delay, call, *arguments)
+
+
+class Heartbeat:
+    """Tells how late this process's loop is, some hundred times a second."""
+
+    def __init__(self, told: Callable[[int], None]) -> None:
+        self.told, self.due = told, time.monotonic() + BEAT
+        self.loop = asyncio.get_running_loop()
+        self.handle = self.loop.call_later(BEAT, self._beat)
+
+    def _beat(self) -> None:
+        now = time.monotonic()
+        self.told(max(0, int((now - self.due) * SECOND)))
+        self.due = now + BEAT
+        self.handle = self.loop.call_later(BEAT, self._beat)
+
+    def stop(self) -> None:
+        self.handle.cancel()
+
+
+def body_of(product: int, first: str, relay: int, size: int) -> bytes:
+    """A text's body: what an endpoint has to know of it, filled up to the size wanted."""
+    head = f"{product} {first} {relay}\n".encode()
+    return head + b"." * max(0, size - len(head))
+
+
+def read_body(body: bytes) -> tuple[int, str, int]:
+    """Product, first try's id and relay of a body; ValueError if it is none of ours."""
+    product, first, relay = body.partition(b"\n")[0].split(b" ")
+    return int(product), first.decode(), int(relay)
+
+
+class Begin(msgspec.Struct, frozen=True, tag="begin"):
+    """What the load is started with: where the relays listen, and where its part of the record goes."""
+
+    scenario: dict
+    seed: int
+    origin: float
+    relays: list[str]
+    target: str
+
+
+class Nacked(msgspec.Struct, frozen=True, tag="nacked"):
+    """A notice: the text was nacked, and may come again after so many ticks."""
+
+    text: str
+    wait: int
+
+
+class Wiped(msgspec.Struct, frozen=True, tag="wiped"):
+    """A relay and its folder are lost: what it held comes again, but for what may have run."""
+
+    relay: int
+    ran: list[str]
+
+
+class Finish(msgspec.Struct, frozen=True, tag="finish"):
+    """The run is over."""
+
+
+class Done(msgspec.Struct, frozen=True, tag="done"):
+    """All texts have come, and none of them waits to come again."""
+
+    texts: int
+
+
+class Progressed(msgspec.Struct, frozen=True, tag="progressed"):
+    """How much of the arrivals is over, and how many texts the relays have taken on."""
+
+    part: float
+    taken: int
+
+
+Order = Begin | Nacked | Wiped | Finish
+News = Done | Progressed
+
+
+def line_of(message: Order | News) -> bytes:
+    return msgspec.json.encode(message) + b"\n"
+
+
+def read_order(line: bytes) -> Order:
+    return msgspec.json.decode(line, type=Order)
+
+
+def read_news(line: bytes) -> News:
+    return msgspec.json.decode(line, type=News)
--- a/limelatch/standin/http.py
+++ b/limelatch/standin/http.py
@@ -13,6 +13,7 @@
 REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 410: "Gone",
            413: "Content Too Large", 429: "Too Many Requests", 500: "Internal Server Error",
            503: "Service Unavailable", 504: "Gateway Timeout"}
+PLUGS = 3  # connections that fill the queue of a listening socket with room for none
 RESET = struct.pack("ii", 1, 0)  # SO_LINGER: close sends a reset
 
 
@@ -137,6 +138,7 @@
         self.face, self.host, self.port = face, host, port
         self.connections: set[Connection] = set()
         self._server: asyncio.Server | None = None
+        self._plugs: list[socket.socket] = []
 
     @property
     def address(self) -> str:
@@ -148,17 +150,38 @@
         return connection
 
     async def start(self) -> None:
+        self._close()
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._connection, self.host, self.port, backlog=1024)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def down(self) -> None:
         """Refuse connections from now on, and reset those that are open."""
+        self._close()
+        for connection in list(self.connections):
+            connection.reset()
+
+    def _close(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
-        for connection in list(self.connections):
-            connection.reset()
+        while self._plugs:
+            self._plugs.pop().close()
+
+    def silence(self) -> None:
+        """Let no connection come up from now on: the queue of those not accepted is full, so that the kernel
+        drops what asks. Open ones stay as they are. `start` ends it."""
+        self._close()
+        plug = socket.socket()
+        plug.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        plug.bind((self.host, self.port))
+        plug.listen(0)
+        self._plugs.append(plug)
+        for _ in range(PLUGS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self.host, self.port))
+            self._plugs.append(filler)
 
     # Its face sees all that its connections see; it keeps count of them.
 
