--- a/limelatch/client/drive.py
+++ b/limelatch/client/drive.py
@@ -22,9 +22,12 @@
 
 
 class Summary:
-    """What became of texts, and how long their answers took from when they were due."""
+    """What became of texts, and how long their answers took from when they were due.
 
-    def __init__(self) -> None:
+    `in_time` counts those taken on within `sla_ms`."""
+
+    def __init__(self, sla_ms: float = 0.0) -> None:
+        self.sla_ms, self.in_time = sla_ms, 0
         self.endings: Counter[Ending] = Counter()
         self.words: Counter[str] = Counter()  # of the answers that are not taken
         self.latency = HdrHistogram(1, LONGEST, 3)
@@ -35,6 +38,8 @@
         self.endings[answer.ending] += 1
         if answer.ending is not Ending.TAKEN:
             self.words[answer.words] += 1
+        elif (now - due) * 1000 <= self.sla_ms:
+            self.in_time += 1
         self.latency.record_value(min(LONGEST, max(1, round((now - due) * TICKS))))
         self.lateness.record_value(min(LONGEST, max(1, round((sent - due) * TICKS))))
         self.ended = now
@@ -76,9 +81,10 @@
 
 
 async def drive(pool: Pool, texts: Callable[[int], HandedText], count: int, rate: float | None,
-                told: Callable[[HandedText, Answer], None] = lambda text, answer: None) -> Summary:
+                told: Callable[[HandedText, Answer], None] = lambda text, answer: None,
+                sla_ms: float = 0.0) -> Summary:
     """Hand in `count` texts at `rate` a second, each as it is due, answered or not."""
-    loop, summary, tasks = asyncio.get_running_loop(), Summary(), set()
+    loop, summary, tasks = asyncio.get_running_loop(), Summary(sla_ms), set()
 
     async def one(text: HandedText, due: float) -> None:
         sent = loop.time()
--- a/limelatch/command/__init__.py
+++ b/limelatch/command/__init__.py
@@ -18,6 +18,7 @@
     "ledger": ("limelatch.command.ledger", "ledger"),
     "text": ("limelatch.command.text", "text"),
     "ping": ("limelatch.command.text", "ping"),
+    "lab": ("limelatch.command.lab", "lab"),
     "demo": ("limelatch.command.demo", "demo"),
     "completion": ("limelatch.command.completion", "completion"),
 }
--- a/limelatch/lab/figures.py
+++ b/limelatch/lab/figures.py
@@ -260,6 +260,9 @@
             self._span("conditions", f"relay {event.relay}", event.at, event.what)
         elif event.what == "ready":
             self._span("conditions", f"relay {event.relay}", event.at, None)
+        if event.what in ("killed", "wiped", "ended"):  # a new process believes nothing
+            for kind, subject in [each for each in self.open if each[1].endswith(f" at relay {event.relay}")]:
+                self._span(kind, subject, event.at, None)
 
     def missed_(self, event: rec.Missed) -> None:
         self.missed += 1
