--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,6 @@
 
 .venv/ready: pyproject.toml $(wildcard requirements*.txt)
 	$(PYTHON) -m venv .venv
-	.venv/bin/pip -q install -e . -r requirements-dev.txt
+	.venv/bin/pip -q install -e .[lab] -r requirements-dev.txt
 	cp requirements.txt .venv/
 	touch $@
--- a/limelatch/command/lab.py
+++ b/limelatch/command/lab.py
@@ -419,7 +419,10 @@
         def told(rate: float, figures) -> None:
             late = "" if figures.usable else "  (the stage itself was late)"
             click.echo(f"{rate:>8.0f}/s  SLA {figures.sla_share:.4f}  "
-                       f"p99 {figures.latency.get('p99', 0):.0f} ms  CPU a text {figures.cpu_a_text:.0f} us  {figures.memory / 1e6:.0f} MB{late}")
+                       f"p99 {figures.latency.get('p99', 0):.0f} ms  CPU a text {figures.cpu_a_text:.0f} us  "
+                       f"{figures.memory / 1e6:.0f} MB{late}")
+            for line in figures.breach_lines:
+                click.echo(f"          {line}", err=True)
 
         found = search(trial, share, first, most, told)
     click.echo(f"one relay holds {found.rate:.0f} texts a second at an SLA share of {share} ({found.why})")
--- a/limelatch/lab/capacity.py
+++ b/limelatch/lab/capacity.py
@@ -25,24 +25,23 @@
            told: Callable[[float, Figures], None]) -> Capacity:
     """Double the rate until it is too much, then halve what lies between.
 
-    A trial in which the stage itself was late says nothing of the relay: the search ends there, and says
-    so."""
+    A trial in which the stage itself was late says nothing of the relay; its rate bounds the answer, and
+    `why` says so."""
     found, rate = Capacity(), first
     for _ in range(TRIES_MOST):
         figures = trial(rate)
         found.tries.append((rate, figures))
         told(rate, figures)
         if not figures.usable:
-            found.why = "the stage itself gave out"
-            break
-        if figures.kept and figures.sla_share >= least:
+            found.bound, found.why = rate, f"at {rate:.0f} the stage itself was late"
+        elif figures.kept and figures.sla_share >= least:
             found.rate = rate
             if rate >= most:
                 found.why = "no more was tried"
                 break
         else:
             found.bound = rate
-            found.why = "SLA share" if figures.kept else "a rule was broken"
+            found.why = f"at {rate:.0f} " + ("the share fell" if figures.kept else "a rule was broken")
         if found.bound <= found.rate * (1 + ENOUGH):
             break
         rate = min(most, rate * 2) if found.bound == float("inf") else (found.rate + found.bound) / 2
--- a/limelatch/lab/stages/load.py
+++ b/limelatch/lab/stages/load.py
@@ -8,9 +8,12 @@
 
 import asyncio
 import heapq
+import itertools
+import math
 import sys
 import time
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import msgspec
@@ -32,19 +35,21 @@
     Nacked,
     Order,
     Progressed,
+    Ready,
     Wiped,
     body_of,
     line_of,
     read_order,
 )
 from limelatch.lab.world.chance import Streams
-from limelatch.lab.world.clients import Arrivals, Habits
+from limelatch.lab.world.clients import Arrival, Arrivals, Habits
 
 ANSWERS = {Ending.TAKEN: Answer.TAKEN, Ending.BUSY: Answer.BUSY, Ending.ERROR: Answer.ERROR,
            Ending.SILENT: Answer.SILENT, Ending.LOST: Answer.LOST}
 CONNECTIONS = 256  # to each relay, at most
 NOBODY = 100 * MS  # until a text that found no relay is handed in again
 NEWS_EACH = 0.2  # seconds
+YIELD_EACH = 4  # texts that are due already, before others have their turn
 LATE_EACH = 8  # one text in so many tells how late it was sent
 HANDED_ON = (500 * MS, 1800 * MS)
 REMEMBER = 60 * SECOND
@@ -72,7 +77,7 @@
 
     def __init__(self, begin: Begin, say) -> None:
         self.scenario = msgspec.convert(begin.scenario, Scenario)
-        self.origin, self.say = begin.origin, say
+        self.origin, self.say = math.inf, say
         self.loop = asyncio.get_running_loop()
         head = rec.Head(rec.VERSION, STAGE, begin.seed, begin.scenario, "", allowances=ALLOWANCES)
         self.writer = rec.Writer(begin.target, head)
@@ -81,7 +86,8 @@
         for address in begin.relays:
             host, _, port = address.partition(":")
             self.pools.append(Pool(host, int(port), CONNECTIONS, wait))
-        self.arrivals, self.habits = Arrivals(self.scenario, begin.seed), Habits(self.scenario, begin.seed)
+        self.texts = drawn(Arrivals(self.scenario, begin.seed))
+        self.habits = Habits(self.scenario, begin.seed)
         self.chance = Streams(begin.seed)
         self.count = self.open = self.taken = 0
         self.all_came = False
@@ -93,15 +99,16 @@
         self.customers = [row.name for row in self.scenario.customers]
 
     def now(self) -> int:
-        return int((time.monotonic() - self.origin) * SECOND)
+        return int(max(0.0, time.monotonic() - self.origin) * SECOND)
 
     async def run(self) -> None:
         """Hand in every text when it is due."""
-        for arrival in self.arrivals:
+        await asyncio.sleep(max(0.0, self.origin - time.monotonic()))
+        for arrival in self.texts:
             ahead = arrival.at - self.now()
             if ahead > MS:
                 await asyncio.sleep(ahead / SECOND)
-            elif self.count % 64 == 0:
+            elif self.count % YIELD_EACH == 0:
                 await asyncio.sleep(0)
             self.count += 1
             first = f"t{self.count}"
@@ -219,6 +226,12 @@
         return self.all_came and not self.tasks and not self.open
 
 
+def drawn(arrivals: Arrivals) -> Iterator[Arrival]:
+    """The texts, with all the drawing done by now."""
+    found = iter(arrivals)
+    return itertools.chain(list(itertools.islice(found, 1)), found)
+
+
 async def serve() -> None:
     """Run as the stage's standard streams say."""
     loop = asyncio.get_running_loop()
@@ -230,6 +243,8 @@
         sys.stdout.buffer.flush()
 
     load = Load(read_order(await reader.readline()), say)
+    say(Ready())
+    load.origin = read_order(await reader.readline()).origin
     beat = Heartbeat(lambda by: load.writer.add(rec.Late(load.now(), "load's loop", by)))
     running = loop.create_task(load.run())
     news = loop.create_task(tell(load, say))
@@ -239,8 +254,10 @@
                 break
     finally:
         beat.stop()
-        for task in (running, news, *load.tasks):
+        ending = [running, news, *load.tasks]
+        for task in ending:
             task.cancel()
+        await asyncio.gather(*ending, return_exceptions=True)
         load.writer.add(rec.Over(load.now(), True))
         load.writer.close()
 
--- a/limelatch/lab/stages/real.py
+++ b/limelatch/lab/stages/real.py
@@ -68,11 +68,16 @@
 
     scenario: dict
     seed: int
-    origin: float
     relays: list[str]
     target: str
 
 
+class Go(msgspec.Struct, frozen=True, tag="go"):
+    """The run begins at this time of the machine's monotonic clock, in seconds."""
+
+    origin: float
+
+
 class Nacked(msgspec.Struct, frozen=True, tag="nacked"):
     """A notice: the text was nacked, and may come again after so many ticks."""
 
@@ -91,6 +96,10 @@
     """The run is over."""
 
 
+class Ready(msgspec.Struct, frozen=True, tag="ready"):
+    """The load has drawn its texts and waits for `Go`."""
+
+
 class Done(msgspec.Struct, frozen=True, tag="done"):
     """All texts have come, and none of them waits to come again."""
 
@@ -104,8 +113,8 @@
     taken: int
 
 
-Order = Begin | Nacked | Wiped | Finish
-News = Done | Progressed
+Order = Begin | Go | Nacked | Wiped | Finish
+News = Ready | Done | Progressed
 
 
 def line_of(message: Order | News) -> bytes:
--- a/limelatch/lab/stages/sockets.py
+++ b/limelatch/lab/stages/sockets.py
@@ -53,6 +53,7 @@
     Begin,
     Done,
     Finish,
+    Go,
     Heartbeat,
     Nacked,
     Progressed,
@@ -71,7 +72,7 @@
 
 READY_WAIT, STOP_WAIT, START_PAUSE = 15.0, 4.0, 0.6  # seconds
 GAUGE_EACH, SWEEP_EACH = 0.5, 0.5
-HEAD_START = 1.0  # for the load's process to come up
+HEAD_START = 0.1  # for the load to hear of it
 OLD_ADDRESS = 1.5  # seconds for which a catalog that moved keeps its old connections
 LOOPBACK = "127.0.0.1"
 LISTENERS_MOST = 6000
@@ -400,16 +401,19 @@
 
     async def _play(self) -> None:
         """The clock of the scenario begins here."""
+        self.load = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "limelatch.lab.stages.load", stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE, start_new_session=True, limit=1 << 24)
+        self.load.stdin.write(line_of(Begin(msgspec.to_builtins(self.scenario), self.seed,
+                                            [relay.listen for relay in self.relays], str(self.part))))
+        async with asyncio.timeout(READY_WAIT):
+            await self.load.stdout.readline()  # it is ready
         self.clock.origin = time.monotonic() + HEAD_START
+        self.load.stdin.write(line_of(Go(self.clock.origin)))
         for relay in range(len(self.relays)):
             self.writer.add(rec.Relay(0, relay, "ready"))
         self.world.begin()
         beat = Heartbeat(lambda by: self.writer.add(rec.Late(self.clock.now(), "emulator", by)))
-        self.load = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "limelatch.lab.stages.load", stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE, start_new_session=True, limit=1 << 24)
-        self.load.stdin.write(line_of(Begin(msgspec.to_builtins(self.scenario), self.seed, self.clock.origin,
-                                            [relay.listen for relay in self.relays], str(self.part))))
         news = self.spawn(self._hear_load())
         gauges, sweeps = self.spawn(self._gauge()), self.spawn(self._sweep())
         end = self.scenario.scenario.seconds + self.scenario.scenario.settle
