--- a/limelatch/command/lab.py
+++ b/limelatch/command/lab.py
@@ -222,13 +222,23 @@
 @lab.command()
 @click.argument("record", metavar="RECORD")
 @click.option("-o", "--output", default="report.html", show_default=True, help="The page.")
-def report(record: str, output: str) -> None:
+@click.option("--pictures", type=click.Path(file_okay=False), help="Write each plot as a file of SVG here "
+                                                                   "too.")
+def report(record: str, output: str, pictures: str | None) -> None:
     """Make one self-contained page of HTML from a record, and sum it up here."""
     from limelatch.lab.report.terminal import console, run_summary
 
     figures, _, _ = judged(record)
     console().print(run_summary(figures))
     write_report(record, output)
+    if pictures:
+        from limelatch.lab.report import page
+
+        os.makedirs(pictures, exist_ok=True)
+        for _, name, plot in page.pictures(figures):
+            target = os.path.join(pictures, f"{figures.scenario}-{name}.svg")
+            Path(target).write_text(plot, encoding="utf-8")
+            click.echo(f"picture: {target}")
 
 
 @lab.command()
@@ -428,3 +438,12 @@
     click.echo(f"one relay holds {found.rate:.0f} texts a second at an SLA share of {share} ({found.why})")
     if not found.rate:
         raise SystemExit(WRONG)
+
+
+@lab.command(hidden=True)
+@click.option("--page", is_flag=True)
+def keys(page: bool) -> None:
+    """Print docs/operators/scenario.md, which is made from the model."""
+    from limelatch.lab.scenario.page import page as made
+
+    click.echo(made(), nl=False)
--- a/limelatch/configuration/page.py
+++ b/limelatch/configuration/page.py
@@ -104,4 +104,7 @@
 
 
 def code(value: object) -> str:
+    """A default as people write it."""
+    if isinstance(value, bool):
+        return f"`{str(value).lower()}`"
     return f"`{value}`" if value not in ("", [], {}) else "none"
--- a/limelatch/lab/report/page.py
+++ b/limelatch/lab/report/page.py
@@ -4,7 +4,6 @@
 
 from jinja2 import Environment
 
-from limelatch.configuration.units import write_span
 from limelatch.lab.figures import Figures
 
 STYLE = """
@@ -90,16 +89,18 @@
 
 def run_page(figures: Figures, about: str, text: str) -> str:
     """The page of one run."""
-    from limelatch.lab.report import plots
-
-    parts = [("Revenue over time", plots.revenue(figures)), ("Latency", plots.latency(figures)),
-             ("Calls by outcome", plots.calls(figures)),
-             ("What befell whom, and what the relays believed", plots.timeline(figures)),
-             ("Held", plots.held(figures))]
+    parts = [(title, plot) for title, _, plot in pictures(figures)]
     return render(RUN, title=f"limelatch: {figures.scenario}", about=about, figures=figures,
                   rows=rows_of(figures),
                   plots=parts, text=text, unusable=unusable(figures))
 
 
-def span_words(ticks: int) -> str:
-    return write_span(ticks)
+def pictures(figures: Figures) -> list[tuple[str, str, str]]:
+    """Title, short name and SVG of each plot of a run."""
+    from limelatch.lab.report import plots
+
+    return [("Revenue over time", "revenue", plots.revenue(figures)),
+            ("Latency", "latency", plots.latency(figures)),
+            ("Calls by outcome", "calls", plots.calls(figures)),
+            ("What befell whom, and what the relays believed", "timeline", plots.timeline(figures)),
+            ("Held", "held", plots.held(figures))]
--- /dev/null
+++ b/limelatch/lab/scenario/page.py
@@ -0,0 +1,64 @@
+"""The operators' page of a scenario's keys, made from the model."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+from msgspec import inspect
+
+from limelatch.configuration.own import worded
+from limelatch.configuration.page import code
+from limelatch.configuration.reading import OWN, Key, bounds, keys_of
+from limelatch.lab.scenario.check import TAKES
+from limelatch.lab.scenario.model import Scenario
+
+HEAD = """# Keys of a scenario
+
+<!-- Made by `limelatch lab keys --page` from limelatch/lab/scenario/model.py; a test fails where it is
+stale. -->
+
+A scenario is a TOML file in the same form as a relay's configuration: spans `"250ms"`, sizes `"192MB"`,
+unknown keys are faults that name the nearest known one. `limelatch lab check FILE` tells all that is wrong
+with one. With `scenario.like` it takes over what it does not tell from another one; tables are merged, lists
+taken whole.
+"""
+COLUMNS = ("key", "what is wanted", "default", "what for")
+
+
+def page() -> str:
+    """The whole page, in Markdown."""
+    return "\n".join([HEAD, *sections(Scenario), *faults()]) + "\n"
+
+
+def sections(root: type[msgspec.Struct]) -> Iterator[str]:
+    for name, key in keys_of(root).items():
+        row = getattr(key.type, "item_type", None)
+        if isinstance(key.type, inspect.StructType):
+            yield from section(f"[{name}]", key.type.cls)
+        elif isinstance(row, inspect.StructType):
+            yield from section(f"[[{name}]]", row.cls)
+
+
+def section(title: str, table: type[msgspec.Struct]) -> Iterator[str]:
+    yield f"## {title}\n\n{table.__doc__.strip()}\n"
+    yield f"| {' | '.join(COLUMNS)} |\n|{' --- |' * len(COLUMNS)}"
+    for name, key in keys_of(table).items():
+        if isinstance(key.type, inspect.StructType):
+            for inner, each in keys_of(key.type.cls).items():
+                yield row_of(f"{name}.{inner}", each)
+        else:
+            yield row_of(name, key)
+    yield ""
+
+
+def row_of(name: str, key: Key) -> str:
+    unit = OWN.get(key.unit) if key.unit != "count" else None
+    default = "needed" if key.required else code(worded(key, key.default))
+    return f"| `{name}` | {bounds(key, unit)} | {default} | {key.about} |"
+
+
+def faults() -> Iterator[str]:
+    yield "## What each fault takes\n\nBeside `what` and `at`:\n\n| what | keys |\n| --- | --- |"
+    for what, keys in TAKES.items():
+        yield f"| `{what.value}` | {', '.join(f'`{name}`' for name in sorted(keys))} |"
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -385,6 +385,12 @@
     assert code == 1 and "Connection refused" in out
 
 
+def test_the_operators_page_of_scenarios_is_what_the_model_says():
+    from limelatch.lab.scenario.page import page
+
+    assert (ROOT / "docs/operators/scenario.md").read_text() == page()
+
+
 def test_settings_of_the_platform_for_a_scenario_are_good(tmp_path):
     from limelatch.configuration.platform import read_platform, write_platform
     from limelatch.lab.stages.sockets import installation_of
