An operators' door: STATUS, SUSPEND and RESTORE of hosts, PAUSE and RESUME of the clients

Change: key relay.operator (platform key and variable as the page names them; none: no door); a LineReceiver on its own port, 256 bytes a line, 16 callers, 10 s of silence; SUSPEND makes the module see the host's line as draining until RESTORE, kept in the folder's file 'out'; PAUSE makes PING say no at once and closes connections between requests after a grace of 1 s; RESUME undoes it. The module is unchanged.

--- a/limelatch/configuration/files.py
+++ b/limelatch/configuration/files.py
@@ -20,7 +20,7 @@
 LINES_MOST = 500_000  # bytes of a file whose lines are looked up
 KEY_MOST = 2000  # dots in a key of TOML, whose parser goes as deep
 VARIABLES = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY",
-             "state": "RELAY_STATE"}
+             "state": "RELAY_STATE", "operator": "RELAY_OPERATOR"}
 
 
 class Form(Enum):
--- a/limelatch/configuration/model.py
+++ b/limelatch/configuration/model.py
@@ -92,6 +92,8 @@
     listen: Annotated[Address, about("where clients connect", "listen")]
     state: Annotated[str, Meta(min_length=1),
                      about("the folder that lasts, with the ledger; for this relay alone", "state")]
+    operator: Annotated[Address, about("where operators call: STATUS, SUSPEND, RESTORE, PAUSE, RESUME; "
+                                       "none: no door", "operator")] = ""
     name: Annotated[str, about("its name in the log; the same after a restart", "name",
                                Reload.START)] = "relay"
     seed: Annotated[str, about("of its chance, up to 16 hexadecimal digits; none: the system's own", "seed",
--- a/limelatch/configuration/page.py
+++ b/limelatch/configuration/page.py
@@ -36,8 +36,8 @@
 whole. Keys marked "at once" are then taken, the others are named in the log (`event=configured
 restart_for=...`) and wait for a restart; "start" keys mean nothing to a running relay.
 
-For the platform's JSON `$RELAY_NAME`, `$RELAY_LISTEN`, `$RELAY_DISCOVERY` and `$RELAY_STATE` fill in `name`,
-`listen`, `discovery` and `state` where the file has none.
+For the platform's JSON `$RELAY_NAME`, `$RELAY_LISTEN`, `$RELAY_DISCOVERY`, `$RELAY_STATE` and
+`$RELAY_OPERATOR` fill in `name`, `listen`, `discovery`, `state` and `operator` where the file has none.
 
 The smallest file:
 
--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -39,6 +39,7 @@
 
     name: str
     listen: Address
+    operator: Address | None  # the operators' door; none: no door
     discovery: Address
     state: str
     log: Log
@@ -114,7 +115,9 @@
     relay, catalog, limits = installation.relay, installation.catalog, installation.limits
     seed = int(relay.seed, 16) if relay.seed else int.from_bytes(os.urandom(SEED_BYTES), "big")
     return RelayPlan(
-        name=relay.name, listen=address_of(relay.listen), discovery=address_of(catalog.address),
+        name=relay.name, listen=address_of(relay.listen),
+        operator=address_of(relay.operator) if relay.operator else None,
+        discovery=address_of(catalog.address),
         state=relay.state, log=installation.log, terms=terms_of(installation, seed),
         names=names_of(installation), known=installation.known,
         disk_bytes=limits.disk, memory_bytes=limits.memory,
--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -74,6 +74,13 @@
     "notices-not-taken": Event("platform", ERROR, "the platform answered notices with another status than "
                                                   "204", {
         "status": "the status", "notices": "in that request"}),
+    "call-bad": Event("door", WARNING, "an operator's call can't be carried out; it got an error", {
+        "why": WHY, "peer": "the caller's address", "left_out": HELD_DOWN}),
+    "out-not-read": Event("door", WARNING, "the file of the hosts out by hand can't be read; none is out", {
+        "why": WHY}),
+    "paused": Event("clients", INFO, "PAUSE: PING says no; connections close between requests", {
+        "owed": OWED}),
+    "resumed": Event("clients", INFO, "RESUME: PING says yes again", {"owed": OWED}),
     "fault": Event("deadlines", ERROR, "a fault in the program itself; please report it", {"trace": "where"}),
     "note": Event("twisted", WARNING, "a line of a library", {"text": "the line"}),
 }
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -10,7 +10,7 @@
 from zope.interface import implementer
 
 from limelatch.interface import MS, SECOND
-from limelatch.logs import HeldDown, logger
+from limelatch.logs import HeldDown, logger, say
 from limelatch.relay.ending import Ending
 from limelatch.relay.lines import RingLines
 from limelatch.relay.slots import Slots
@@ -19,6 +19,7 @@
 
 BODY_MOST = 64 * 1024
 LINGER = SECOND // 2  # for a client that does not read its last answer
+PAUSE_GRACE = SECOND  # after PAUSE: a front stops sending new connections, and what is on its way comes
 LOOK_MOST = SECOND // 2  # between two looks at a connection's silence
 CROWD_PART = 4  # a crowded hall closes those between commands so many times sooner
 BAD_MOST = 8  # bad commands on one connection, then it is closed
@@ -183,7 +184,8 @@
                 self.waiting = True
                 self.hall.driver.handed_in(handed, self)
             elif name == b"PING":
-                self.reply("-ERR stopping" if self.hall.stopping else "+PONG")
+                self.reply("-ERR stopping" if self.hall.stopping else "-ERR paused" if self.hall.paused
+                           else "+PONG")
             elif name == b"QUIT":
                 self.reply("+OK")
                 self.end(Ending.CLOSED_BY_PEER)
@@ -204,7 +206,7 @@
         self.waiting = False
         self.reply(line)
         self.pump()
-        if self.hall.stopping and self.between_requests():
+        if (self.hall.stopping or self.hall.closing) and self.between_requests():
             self.end(Ending.STOPPING)
         elif self.all_said:
             self.readConnectionLost()
@@ -241,6 +243,8 @@
     def __init__(self, driver, most: int, bytes_most: int) -> None:
         self.driver, self.connections, self.bytes_most = driver, Slots(most), bytes_most
         self.stopping, self.port, self._held = False, None, False
+        self.paused = self.closing = False  # PING says no; connections close between requests
+        self._grace = None
         self.held, self.held_down = 0, HeldDown(log, driver.clock)
 
     def buildProtocol(self, address) -> Client:
@@ -286,6 +290,28 @@
     def stop(self) -> None:
         """Close what is between requests; connections that still come get one answer each."""
         self.stopping = True
+        self._close_resting()
+
+    def _close_resting(self) -> None:
         for client in self.connections:
             if client.between_requests():
                 client.end(Ending.STOPPING)
+
+    def pause(self) -> None:
+        """A drain: PING says no at once; after a grace no connection stays, so that none is held idle."""
+        if not self.paused:
+            self.paused = True
+            say(log, "paused", owed=len(self.driver.owed))
+            self._grace = self.driver.deadlines.after(PAUSE_GRACE, self._close_all)
+
+    def _close_all(self) -> None:
+        self.closing, self._grace = True, None
+        self._close_resting()
+
+    def resume(self) -> None:
+        if self.paused:
+            self.paused = self.closing = False
+            say(log, "resumed", owed=len(self.driver.owed))
+            if self._grace is not None:
+                self._grace.cancel()
+                self._grace = None
--- /dev/null
+++ b/limelatch/relay/door.py
@@ -0,0 +1,181 @@
+"""The operators' door: one line a call, one line an answer that begins with `+OK` or `-ERR`.
+
+The calls are carried out by the driver, on the relay's one reactor: each is a few look-ups, so that an answer
+waits neither for clients nor for hosts."""
+
+from __future__ import annotations
+
+import json
+import os
+from dataclasses import replace
+
+from twisted.internet.protocol import ServerFactory
+from twisted.protocols.basic import LineReceiver
+
+from limelatch.interface import SECOND, HostEntry, HostId, Listing
+from limelatch.logs import HeldDown, logger, say
+from limelatch.relay.slots import Slots
+
+log = logger("door")
+
+LINE_MOST = 256  # bytes of a call; the longest has an id of a host
+CALLERS_MOST = 16  # connections at once; the one silent for longest gives way to a new one
+SILENCE_MOST = 10 * SECOND  # of a caller that says nothing or half a call
+LOOK_EVERY = SECOND // 2
+FILE = "out"  # in the folder that lasts: the hosts out by hand
+OUT_MOST = 4096  # hosts out at once, as a bound on the file
+CALLS = {b"STATUS": 0, b"SUSPEND": 1, b"RESTORE": 1, b"PAUSE": 0, b"RESUME": 0}  # and their arguments
+
+
+class HostsOut:
+    """Hosts out by hand: how often each was suspended; kept in the folder so that they outlast the process.
+
+    Two processes share the folder during an upgrade: the file is replaced whole, never written in place."""
+
+    def __init__(self, folder: str) -> None:
+        self.path, self.counts = os.path.join(folder, FILE), {}
+        try:
+            with open(self.path, "rb") as file:
+                told = json.loads(file.read(OUT_MOST * 300))
+            self.counts = {host.encode(): int(count) for host, count in told.items()
+                           if isinstance(host, str) and isinstance(count, int) and count > 0}
+        except FileNotFoundError:
+            pass
+        except (OSError, ValueError, AttributeError) as error:  # torn: written anew at the next call
+            say(log, "out-not-read", why=error)
+
+    def seen(self, entry: HostEntry) -> HostEntry:
+        """The line as the module is to see it: a host out is draining."""
+        if entry.host in self.counts and entry.listing is Listing.READY:
+            return replace(entry, listing=Listing.DRAINING)
+        return entry
+
+    def suspend(self, host: HostId) -> bool:
+        """Whether the host has gone out by this call."""
+        if host not in self.counts and len(self.counts) >= OUT_MOST:
+            raise DoorError(f"{OUT_MOST} hosts are out already")
+        self.counts[host] = self.counts.get(host, 0) + 1
+        self._write()
+        return self.counts[host] == 1
+
+    def restore(self, host: HostId) -> bool:
+        """Whether the host was out; one call undoes all."""
+        was = self.counts.pop(host, None) is not None
+        if was:
+            self._write()
+        return was
+
+    def _write(self) -> None:
+        passing = f"{self.path}.{os.getpid()}"
+        with open(passing, "w", encoding="utf-8") as file:
+            json.dump({host.decode(): count for host, count in sorted(self.counts.items())}, file)
+        os.replace(passing, self.path)
+
+
+class DoorError(Exception):
+    """A call that can't be carried out; the caller is told why and the connection stays."""
+
+
+class Caller(LineReceiver):
+    """One operator's connection."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = LINE_MOST
+
+    def __init__(self, door: Door) -> None:
+        self.door, self.number, self.skipping = door, None, False
+        self.heard_at = door.driver.clock.now()
+        self.deadline = None
+
+    def connectionMade(self) -> None:
+        self.number = self.door.callers.take(self)
+        if self.number is None:
+            self.door.make_room()
+            self.number = self.door.callers.take(self)
+        self.deadline = self.door.driver.deadlines.after(LOOK_EVERY, self._look)
+
+    def _look(self) -> None:
+        """Guards against callers that say nothing, or half a call, and keep a descriptor for good."""
+        now = self.door.driver.clock.now()
+        if now - self.heard_at >= SILENCE_MOST:
+            self.transport.abortConnection()
+        else:
+            self.deadline = self.door.driver.deadlines.after(LOOK_EVERY, self._look)
+
+    def dataReceived(self, data: bytes) -> None:
+        self.heard_at = self.door.driver.clock.now()
+        super().dataReceived(data)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """The answer is an error; what is left of the line until its end is read past."""
+        self.skipping = b"\n" not in line
+        self._answer("-ERR a call holds 256 bytes at most")
+
+    def lineReceived(self, line: bytes) -> None:
+        if self.skipping:
+            self.skipping = False
+            return
+        try:
+            self._answer(self.door.call(line.removesuffix(b"\r")))
+        except DoorError as error:
+            self.door.held_down("call-bad", why=error, peer=self.transport.getPeer().host)
+            self._answer(f"-ERR {error}")
+
+    def _answer(self, line: str) -> None:
+        self.transport.write(line.encode() + b"\r\n")
+
+    def connectionLost(self, reason) -> None:
+        if self.deadline is not None:
+            self.deadline.cancel()
+        if self.number is not None:
+            self.door.callers.release(self.number)
+
+
+class Door(ServerFactory):
+    """Where operators call; the driver does what they ask."""
+
+    noisy = False
+
+    def __init__(self, driver) -> None:
+        self.driver, self.callers, self.port = driver, Slots(CALLERS_MOST), None
+        self.held_down = HeldDown(log, driver.clock)
+
+    def buildProtocol(self, address) -> Caller:
+        return Caller(self)
+
+    def listen(self, reactor, host: str, port: int) -> None:
+        self.port = reactor.listenTCP(port, self, backlog=CALLERS_MOST, interface=host)
+
+    def make_room(self) -> None:
+        silent = min(self.callers, key=lambda caller: caller.heard_at)
+        self.callers.release(silent.number)
+        silent.number = None
+        silent.transport.abortConnection()
+
+    def call(self, line: bytes) -> str:
+        """One call's answer; DoorError for one that can't be carried out."""
+        if not line.isascii() or any(byte < 32 and byte != 9 for byte in line):
+            raise DoorError("a call is a line of plain text")
+        words = line.split()
+        if not words:
+            raise DoorError(f"a call is wanted: {', '.join(name.decode() for name in CALLS)}")
+        name, arguments = words[0].upper(), words[1:]
+        if name not in CALLS:
+            raise DoorError(f"unknown call {name[:20].decode()!r}")
+        if len(arguments) != CALLS[name]:
+            raise DoorError(f"{name.decode()} takes {'an id of a host' if CALLS[name] else 'nothing'}")
+        driver = self.driver
+        if name == b"STATUS":
+            return driver.status()
+        if name == b"PAUSE":
+            return driver.pause()
+        if name == b"RESUME":
+            return driver.resume()
+        host = arguments[0]
+        if host not in driver.zones and host not in driver.out.counts:
+            raise DoorError(f"no host {host[:64].decode()!r} is known")
+        return driver.suspend(host) if name == b"SUSPEND" else driver.restore(host)
+
+    def stop(self) -> None:
+        if self.port is not None:
+            self.port.stopListening()
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -16,6 +16,7 @@
 from limelatch.relay.catalog import BadList, Catalog
 from limelatch.relay.clients import Client, Hall, Handed
 from limelatch.relay.deadlines import Clock, Deadlines
+from limelatch.relay.door import Door, HostsOut
 from limelatch.relay.hosts import Call, Outcome, Parcel, Yard
 from limelatch.relay.ledger import Ledger
 from limelatch.relay.records import Entry
@@ -51,6 +52,8 @@
         self.owed: dict[bytes, Owed] = {}
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
         self.zones: dict[li.HostId, int] = {}
+        self.lines: dict[li.HostId, li.HostEntry] = {}  # as the catalog last told them
+        self.out = HostsOut(plan.state)  # by hand, through the door
         self.kinds: dict[li.HostId, int] = {}
         self.destinations: set[int] = set()  # that the catalog has told since the start
         self._turn_due, self.ready, self._stop_at = False, False, None
@@ -63,6 +66,7 @@
                                plan.reconnect_wait, self.listed,
                                self.list_failed if plan.terms.list_asked else None)
         self.hall = Hall(self, plan.client_connections, plan.client_bytes)
+        self.door = Door(self)
 
     def start(self) -> None:
         """Take up what the ledger holds, then wait for the first list before serving."""
@@ -76,6 +80,8 @@
         for entry in list(self.ledger.entries.values()):
             self._resume(now, entry)
         say(log, "started", owed=len(self.owed), hosts=len(self.zones), ledger_bytes=self.ledger.size)
+        if self.plan.operator is not None:  # at once: STATUS says whether clients are served yet
+            self.door.listen(self.reactor, self.plan.operator.host, self.plan.operator.port)
         self.deadlines.after(self.plan.list_wait, self.serve)
         if not self.plan.terms.list_asked:
             self.catalog.connect()
@@ -195,15 +201,48 @@
                 self.catalog.addresses.pop(entry.host, None)
             else:
                 self.zones[entry.host], self.kinds[entry.host] = entry.zone, entry.kind
+                self.lines[entry.host] = entry
             self.destinations.add(entry.destination)
-        self.policy.hosts_listed(self.clock.now(), entries, whole)
+        self.policy.hosts_listed(self.clock.now(), [self.out.seen(entry) for entry in entries], whole)
         self.yard.listed(self.catalog.addresses)
         for host in [each for each in self.zones if each not in self.catalog.addresses]:
-            del self.zones[host], self.kinds[host]
+            del self.zones[host], self.kinds[host], self.lines[host]
         self.soon()
         if self.catalog.fresh and not self.ready:
             self.deadlines.after(0, self.serve)
 
+    # What the operators ask through the door; each answer is one line.
+
+    def status(self) -> str:
+        if self._stop_at is not None:
+            return "-ERR stopping"
+        if not self.ready:
+            return "-ERR starting"
+        return (f"+OK serving owed={len(self.owed)} hosts={len(self.zones)} out={len(self.out.counts)}"
+                f" paused={'yes' if self.hall.paused else 'no'}")
+
+    def pause(self) -> str:
+        self.hall.pause()
+        return f"+OK paused owed={len(self.owed)}"
+
+    def resume(self) -> str:
+        self.hall.resume()
+        return "+OK serving" if self.ready else "+OK starting"
+
+    def suspend(self, host: li.HostId) -> str:
+        """The host counts as draining until RESTORE, whatever the catalog says."""
+        if self.out.suspend(host) and host in self.lines:
+            self.policy.hosts_listed(self.clock.now(), [self.out.seen(self.lines[host])], False)
+            self.soon()
+        return f"+OK {host.decode()} out, {self.out.counts[host]} calls"
+
+    def restore(self, host: li.HostId) -> str:
+        """The catalog's own line of the host holds again."""
+        if self.out.restore(host) and host in self.lines:
+            self.policy.hosts_listed(self.clock.now(), [self.lines[host]], False)
+            self.soon()
+        return f"+OK {host.decode()} back"
+
     def list_failed(self) -> None:
         """A watch that the module had asked for ended: it says when to ask again."""
         self.policy.list_failed(self.clock.now())
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,93 @@
+"""The operators' door, over real loopback sockets, on the relay's process."""
+
+import json
+import socket
+
+import pytest
+from conftest import WAIT
+
+
+class Caller:
+    """An operator on one connection of the door."""
+
+    def __init__(self, address):
+        self.socket = socket.create_connection(address, timeout=WAIT)
+        self.lines = self.socket.makefile("rb")
+
+    def call(self, line: bytes | str) -> str:
+        self.socket.sendall(line if isinstance(line, bytes) else line.encode() + b"\n")
+        return self.lines.readline().strip().decode()
+
+
+@pytest.fixture
+def door(plan):
+    """A relay with a door; it is started by the test."""
+    program = plan()
+    with socket.create_server((program.address, 0)) as spare:
+        port = spare.getsockname()[1]
+    program.file.write_text(json.dumps(json.loads(program.file.read_text()) | {
+        "operator": f"{program.address}:{port}"}))
+    program.door = (program.address, port)
+    return program
+
+
+def test_each_call_is_answered_and_each_bad_one_gets_an_error_on_a_usable_connection(door, agent, party):
+    agent.list(party().address, "s-1")
+    door.start()
+    caller = Caller(door.door)
+    assert caller.call("STATUS").startswith("+OK serving")
+    assert caller.call("SUSPEND") .startswith("-ERR SUSPEND takes an id")
+    assert caller.call("PAUSE now").startswith("-ERR PAUSE takes nothing")
+    assert caller.call("RESTORE s-9").startswith("-ERR no host 's-9'")
+    assert caller.call("DANCE").startswith("-ERR unknown call")
+    assert caller.call(b"STATUS \xff\n").startswith("-ERR a call is a line of plain text")
+    assert caller.call(b"S" * 300 + b"\n").startswith("-ERR a call holds 256 bytes")
+    assert caller.call("").startswith("-ERR a call is wanted")
+    assert caller.call("status\r").startswith("+OK serving")
+
+
+def test_a_silent_caller_and_one_with_half_a_call_delay_nobody(door, agent):
+    door.start()
+    silent, half = Caller(door.door), Caller(door.door)
+    half.socket.sendall(b"STAT")
+    assert Caller(door.door).call("STATUS").startswith("+OK")
+
+
+def test_a_host_suspended_twice_is_drained_until_one_restore(door, agent, party):
+    first, second = party(), party()
+    agent.list(first.address, "s-1")
+    agent.list(second.address, "s-2")
+    client = door.start()
+    caller = Caller(door.door)
+    assert caller.call("SUSPEND s-1").startswith("+OK s-1 out")
+    assert caller.call("SUSPEND s-1").startswith("+OK s-1 out, 2")
+    for number in range(4):
+        assert client.submit(f"t{number}") == "+OK"
+        assert second.next().headers["X-Txn"] == f"t{number}"
+    assert first.asked.empty()
+    assert json.loads((door.state / "out").read_text()) == {"s-1": 2}
+    assert caller.call("RESTORE s-1") == "+OK s-1 back"
+    assert json.loads((door.state / "out").read_text()) == {}
+
+
+def test_hosts_out_outlast_the_process(door, agent, party):
+    first, second = party(), party()
+    agent.list(first.address, "s-1")
+    agent.list(second.address, "s-2")
+    (door.state / "out").write_text('{"s-1": 1}')
+    client = door.start()
+    assert client.submit("t1") == "+OK" and second.next().headers["X-Txn"] == "t1"
+    assert first.asked.empty()
+
+
+def test_a_pause_says_no_to_ping_closes_resting_connections_and_resume_says_yes(door, agent, party):
+    host = party()
+    agent.list(host.address, "s-1")
+    client = door.start()
+    caller = Caller(door.door)
+    assert caller.call("PAUSE").startswith("+OK paused")
+    assert client.ask("PING").startswith("-ERR")
+    assert client.submit("t1") == "+OK"  # a text on an open connection is still taken
+    assert client.lines.readline() == b""  # and the connection is closed after the grace
+    assert caller.call("RESUME") == "+OK serving"
+    assert door.client().ask("PING") == "+PONG"
