A new process serves beside the old one from a seat in the folder and takes over its texts

Also, the port was bound without SO_REUSEPORT, so it would have ended next with 'not-serving'. Change (ledger.py, clients.py, driver.py): a seat 'next' in the folder for the new process, the clients' port bound with SO_REUSEPORT, a look every 100 ms whether the old one has ended, then its ledger is read and its texts are taken on as after a restart; the old one closes its port on SIGTERM when the seat is held. Tests: two processes on one folder and port, the old killed with a text out, which the new one adopts; SIGTERM with a successor leaves new clients to it.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -31,7 +31,8 @@
         "catalog": "where catalog and platform are now", "owed": OWED,
         "restart_for": "changed keys that wait for a restart"}),
     "stopping": Event("driver", INFO, "SIGTERM has come: nothing new is taken", {
-        "owed": OWED, "calls": CALLS}),
+        "owed": OWED, "calls": CALLS, "handed_over": "whether a new process serves beside it and takes the "
+                                                      "clients"}),
     "stopped": Event("driver", INFO, "the relay ends", {"owed": OWED, "calls": CALLS}),
     "not-serving": Event("driver", ERROR, "clients can't be taken; the relay ends", {
         "listen": "the address", "why": WHY}),
@@ -74,6 +75,9 @@
     "notices-not-taken": Event("platform", ERROR, "the platform answered notices with another status than "
                                                   "204", {
         "status": "the status", "notices": "in that request"}),
+    "taken-over": Event("driver", INFO, "an upgrade: the process before has ended; its folder and what it "
+                                        "owed are this one's", {
+        "owed": OWED, "adopted": "texts that the process before still owed"}),
     "call-bad": Event("door", WARNING, "an operator's call can't be carried out; it got an error", {
         "why": WHY, "peer": "the caller's address", "left_out": HELD_DOWN}),
     "out-not-read": Event("door", WARNING, "the file of the hosts out by hand can't be read; none is out", {
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import re
+import socket
 from dataclasses import dataclass
 
 from twisted.internet import interfaces
+from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import ServerFactory
 from zope.interface import implementer
 
@@ -22,6 +24,7 @@
 PAUSE_GRACE = SECOND  # after PAUSE: a front stops sending new connections, and what is on its way comes
 LOOK_MOST = SECOND // 2  # between two looks at a connection's silence
 CROWD_PART = 4  # a crowded hall closes those between commands so many times sooner
+BACKLOG = 128  # connections that wait to be accepted
 BAD_MOST = 8  # bad commands on one connection, then it is closed
 DESTINATION_MOST = 65535  # since the module remembers each destination
 ARGUMENTS_MOST, SKIP_MOST, REPLY_MOST = 16, 1024 * 1024, 256
@@ -251,7 +254,19 @@
         return Client(self)
 
     def listen(self, reactor, host: str, port: int) -> None:
-        self.port = reactor.listenTCP(port, self, backlog=128, interface=host)
+        """Shared with SO_REUSEPORT, so that a new version can serve beside this one during an upgrade."""
+        shared = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            shared.bind((host, port))
+            shared.listen(BACKLOG)
+            shared.setblocking(False)
+            self.port = reactor.adoptStreamPort(shared.fileno(), socket.AF_INET, self)
+        except OSError as error:
+            raise CannotListenError(host, port, error) from None
+        finally:
+            shared.close()  # the port holds a copy of its own
 
     def count(self, client: Client) -> None:
         """Count a client's bytes of commands not whole yet; over the bound the largest of these ends.
@@ -287,9 +302,13 @@
             self._held = False
             self.port.startReading()
 
-    def stop(self) -> None:
-        """Close what is between requests; connections that still come get one answer each."""
+    def stop(self, handed_over: bool = False) -> None:
+        """Close what is between requests; connections that still come get one answer each.
+
+        `handed_over`: a new process serves beside this one; the port is closed, so that it gets them all."""
         self.stopping = True
+        if handed_over and self.port is not None:
+            self.port.stopListening()
         self._close_resting()
 
     def _close_resting(self) -> None:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -25,6 +25,7 @@
 
 log, policy_log = logger("driver"), logger("policy")
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.MOOT)
+HAND_OVER_LOOK = li.SECOND // 10  # between two looks whether the process before has ended
 
 
 @dataclass(slots=True)
@@ -79,6 +80,8 @@
             say(log, "ledger-cut", bytes=self.ledger.cut)
         for entry in list(self.ledger.entries.values()):
             self._resume(now, entry)
+        if self.ledger.beside:
+            self.deadlines.after(HAND_OVER_LOOK, self._take_over)
         say(log, "started", owed=len(self.owed), hosts=len(self.zones), ledger_bytes=self.ledger.size)
         if self.plan.operator is not None:  # at once: STATUS says whether clients are served yet
             self.door.listen(self.reactor, self.plan.operator.host, self.plan.operator.port)
@@ -87,6 +90,19 @@
             self.catalog.connect()
         self.soon()
 
+    def _take_over(self) -> None:
+        """An upgrade: once the process before has ended, what it still owed is this one's."""
+        adopted = self.ledger.take_over()
+        if adopted is None:
+            self.deadlines.after(HAND_OVER_LOOK, self._take_over)
+            return
+        self.slots.size = max(self.slots.size, len(self.owed) + len(adopted))
+        now = self.clock.now()
+        for entry in adopted:
+            self._resume(now, entry)
+        say(log, "taken-over", owed=len(self.owed), adopted=len(adopted))
+        self.soon()
+
     def _resume(self, now: int, entry: Entry) -> None:
         """A text that an earlier process took on: an end it still owes, or the module decides anew."""
         pairs, names = entry.pairs, self.plan.names
@@ -135,9 +151,10 @@
             return
         now = self.clock.now()
         self._stop_at = now + self.plan.stop_wait
-        say(log, "stopping", owed=len(self.owed), calls=self.yard.calls_out)
+        handed_over = self.ready and self.ledger.successor()
         self.policy.stopping(self._stop_at)
-        self.hall.stop()
+        self.hall.stop(handed_over)
+        say(log, "stopping", owed=len(self.owed), calls=self.yard.calls_out, handed_over=handed_over)
         self.soon()
         if not self.ready:
             self._exit()
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -2,7 +2,9 @@
 
 One file of records (`records`). Written bytes outlast the process without a sync. When the file has grown,
 the records of texts that are over are left out of a new file, which then takes its place. The folder is one
-relay's: it is locked while its process lives.
+relay's: it is locked while its process lives. During an upgrade the new process, which finds it locked,
+writes a ledger of its own in the seat `next` inside it, and takes the folder over, with what the old one
+left, once that has ended.
 """
 
 from __future__ import annotations
@@ -13,7 +15,7 @@
 
 from limelatch.relay.records import LATER, BadRecord, Book, Entry, Kind, kept, record, split
 
-FILE, NEW_FILE = "ledger", "ledger.new"
+FILE, NEW_FILE, SEAT = "ledger", "ledger.new", "next"
 BLOCK = 512  # files count in whole blocks
 LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest: growth, the new file
 MEMORY_SHARE = 0.1  # of the memory, for the same records, which are kept there too
@@ -49,15 +51,87 @@
     """The ledger of one relay: `entries` are the texts that it owes their end."""
 
     def __init__(self, folder: str, disk_bytes: int, memory_bytes: int) -> None:
-        self.path, self._new = os.path.join(folder, FILE), os.path.join(folder, NEW_FILE)
+        self.folder, self.seat = folder, folder
         self.disk = disk_bytes // BLOCK * BLOCK - 2 * BLOCK
         self.live_most = min(self.disk * LIVE_SHARE, memory_bytes * MEMORY_SHARE)
         self.book, self.size, self.cut = Book(), 0, 0
-        self._lock = lock(folder)
+        try:
+            self._lock = lock(folder)
+        except FolderInUse:  # an upgrade: the process before still holds it; a third one is refused
+            self.seat = os.path.join(folder, SEAT)
+            os.makedirs(self.seat, exist_ok=True)
+            self._lock = lock(self.seat)
+        self._open()
+        self._replay()
+        if self.seat == folder:
+            self._take_seat(os.path.join(folder, SEAT))  # left by a successor that ended before it took over
+
+    def _open(self) -> None:
+        self.path, self._new = os.path.join(self.seat, FILE), os.path.join(self.seat, NEW_FILE)
         if os.path.exists(self._new):
             os.remove(self._new)  # a compaction that the end of the process cut short
         self._file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
-        self._replay()
+
+    @property
+    def beside(self) -> bool:
+        """Whether this process waits in the seat for the one before it to end."""
+        return self.seat != self.folder
+
+    def successor(self) -> bool:
+        """Whether a new process waits in the seat: the old one then hands clients over to it."""
+        try:
+            os.close(lock(os.path.join(self.folder, SEAT)))
+        except FolderInUse:
+            return True
+        except OSError:  # no seat: nobody waits
+            return False
+        return False
+
+    def take_over(self) -> list[Entry] | None:
+        """In the seat: once the process before has ended, its folder and all it still owes; else None."""
+        try:
+            held = lock(self.folder)
+        except FolderInUse:
+            return None
+        seat, seat_lock = self.seat, self._lock
+        self._lock, self.seat = held, self.folder
+        os.close(self._file)
+        self._open()
+        adopted = self._absorb(self.path)
+        self.compact()
+        os.remove(os.path.join(seat, FILE))
+        os.close(seat_lock)
+        return adopted
+
+    def _take_seat(self, seat: str) -> None:
+        """The records that a successor left in its seat are this process's now."""
+        path = os.path.join(seat, FILE)
+        if not os.path.exists(path):
+            return
+        try:
+            held = lock(seat)
+        except FolderInUse:  # it still lives: it takes this folder over itself
+            return
+        if self._absorb(path, first=False):
+            self.compact()
+        os.remove(path)
+        os.close(held)
+
+    def _absorb(self, path: str, first: bool = True) -> list[Entry]:
+        """Take in the texts of another file, `first` before those held; a torn tail is left out."""
+        with open(path, "rb") as file:
+            raw = file.read()
+        theirs = Book()
+        for one in split(raw):
+            try:
+                theirs.apply(one)
+            except BadRecord:  # of another version: left out rather than take a text that can't be read
+                continue
+        adopted = [entry for text, entry in theirs.entries.items() if text not in self.entries]
+        fresh = {entry.id: entry for entry in adopted}
+        self.book.entries = fresh | self.book.entries if first else self.book.entries | fresh
+        self.book.live += sum(len(entry.taken) + LATER for entry in adopted)
+        return adopted
 
     @property
     def entries(self) -> dict[bytes, Entry]:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -1,7 +1,9 @@
 """The operators' door, over real loopback sockets, on the relay's process."""
 
+import copy
 import json
 import socket
+import time
 
 import pytest
 from conftest import WAIT
@@ -48,8 +50,8 @@
 
 def test_a_silent_caller_and_one_with_half_a_call_delay_nobody(door, agent):
     door.start()
-    silent, half = Caller(door.door), Caller(door.door)
-    half.socket.sendall(b"STAT")
+    callers = [Caller(door.door), Caller(door.door)]  # the first says nothing
+    callers[1].socket.sendall(b"STAT")
     assert Caller(door.door).call("STATUS").startswith("+OK")
 
 
@@ -91,3 +93,57 @@
     assert client.lines.readline() == b""  # and the connection is closed after the grace
     assert caller.call("RESUME") == "+OK serving"
     assert door.client().ask("PING") == "+PONG"
+
+
+def test_a_new_process_serves_beside_the_old_and_takes_over_what_it_owed(program, agent, party):
+    asked = []
+
+    def reply(request):
+        asked.append(request.headers["X-Txn"])
+        if len(asked) == 1:  # the first stays out while the old process lives
+            request.hang()
+            return None
+        return (200,)
+
+    host = party(reply)
+    agent.list(host.address, "s-1")
+    client = program.start()
+    assert client.submit("t1", product="report") == "+OK"
+    twin = copy.copy(program)
+    twin.process = None
+    try:
+        twin.start()  # same file: the same address and folder
+        program.kill()  # as the old one is at the latest
+        assert "adopted=1" in twin.says("event=taken-over")
+        assert twin.client().submit("t2") == "+OK"
+        until = time.monotonic() + WAIT
+        while not {"t1", "t2"} <= set(asked) and time.monotonic() < until:
+            host.next()
+        assert {"t1", "t2"} <= set(asked)
+        assert not (program.state / "next" / "ledger").exists()
+    finally:
+        twin.kill()
+
+
+def ping(program):
+    try:
+        return program.client().ask("PING")
+    except ConnectionResetError:  # one that came while the old port closed
+        return "reset"
+
+
+def test_an_old_process_told_to_stop_leaves_new_clients_to_its_successor(plan, agent, party):
+    agent.list(party().address, "s-1")
+    program = plan(stop_least_ms=3000)  # so that it is still there for the clients that come
+    program.start()
+    twin = copy.copy(program)
+    twin.process = None
+    try:
+        twin.start()
+        program.terminate()
+        assert "handed_over=true" in program.says("event=stopping")
+        answers = [ping(program) for _ in range(20)]
+        assert "-ERR stopping" not in answers and answers.count("+PONG") >= 18
+        assert program.process.wait(WAIT) == 0
+    finally:
+        twin.kill()
