In an upgrade, keys that the old process holds open wait, and its texts go first

The new one took later texts of a key whose earlier text the old one held, and at the take-over its adopted texts went to the end of their keys' lines (policy.text_taken appended them). Ruled out: a lost record (the adopted text was in the ledger: the test of the hand-over adopts it) and the rests after a restart. Change: in the seat the relay reads the old ledger as it grows (ledger.open_before) and tells the module the keys of in-order texts open there (policy.elsewhere); _has_turn lets none of those go. Adopted texts carry Past.earlier and go to the head of their key. Test: a key open before waits, and the adopted text goes first in its key.

--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -128,6 +128,7 @@
     ran_zone: int | None = None
     out: bool = False
     answered: bool = False
+    earlier: bool = False  # taken over from the process before, in an upgrade: ahead of this one's in its key
 
 
 @dataclass(slots=True)
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -130,8 +130,7 @@
     def __init__(self, entry: HostEntry, dest: Destination, route: Route) -> None:
         self.id, self.zone, self.kind = entry.host, entry.zone, entry.kind
         self.listing, self.dest, self.route = entry.listing, dest, route
-        self.out: list[Call] = []
-        self.failing, self.sick, self.seers, self.back_at = 0.0, False, 1.0, None
+        self.out, self.failing, self.sick, self.seers, self.back_at = [], 0.0, False, 1.0, None  # out: calls
         self.warm_credit, self.warm_at, self.last_ok, self.used_at = 0.0, 0, -GOOD_LATELY, 0
         self.gap, self.kept = 2 * IDLE_MOST, False  # time between calls; whether connections are kept
 
@@ -164,6 +163,7 @@
         self.rests: dict[int | bytes, int] = {}  # until when a key rests
         self.expiries: list[tuple[int, TextId]] = []
         self.slots_used, self.wake_at, self.stop_at = 0, now, NEVER
+        self.elsewhere: set[bytes] = set()  # keys with texts open in the process before, in an upgrade
         self.ask_at, self.asked = NEVER, 0  # when to ask for the list; calls for it that failed in a row
         if terms.list_asked:
             self._ask_later(now)
@@ -211,7 +211,8 @@
         and against nacked texts that refill a destination's limit by way of relays that never met it."""
         held = self.texts[text.id] = Held(text, self.terms.products[text.product], past.submits)
         if held.key:
-            self.lines.setdefault(held.key, deque()).append(text.id)
+            line = self.lines.setdefault(held.key, deque())
+            line.insert(0 if past.earlier else len(line), text.id)  # the process before took it earlier
         held.may_have_run(past.ran_at, past.ran_zone)
         if past.out and held.key:
             self.rests[held.key] = now + self.terms.turn_gap
@@ -467,7 +468,7 @@
 
     def _has_turn(self, now: int, held: Held) -> bool:
         """A product in order: only the first text of its key, and after the key's rest."""
-        first = not held.key or self.lines[held.key][0] == held.text.id
+        first = not held.key or self.lines[held.key][0] == held.text.id and held.key not in self.elsewhere
         return first and (held.submits > 0 or self.rests.get(held.key, 0) <= now)
 
     def _opens_at(self, now: int, host: Host) -> int:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -94,16 +94,26 @@
         """An upgrade: once the process before has ended, what it still owed is this one's."""
         adopted = self.ledger.take_over()
         if adopted is None:
+            if self.policy.elsewhere:
+                self.soon()  # a key that the process before has freed meanwhile is taken up
             self.deadlines.after(HAND_OVER_LOOK, self._take_over)
             return
         self.slots.size = max(self.slots.size, len(self.owed) + len(adopted))
         now = self.clock.now()
-        for entry in adopted:
-            self._resume(now, entry)
+        self.policy.elsewhere = set()
+        for entry in reversed(adopted):  # each goes ahead of those in its key
+            self._resume(now, entry, earlier=True)
         say(log, "taken-over", owed=len(self.owed), adopted=len(adopted))
         self.soon()
 
-    def _resume(self, now: int, entry: Entry) -> None:
+    def _keys_before(self) -> None:
+        """In the seat: keys whose texts the process before still holds go after those, in order."""
+        products, names = self.plan.terms.products, self.plan.names.products
+        self.policy.elsewhere = {entry.pairs["key"].encode() for entry in self.ledger.open_before()
+                                 if entry.pairs["product"] in names and entry.pairs["key"]
+                                 and products[names.index(entry.pairs["product"])].in_order}
+
+    def _resume(self, now: int, entry: Entry, earlier: bool = False) -> None:
         """A text that an earlier process took on: an end it still owes, or the module decides anew."""
         pairs, names = entry.pairs, self.plan.names
         known = pairs["product"] in names.products
@@ -112,7 +122,7 @@
                        pairs["key"].encode())
         owed = self._own(Owed(text, pairs["mark"].encode(), entry.body))
         answered = entry.notice is not None or not known
-        past = li.Past(entry.submits, entry.ran_at, entry.ran_zone, entry.out, answered)
+        past = li.Past(entry.submits, entry.ran_at, entry.ran_zone, entry.out, answered, earlier)
         self.policy.text_taken(now, text, past)
         if entry.notice is not None:
             self.desk.notice(entry.id, entry.notice)
@@ -317,6 +327,8 @@
         self._turn_due = False
         if not self.ready:
             return  # what an earlier process took on waits for the list too
+        if self.ledger.beside:
+            self._keys_before()
         actions = self.policy.decide(self.clock.now())
         arrived, self.arrived = self.arrived, {}  # an answer may bring a client's next text, for a later turn
         for action in actions:
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -51,7 +51,7 @@
     """The ledger of one relay: `entries` are the texts that it owes their end."""
 
     def __init__(self, folder: str, disk_bytes: int, memory_bytes: int) -> None:
-        self.folder, self.seat = folder, folder
+        self.folder, self.seat, self._before = folder, folder, None
         self.disk = disk_bytes // BLOCK * BLOCK - 2 * BLOCK
         self.live_most = min(self.disk * LIVE_SHARE, memory_bytes * MEMORY_SHARE)
         self.book, self.size, self.cut = Book(), 0, 0
@@ -87,6 +87,27 @@
             return False
         return False
 
+    def open_before(self) -> list[Entry]:
+        """In the seat: the texts that the process before still holds, as its ledger tells them by now."""
+        try:
+            status = os.stat(os.path.join(self.folder, FILE))
+        except OSError:
+            return []
+        if self._before is None or status.st_ino != self._before[1]:  # a first look, or a new file of its
+            self._before = [Book(), status.st_ino, 0]
+        book, _, at = self._before
+        if status.st_size > at:
+            with open(os.path.join(self.folder, FILE), "rb") as file:
+                file.seek(at)
+                raw = file.read(status.st_size - at)
+            for one in split(raw):
+                self._before[2] += len(one)
+                try:
+                    book.apply(one)
+                except BadRecord:  # of another version: it says nothing of keys
+                    continue
+        return list(book.entries.values())
+
     def take_over(self) -> list[Entry] | None:
         """In the seat: once the process before has ended, its folder and all it still owes; else None."""
         try:
@@ -94,7 +115,7 @@
         except FolderInUse:
             return None
         seat, seat_lock = self.seat, self._lock
-        self._lock, self.seat = held, self.folder
+        self._lock, self.seat, self._before = held, self.folder, None
         os.close(self._file)
         self._open()
         adopted = self._absorb(self.path)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -224,3 +224,16 @@
     fleet.out(fleet.take(REPORT, valid=90 * S), Result.FULL)
     text, later = fleet.take(REPORT, valid=8 * S), fleet.take(REPORT, valid=40 * S)
     assert fleet.decide((Nack, Undeliverable)) == [Nack(text, 2 * S)] and later in fleet.policy.texts
+
+
+def test_a_key_open_in_the_process_before_an_upgrade_waits_and_its_text_goes_first(relay):
+    later = relay.take(CHARGE, key=5)
+    relay.policy.elsewhere = {5}
+    assert relay.sent() == {}  # the process before holds an earlier text of the key
+    relay.policy.elsewhere = set()
+    earlier = relay.next_id + 1
+    relay.policy.text_taken(NOW, Text(earlier, 1, CHARGE, NOW + 20 * S, 0, 5), Past(earlier=True))
+    assert relay.sent() == {earlier: HOST}
+    relay.end(earlier, Result.DELIVERED, over=True)
+    relay.policy.text_over(NOW, earlier)
+    assert relay.sent(NOW + 1) == {later: HOST}
