Only a process beside the folder's holder joins a port in use; tests of the seat

Symptom: after the seat came in, two tests failed: test_relay_run_says_plainly_what_it_cannot_use (a relay with another folder on a port in use now served, sharing it by SO_REUSEPORT, where 'event=not-serving' was wanted) and test_a_folder_is_one_relays_until_it_ends (a second Ledger took the seat instead of raising FolderInUse); the test of the command also waited on a second relay that now serves. Cause: clients.py set SO_REUSEPORT for every process, so any relay could join any other's port.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -253,10 +253,17 @@
     def buildProtocol(self, address) -> Client:
         return Client(self)
 
-    def listen(self, reactor, host: str, port: int) -> None:
-        """Shared with SO_REUSEPORT, so that a new version can serve beside this one during an upgrade."""
+    def listen(self, reactor, host: str, port: int, beside: bool = False) -> None:
+        """Shared with SO_REUSEPORT, so that a new version can serve beside this one during an upgrade.
+
+        Only a process `beside` the one that holds its folder joins a port in use; any other is refused, as
+        it would share the clients of another relay."""
         shared = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
+            if not beside:
+                with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as alone:
+                    alone.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    alone.bind((host, port))
             shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             shared.bind((host, port))
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -136,7 +136,7 @@
             self.ready = True
             listen = self.plan.listen
             try:
-                self.hall.listen(self.reactor, listen.host, listen.port)
+                self.hall.listen(self.reactor, listen.host, listen.port, self.ledger.beside)
             except CannotListenError as error:
                 say(log, "not-serving", listen=listen, why=error.socketError)
                 self.failed = True
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -173,7 +173,7 @@
     return look(path)
 
 
-def test_relay_run_serves_a_toml_file_and_a_second_one_is_kept_off(tmp_path, agent, party):
+def test_relay_run_serves_a_toml_file_a_second_beside_it_and_a_third_is_kept_off(tmp_path, agent, party):
     agent.list((host := party()).address)
     address = f"127.77.1.{os.getpid() % 250 + 1}:{20000 + os.getpid() % 20000}"
     (tmp_path / "state").mkdir()
@@ -198,8 +198,15 @@
     try:
         code, out, _ = run("ping", "--relay", address, "--wait", "8s")
         assert code == DONE and "PONG" in out
-        second = run("relay", "run", "--config", path)
-        assert second[0] == BAD_USE and second[2].count("\n") == 1 and "another relay uses" in second[2]
+        beside = start("relay", "run", "--config", path, "--tied", stdin=subprocess.PIPE)  # as in an upgrade
+        while (line := beside.stderr.readline()) and "serving" not in line:
+            pass
+        assert "serving" in line
+        third = run("relay", "run", "--config", path)
+        assert third[0] == BAD_USE and third[2].count("\n") == 1 and "another relay uses" in third[2]
+        beside.stdin.close()
+        assert beside.wait(WAIT) == DONE
+        beside.stdout.close(), beside.stderr.close()
         code, out, err = run("text", "submit", "--relay", address, "--product", "report", "--dest", "1",
                              given="hi")
         assert code == DONE and " taken " in out and host.next().body == b"hi"
