Products and submits are taken at SIGHUP; open texts keep their rows; broken files refused

Also a validity period of 0 or a product without its effect or validity period would have been taken with defaults. Change: the product keys and settings.limits.maxAttempts are marked 'at once'; the driver replaces names and the module's terms together, and each text keeps its product's row and name from its arrival (Owed.row, Held.row); retuned_plan refuses a new file whose products lack an effect or validity period, or have one not over 0. Tests: three broken files each leave the settings whole; a new product is taken and the held text keeps its own.

--- a/limelatch/configuration/__init__.py
+++ b/limelatch/configuration/__init__.py
@@ -7,17 +7,31 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from dataclasses import replace
 
+from limelatch.configuration.checks import retune_faults
 from limelatch.configuration.faults import ConfigurationError, Fault
 from limelatch.configuration.files import Form, Found, load, told_path
 from limelatch.configuration.plan import Address, Names, RelayPlan, bench_terms, plan_of
 from limelatch.configuration.units import to_units
 
 __all__ = ["Address", "ConfigurationError", "Fault", "Form", "Found", "Names", "RelayPlan", "bench_terms",
-           "load", "plan_of", "relay_plan", "to_units"]
+           "load", "plan_of", "relay_plan", "retuned_plan", "to_units"]
 
 
 def relay_plan(environment: Mapping[str, str], path: str | None = None,
                form: Form | None = None) -> RelayPlan:
     """The plan from a file, or the one that $RELAY_CONFIG names, and for what that leaves out the others."""
     return plan_of(load(path or told_path(environment), form, environment).installation)
+
+
+def retuned_plan(environment: Mapping[str, str], path: str | None = None,
+                 form: Form | None = None) -> RelayPlan:
+    """The plan of a new configuration at SIGHUP; ConfigurationError where it can't be taken, and the one in
+    force stays whole."""
+    found = load(path or told_path(environment), form, environment)
+    faults = [replace(each, path=found.reader.where(each.path))
+              for each in retune_faults(found.installation, found.told)]
+    if faults:
+        raise ConfigurationError(faults, found.text)
+    return plan_of(found.installation)
--- a/limelatch/configuration/checks.py
+++ b/limelatch/configuration/checks.py
@@ -62,3 +62,18 @@
     if installation.rules.cold_time and installation.rules.fall_multiple < 1:
         found.append(Fault("rules.fall_multiple", "under 1, a cold destination falls at what it can do"))
     return found
+
+
+def retune_faults(installation: Installation, told: set[str]) -> list[Fault]:
+    """What makes a new configuration unfit to be taken at SIGHUP, though it could start a relay.
+
+    Guards against a file cut off or written in haste: a product without its effect or validity period would
+    take defaults that nobody meant, and open texts would keep their rules while new ones got these."""
+    faults = []
+    for number, row in enumerate(installation.products):
+        for name in ("effect", "validity_period"):
+            if f"products[{number}].{name}" not in told:
+                faults.append(Fault(f"products[{number}].{name}", "is wanted in a new configuration"))
+        if row.validity_period <= 0 and f"products[{number}].validity_period" in told:
+            faults.append(Fault(f"products[{number}].validity_period", "a validity period over 0 is wanted"))
+    return faults
--- a/limelatch/configuration/model.py
+++ b/limelatch/configuration/model.py
@@ -174,7 +174,8 @@
     disk: Annotated[Size, about("of the folder that lasts", "limits.disk_mb")] = 3_000_000
     slots: Annotated[Count, about("calls out at once", "settings.familyInfo.slots")] = 16
     texts: Annotated[Count, about("texts held at once", "settings.limits.maxOpen")] = 500
-    submits: Annotated[Count, about("submits for one text", "settings.limits.maxAttempts")] = 8
+    submits: Annotated[Count, about("submits for one text; fewer, taken at once, bind texts held too",
+                                    "settings.limits.maxAttempts", Reload.AT_ONCE)] = 8
     advice: Annotated[Span, about("the longest time after which a nack tells clients to come again; 0: it "
                                   "tells "
                                   "none", "settings.limits.maxRetryAfter")] = 0
@@ -204,21 +205,23 @@
 class Product(Table):
     """One product: what a repeat of its texts does, and what their time is worth."""
 
-    name: Annotated[str, about("as clients name it", "name")]
+    name: Annotated[str, about("as clients name it", "name", Reload.AT_ONCE)]
     effect: Annotated[Effect, about("`resendable`: may run again; `referenced`: a repeat is known by its "
                                     "mark; "
-                                    "`once-only`: must never run twice", "effect")] = Effect.ONCE_ONLY
-    sla_time: Annotated[Span, about("within which an answer is wanted", "onTime")] = 0
+                                    "`once-only`: must never run twice", "effect",
+                                    Reload.AT_ONCE)] = Effect.ONCE_ONLY
+    sla_time: Annotated[Span, about("within which an answer is wanted", "onTime", Reload.AT_ONCE)] = 0
     validity_period: Annotated[Span, about("after which clients give up; 0: as each text says",
-                                           "deadline")] = 0
-    revenue: Annotated[Rate, about("of a text delivered within its SLA time", "credit")] = 1.0
+                                           "deadline", Reload.AT_ONCE)] = 0
+    revenue: Annotated[Rate, about("of a text delivered within its SLA time", "credit", Reload.AT_ONCE)] = 1.0
     late_share: Annotated[Share, about("of the revenue that is left at the end of the validity period",
-                                       "lateValue")] = 0.0
-    repeat_window: Annotated[Span, about("for which a repeat by its mark is known", "dedupWindow")] = 0
+                                       "lateValue", Reload.AT_ONCE)] = 0.0
+    repeat_window: Annotated[Span, about("for which a repeat by its mark is known", "dedupWindow",
+                                         Reload.AT_ONCE)] = 0
     repeat_known: Annotated[Known, about("among which hosts: all of the `destination`, or one `floor`",
-                                         "group")] = Known.DESTINATION
+                                         "group", Reload.AT_ONCE)] = Known.DESTINATION
     in_order: Annotated[bool, about("texts that share a key go one at a time, in the order they were taken",
-                                    "oneAtATime")] = False
+                                    "oneAtATime", Reload.AT_ONCE)] = False
 
 
 class Customer(Table):
--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -28,7 +28,8 @@
                                                                              "it since "
         "the start"}),
     "configured": Event("driver", INFO, "a new configuration has been taken (SIGHUP)", {
-        "catalog": "where catalog and platform are now", "owed": OWED,
+        "catalog": "where catalog and platform are now", "owed": OWED, "products": "in force from now on",
+        "submits": "for one text, from now on",
         "restart_for": "changed keys that wait for a restart"}),
     "stopping": Event("driver", INFO, "SIGTERM has come: nothing new is taken", {
         "owed": OWED, "calls": CALLS, "handed_over": "whether a new process serves beside it and takes the "
--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -11,7 +11,7 @@
 from twisted.internet.protocol import Protocol
 
 from limelatch import logs
-from limelatch.configuration import ConfigurationError, Form, relay_plan
+from limelatch.configuration import ConfigurationError, Form, relay_plan, retuned_plan
 from limelatch.configuration.files import fault_lines, form_of
 from limelatch.relay.deadlines import Clock
 from limelatch.relay.driver import Driver
@@ -51,7 +51,7 @@
 
     def configure() -> None:
         try:
-            driver.configured(relay_plan(os.environ, path, form))
+            driver.configured(retuned_plan(os.environ, path, form))
         except ConfigurationError as error:  # the one in force stays, whole
             logs.say(log, "not-configured", why="; ".join(str(fault) for fault in error.faults))
 
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -35,6 +35,8 @@
     text: li.Text
     mark: bytes
     body: bytes
+    row: li.Product  # its product's rules as they were when it came, whatever a new configuration says
+    product: str  # and its name
     client: Client | None = None  # that waits for the answer to its handing in
     submit_out: bool = False  # written to a host, without an outcome
     number: int = 0
@@ -120,7 +122,8 @@
         product = names.products.index(pairs["product"]) if known else 0
         text = li.Text(entry.id, pairs["dest"], product, pairs["until"], pairs["customer"],
                        pairs["key"].encode())
-        owed = self._own(Owed(text, pairs["mark"].encode(), entry.body))
+        row = self.plan.terms.products[product]
+        owed = self._own(Owed(text, pairs["mark"].encode(), entry.body, row, pairs["product"]))
         answered = entry.notice is not None or not known
         past = li.Past(entry.submits, entry.ran_at, entry.ran_zone, entry.out, answered, earlier)
         self.policy.text_taken(now, text, past)
@@ -148,12 +151,17 @@
     def configured(self, plan: RelayPlan) -> None:
         """SIGHUP: take the keys that can change while texts are held; the others need a restart."""
         later = [each.path for each in changes(self.started_with, plan.told) if each.reload is Reload.RESTART]
+        terms = replace(self.plan.terms, products=plan.terms.products, max_submits=plan.terms.max_submits)
         self.plan = replace(self.plan, discovery=plan.discovery, log=plan.log, known=plan.known,
-                            stop_least=plan.stop_least, stop_wait=plan.stop_wait)
+                            stop_least=plan.stop_least, stop_wait=plan.stop_wait, terms=terms,
+                            names=replace(self.plan.names, products=plan.names.products))
+        self.policy.terms = terms  # what it holds keeps the rows it came with
         self.catalog.move(plan.discovery)
         self.desk.move(plan.discovery)
         start_logs(plan.log)
-        say(log, "configured", catalog=plan.discovery, owed=len(self.owed), restart_for=",".join(later))
+        say(log, "configured", catalog=plan.discovery, owed=len(self.owed), products=len(terms.products),
+            submits=terms.max_submits, restart_for=",".join(later))
+        self.soon()
 
     def stop(self) -> None:
         """SIGTERM: nothing new is taken, calls that are out finish, then the relay ends."""
@@ -205,7 +213,8 @@
             most = self.plan.terms.products[row].validity_period or handed.valid_for
             until = now + min(handed.valid_for, most)
             text = li.Text(handed.id, handed.destination, row, until, number, handed.order)
-            self.arrived[handed.id] = self._own(Owed(text, handed.mark, handed.body, client))
+            rules = self.plan.terms.products[row]
+            self.arrived[handed.id] = self._own(Owed(text, handed.mark, handed.body, rules, product, client))
             self.policy.text_taken(now, text)
             self.soon()
 
@@ -372,9 +381,9 @@
 
     def _take_on(self, text: bytes, owed: Owed) -> None:
         """First the ledger, then the client's answer, and only then a call."""
-        row, names = owed.text, self.plan.names
+        row = owed.text
         self.ledger.taken(text, owed.body, key=row.key.decode(), mark=owed.mark.decode(),
-                          dest=row.destination, product=names.products[row.product], customer=row.customer,
+                          dest=row.destination, product=owed.product, customer=row.customer,
                           until=row.valid_until)
         client, owed.client = owed.client, None
         client.answer("+OK")
@@ -387,7 +396,7 @@
             self.yard.send(host, calls.pop(host))
         calls.setdefault(host, []).append(
             Parcel(text, owed.mark, owed.body, now + time_out, owed.text.valid_until, keep,
-                   bool(owed.text.key) and self.plan.terms.products[owed.text.product].in_order))
+                   bool(owed.text.key) and owed.row.in_order))
 
     def _end_later(self, owed: Owed, notice: dict) -> None:
         """The final answer of a text that was taken on is a notice, owed until it is answered."""
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,6 +11,8 @@
 import pytest
 from conftest import SETTINGS, WAIT
 
+from limelatch.relay.inspection import look
+
 
 def hang(request):
     request.hang()
@@ -360,3 +362,35 @@
     agent.tell(watch, b"no json\n")  # so that the news before it has been read
     assert agent.watches.get(timeout=WAIT)[1] == agent.index and client.submit("t1") == "+OK"
     assert second.next().headers["X-Txn"] == "t1" and first.asked.empty()
+
+
+DIGEST = {"name": "digest", "effect": "pure", "deadline": 9000}
+RETUNED = SETTINGS | {"classes": [SETTINGS["classes"][2], DIGEST]}
+
+
+@pytest.mark.parametrize("broken, why", [
+    (DIGEST | {"deadline": 0}, "settings.classes[1].deadline: a validity period over 0"),
+    ({"name": "digest", "deadline": 9000}, "settings.classes[1].effect: is wanted"),
+    ({"name": "digest", "effect": "pure"}, "settings.classes[1].deadline: is wanted")])
+def test_a_broken_new_configuration_leaves_the_settings_whole(program, agent, party, broken, why):
+    agent.list(party().address)
+    client = program.start()
+    program.configure(settings=SETTINGS | {"classes": [SETTINGS["classes"][2], broken]})
+    assert why in program.says("event=not-configured")
+    assert client.submit("t1", product="digest").startswith("-ERR unknown class")
+    assert client.submit("t2", product="charge", key="0007") == "+OK"
+
+
+def test_sighup_takes_new_products_and_open_texts_keep_their_rules(program, agent, party):
+    held = []
+    host = party(lambda request: held.append(request) or request.hang())
+    agent.list(host.address)
+    client = program.start()
+    assert client.submit("t1", product="charge", key="0007") == "+OK"
+    host.next()  # out, and held there
+    program.configure(settings=RETUNED)
+    assert "products=2 submits=4" in program.says("event=configured")
+    assert client.submit("t2", product="digest") == "+OK"
+    assert client.submit("t3", product="charge").startswith("-ERR unknown class")
+    products = {entry.pairs["product"] for entry in look(str(program.state)).entries.values()}
+    assert products == {"charge", "digest"}  # each text under the rows it came with
