Connections are kept for the hosts' own time; a failed connect is half a sign of an outage

Cause: IDLE_MOST, 6 s, tuned where tables are bounded. A full table passed for an outage, since `_learn` asks for a delivery within 2 s and a relay of hundreds seldom has one. Lines at fault: IDLE_MOST in Call and Host, SILENT_STEP for CONNECT in `_learn`. Ruled out: refusals (full) fell, time-outs hardly changed.

Change: idle time from the setting; a failed connect or a lost connection shortens it by kind, as before; with more than 5 relays a failed connect moves a host's health by the small step.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -32,7 +32,7 @@
 SICK_SHARE, FAIL_STEP, SILENT_STEP = 0.5, 0.3, 0.6  # smoothed share of failures of a sick host, and its steps
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 GOOD_LATELY, KEEPERS = 2 * SECOND, 5  # since a delivery that speaks against an outage; more relays than these
-IDLE_MOST, STALE_LEAST, KEEP_PART = 6 * SECOND, 500 * MS, 0.9  # connections idle; part of the hosts' own time
+STALE_LEAST, KEEP_PART = 500 * MS, 0.9  # least idle time of connections; part of the hosts' own time
 STALE_STEP, STALE_FADE, STALE_SHARE, STALE_ONCE = 0.05, 0.02, 0.08, 0.02  # of kept connections reset
 LIMIT_USED_UP, TOLD_SHUT, REFUSED_OFTEN = 0.15, 3 * SECOND, 8  # share left; wait, cuts in a row of an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
@@ -50,7 +50,7 @@
 
     def __init__(self, host: Host, sent: int) -> None:
         self.host, self.sent, self.texts = host, sent, 0
-        apart = 0 if host.out else min(sent - host.used_at, 2 * IDLE_MOST)
+        apart = 0 if host.out else min(sent - host.used_at, host.gap_most)
         self.idle, host.gap = apart if host.kept else 0, (host.gap + apart) // 2  # idle: of the connections
 
 
@@ -127,12 +127,13 @@
 
 
 class Host:
-    def __init__(self, entry: HostEntry, dest: Destination, route: Route) -> None:
+    def __init__(self, entry: HostEntry, dest: Destination, route: Route, keep: int) -> None:
         self.id, self.zone, self.kind = entry.host, entry.zone, entry.kind
         self.listing, self.dest, self.route = entry.listing, dest, route
         self.out, self.failing, self.sick, self.seers, self.back_at = [], 0.0, False, 1.0, None  # out: calls
         self.warm_credit, self.warm_at, self.last_ok, self.used_at = 0.0, 0, -GOOD_LATELY, 0
-        self.gap, self.kept = 2 * IDLE_MOST, False  # time between calls; whether connections are kept
+        self.gap = self.gap_most = keep  # time between calls, as far as hosts keep connections idle
+        self.kept = False  # whether there may be an idle one
 
     def overdue(self, now: int) -> bool:
         """A call is out for too long with no success since: one more a span, lest a silent host fills up."""
@@ -167,7 +168,8 @@
         self.ask_at, self.asked = NEVER, 0  # when to ask for the list; calls for it that failed in a row
         if terms.list_asked:
             self._ask_later(now)
-        self.idle_most = [IDLE_MOST if terms.relays > KEEPERS else NEVER] * len(terms.kinds)  # of connections
+        self.keep = int(terms.conn_idle * KEEP_PART)  # how long connections may stand idle
+        self.idle_most = [self.keep if terms.relays > KEEPERS else NEVER] * len(terms.kinds)  # by kind
         self.stale = [0.0] * len(terms.kinds)  # smoothed share of calls on kept connections that were reset
         self.changed, self.closing, self.log = [], [], []  # texts to act on, hosts, lines
 
@@ -309,7 +311,8 @@
         elif result not in (Result.FULL, Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
             ok = host.last_ok > call.sent - (0 if result is Result.TIMEOUT else GOOD_LATELY)
-            step = FAIL_STEP if ok or lost or result in ANSWERED else SILENT_STEP
+            table = many and result is Result.CONNECT  # its table may be full, as others keep connections too
+            step = FAIL_STEP if ok or lost or table or result in ANSWERED else SILENT_STEP
             self._failed(now, host, result.value, step / 2 if ok and result is Result.TIMEOUT else step)
 
     def _halve(self, now: int, route: Route, call: Call) -> None:
@@ -539,7 +542,7 @@
                 self.unheard[held.text.id] = self.texts.pop(held.text.id)
             elif held.call is not None:
                 left, host, call = held.text.valid_until - now, held.call.host, held.call
-                keep = min(self._keep(host.kind, False), int(self.terms.conn_idle * KEEP_PART))
+                keep = min(self._keep(host.kind, False), self.keep)
                 if call.idle > self._keep(host.kind, held.row.effect is Effect.ONCE_ONLY):
                     call.idle = 0
                     actions.append(CloseIdle(host.id))
@@ -578,7 +581,7 @@
         dest, window = self.dests[entry.destination], max(1, self.terms.slots // 2)
         apart = self.terms.kinds[entry.kind].routes_apart
         route = dest.shared = Route(window) if apart else dest.shared or Route(window)
-        host = self.hosts[entry.host] = Host(entry, dest, route)
+        host = self.hosts[entry.host] = Host(entry, dest, route, self.keep)
         host.sick = route.tries > 0 and all(each.sick for each in route.hosts)  # new in an outage
         dest.hosts.append(host)
         return host
