--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -215,4 +215,12 @@
     host: HostId
 
 
+def limit_told(report: dict[str, float]) -> tuple[float | None, float | None]:
+    """Share of the limit left and the limit's rate, None where not told: both are 0 where there is no limit.
+
+    Guards against a host without a limit that passes for one whose limit is used up."""
+    left, rate = report.get("x0"), report.get("x1")
+    return (None, None) if not left and rate == 0 else (left, rate)
+
+
 Action = Submit | Nack | Undeliverable | Probe | CloseIdle | Watch | Wake | LogLine
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -298,7 +298,7 @@
         owed, now = self.owed.get(parcel.text), self.clock.now()
         if owed is None:
             return
-        left, rate = outcome.report.get("x0"), outcome.report.get("x1")
+        left, rate = li.limit_told(outcome.report)
         self.policy.submit_ended(now, li.SubmitReport(parcel.text, call.host, outcome.result, now - call.sent,
                                                       outcome.over, outcome.told_wait, left, rate, call.idle))
         if outcome.over:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -61,6 +61,8 @@
     assert (report.result, report.took, report.told_wait) == (Result.FULL, 185, 2500)
     assert (report.limit_left, report.limit_rate) == (0.5, 8.0)
     assert wire.read_outcome(body[:32] + b"\0", ["x0"]).limit_left is None
+    none = wire.read_outcome(body[:33] + struct.pack(">ff", 0.0, 0.0), ["x0", "x1"])  # it has no limit
+    assert (none.limit_left, none.limit_rate) == (None, None)
 
 
 def test_actions_become_records():
