One product failing at one host is no outage; the first failed connect frees the kind's idle ones

Cause: `_failed` with SILENT_STEP takes one time-out for an outage and its route's other hosts along; `_choose` knows no products. Change: `Host.sour`, `_one_product`, and `_choose` goes to hosts where the product does not fail. It also holds against an operator's partial release or a broken queue for one product; it may hurt at a silent destination: one call more a relay.

Line at fault: the small step for every failed connect. Now only the first at a kind, the one that also shortens the idle time there; it closes the relay's idle connections of that kind, so tables clear at once.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -133,7 +133,7 @@
         self.out, self.failing, self.sick, self.seers, self.back_at = [], 0.0, False, 1.0, None  # out: calls
         self.warm_credit, self.warm_at, self.last_ok, self.used_at = 0.0, 0, -GOOD_LATELY, 0
         self.gap = self.gap_most = keep  # time between calls, as far as hosts keep connections idle
-        self.kept = False  # whether there may be an idle one
+        self.kept, self.sour = False, {}  # whether there may be an idle one; products that fail: when
 
     def overdue(self, now: int) -> bool:
         """A call is out for too long with no success since: one more a span, lest a silent host fills up."""
@@ -171,6 +171,7 @@
         self.keep = int(terms.conn_idle * KEEP_PART)  # how long connections may stand idle
         self.idle_most = [self.keep if terms.relays > KEEPERS else NEVER] * len(terms.kinds)  # by kind
         self.stale = [0.0] * len(terms.kinds)  # smoothed share of calls on kept connections that were reset
+        self.products: list[set[int]] = [set() for _ in terms.kinds]  # that go to each kind
         self.changed, self.closing, self.log = [], [], []  # texts to act on, hosts, lines
 
     def hosts_listed(self, now: int, entries: list[HostEntry], whole: bool) -> None:
@@ -216,6 +217,8 @@
             line = self.lines.setdefault(held.key, deque())
             line.insert(0 if past.earlier else len(line), text.id)  # the process before took it earlier
         held.may_have_run(past.ran_at, past.ran_zone)
+        for host in self.dests[text.destination].hosts[:1]:
+            self.products[host.kind].add(text.product)
         if past.out and held.key:
             self.rests[held.key] = now + self.terms.turn_gap
         if past.answered:
@@ -241,7 +244,7 @@
             return
         call, held.call = held.call, None
         self._release(now, call)
-        self._learn(now, host, call, report, counts=call.texts == 0)
+        self._learn(now, host, call, report, held.text.product)
         if not host.out and host.gap > self.idle_most[host.kind]:
             host.kept = False
             self.closing.append(host)
@@ -273,16 +276,21 @@
         self._plan(now)
         return self._emit(now)
 
-    def _learn(self, now: int, host: Host, call: Call, report: SubmitReport, counts: bool) -> None:
+    def _learn(self, now: int, host: Host, call: Call, report: SubmitReport, product: int) -> None:
         """Take an outcome into the bucket, the window, the pace and the host's health."""
-        route, result, kind = host.route, report.result, host.kind
+        route, result, kind, counts = host.route, report.result, host.kind, call.texts == 0
         route.learn_limit(report.limit_rate)
         idle, reset = call.idle if report.idle is None else report.idle, result is Result.RESET
         many = self.terms.relays > KEEPERS and result in (Result.CONNECT, Result.TIMEOUT)
         lost = idle > 0 and (reset or many and result is Result.TIMEOUT)
         self.stale[kind] += (STALE_STEP if idle else STALE_FADE) * (lost - self.stale[kind])
+        table = many and result is Result.CONNECT and self.idle_most[kind] == self.keep  # full of idle ones?
         if (many or reset) and (idle > STALE_LEAST or result is Result.CONNECT):
             self.idle_most[kind] = min(self.idle_most[kind], max(STALE_LEAST, idle * 3 // 4))
+            for each in self.hosts.values() if table else ():
+                if each.kind == kind and each.kept and not each.out and each is not host:
+                    each.kept = False
+                    self.closing.append(each)
         if report.told_wait:  # of several texts in a call some may be delivered and the others told to wait
             used_up = report.limit_left is not None and report.limit_left < LIMIT_USED_UP
             spread = TOLD_JITTER if used_up else max(TOLD_JITTER, report.told_wait)
@@ -290,6 +298,7 @@
         if result is Result.DELIVERED or result is Result.SPOILT and report.over:
             host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
             host.last_ok, route.cuts = now, 0
+            host.sour.pop(product, None)
             faded = max(0.0, 1 - (now - route.served_at) / SERVED_SPAN)
             route.served, route.served_at = route.served * faded + 1.0, now
             left = PACE_STEP if report.limit_left is None else report.limit_left  # by what others leave
@@ -311,9 +320,25 @@
         elif result not in (Result.FULL, Result.MOOT, Result.CANCELLED) and counts:
             self._halve(now, route, call)
             ok = host.last_ok > call.sent - (0 if result is Result.TIMEOUT else GOOD_LATELY)
-            table = many and result is Result.CONNECT  # its table may be full, as others keep connections too
             step = FAIL_STEP if ok or lost or table or result in ANSWERED else SILENT_STEP
-            self._failed(now, host, result.value, step / 2 if ok and result is Result.TIMEOUT else step)
+            if not self._one_product(now, host, product, result):
+                self._failed(now, host, result.value, step / 2 if ok and result is Result.TIMEOUT else step)
+
+    def _one_product(self, now: int, host: Host, product: int, result: Result) -> bool:
+        """Whether all that speaks against this host is one product, at no other host of its route.
+
+        Guards against an endpoint that fails one product and takes the others: what else waits for its
+        destination must not be held. A silent destination costs one call more. Few relays tell by shares."""
+        single = self.terms.relays <= KEEPERS or len(self.products[host.kind]) < 2
+        if single or result in (Result.CONNECT, Result.RESET):
+            return False
+        host.sour[product] = now
+        others = [each for each in host.route.hosts if each is not host and each.listing is Listing.READY]
+        return not host.sick and bool(others) and len(self._sour(now, host)) == 1 and not any(
+            each.sick or self._sour(now, each) for each in others)
+
+    def _sour(self, now: int, host: Host) -> list[int]:
+        return [product for product, at in host.sour.items() if at > now - SERVED_SPAN]
 
     def _halve(self, now: int, route: Route, call: Call) -> None:
         if call.sent > route.halved_at:  # once for the calls that were out together
@@ -452,6 +477,7 @@
     def _choose(self, now: int, dest: Destination, held: Held) -> Host | None:
         """Two hosts drawn at random, the one that this relay's own counts favour."""
         able = [h for h in dest.hosts if self._opens_at(now, h) <= now and self._gate(now, held, h)]
+        able = [h for h in able if held.text.product not in self._sour(now, h)] or able
         drawn = [able.pop(self.chance.below(len(able))) for _ in range(min(2, len(able)))]
         return min(drawn, key=lambda host: (len(host.out), host.failing), default=None)
 
