Of two hosts drawn with as many calls out, the one with an idle connection is taken

Line at fault: `_choose`, key (calls out, failing). Ruled out: closings (no kind has bounded tables there, connects never fail). Change: key (calls out, failed of late, no idle connection, failing).

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -479,7 +479,8 @@
         able = [h for h in dest.hosts if self._opens_at(now, h) <= now and self._gate(now, held, h)]
         able = [h for h in able if held.text.product not in self._sour(now, h)] or able
         drawn = [able.pop(self.chance.below(len(able))) for _ in range(min(2, len(able)))]
-        return min(drawn, key=lambda host: (len(host.out), host.failing), default=None)
+        return min(drawn, key=lambda host: (len(host.out), host.failing > FAIL_STEP / 2, not host.kept
+                                            or now - host.used_at > self.keep, host.failing), default=None)
 
     def _gate(self, now: int, held: Held, host: Host) -> bool:
         """The rules, for every send: no text twice out, no effect twice, drains, waits and order kept."""
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -139,6 +139,16 @@
     assert fleet.host(good).sick and fleet.host(bad).sick
 
 
+def test_of_two_hosts_drawn_the_one_with_an_idle_connection_is_taken(fleet):
+    """Calls spread over hosts at random once paid for a new connection each, beside an idle one."""
+    fleet.list(HOST, TWIN)
+    kept = fleet.out(fleet.take(REPORT), Result.DELIVERED, over=True)
+    for at in range(1, 6):
+        assert fleet.out(fleet.take(REPORT), Result.DELIVERED, NOW + at * S, over=True) == kept
+    fleet.host(kept).failing = SICK_SHARE - 0.1  # health comes first
+    assert fleet.out(fleet.take(REPORT), now=NOW + 6 * S) != kept
+
+
 def test_no_connection_while_others_go_through_is_a_full_table(relay):
     relay.out(relay.take(REPORT), Result.DELIVERED, over=True)
     relay.out(relay.take(REPORT), Result.CONNECT, NOW + S)
