Connections are kept longer only where no connect has failed for the hosts' idle time

Cause: `idle_most` starts at the whole time, so all tables fill before any relay has learned that they are bounded, and relays killed together forget it. Change: half of the time at first; the whole once the hosts' idle time has passed with no failed connect at the kind.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -87,8 +87,7 @@
         self.recent: deque[int] = deque(maxlen=RECENT_CALLS)
         self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
         self.credit, self.credit_at, self.cut_at, self.cuts = 1.0, 0, 0, 0
-        self.flow, self.flow_at = 0.0, 0  # this relay's calls of late, fading over a span
-        self.served, self.served_at = 0.0, 0  # its deliveries, over a longer one
+        self.flow, self.flow_at, self.served, self.served_at = 0.0, 0, 0.0, 0  # own calls, deliveries; fading
         self.wait_until = self.down_at = self.tries = self.trial_at = 0  # a told wait; an outage, its trials
 
     def refill(self, now: int, relays: int) -> None:
@@ -169,7 +168,8 @@
         if terms.list_asked:
             self._ask_later(now)
         self.keep = int(terms.conn_idle * KEEP_PART)  # how long connections may stand idle
-        self.idle_most = [self.keep if terms.relays > KEEPERS else NEVER] * len(terms.kinds)  # by kind
+        self.idle_most = [self.keep // 2 if terms.relays > KEEPERS else NEVER] * len(terms.kinds)  # by kind
+        self.room_at = [now + terms.conn_idle] * len(terms.kinds)  # when no connect has failed until then
         self.stale = [0.0] * len(terms.kinds)  # smoothed share of calls on kept connections that were reset
         self.products: list[set[int]] = [set() for _ in terms.kinds]  # that go to each kind
         self.changed, self.closing, self.log = [], [], []  # texts to act on, hosts, lines
@@ -217,8 +217,6 @@
             line = self.lines.setdefault(held.key, deque())
             line.insert(0 if past.earlier else len(line), text.id)  # the process before took it earlier
         held.may_have_run(past.ran_at, past.ran_zone)
-        for host in self.dests[text.destination].hosts[:1]:
-            self.products[host.kind].add(text.product)
         if past.out and held.key:
             self.rests[held.key] = now + self.terms.turn_gap
         if past.answered:
@@ -280,12 +278,15 @@
         """Take an outcome into the bucket, the window, the pace and the host's health."""
         route, result, kind, counts = host.route, report.result, host.kind, call.texts == 0
         route.learn_limit(report.limit_rate)
+        self.products[kind].add(product)
         idle, reset = call.idle if report.idle is None else report.idle, result is Result.RESET
         many = self.terms.relays > KEEPERS and result in (Result.CONNECT, Result.TIMEOUT)
         lost = idle > 0 and (reset or many and result is Result.TIMEOUT)
         self.stale[kind] += (STALE_STEP if idle else STALE_FADE) * (lost - self.stale[kind])
-        table = many and result is Result.CONNECT and self.idle_most[kind] == self.keep  # full of idle ones?
+        table = many and result is Result.CONNECT and self.room_at[kind] < NEVER  # full of idle ones?
+        self.idle_most[kind] = max(self.idle_most[kind], self.keep if self.room_at[kind] <= now else 0)
         if (many or reset) and (idle > STALE_LEAST or result is Result.CONNECT):
+            self.room_at[kind] = NEVER
             self.idle_most[kind] = min(self.idle_most[kind], max(STALE_LEAST, idle * 3 // 4))
             for each in self.hosts.values() if table else ():
                 if each.kind == kind and each.kept and not each.out and each is not host:
@@ -329,13 +330,12 @@
 
         Guards against an endpoint that fails one product and takes the others: what else waits for its
         destination must not be held. A silent destination costs one call more. Few relays tell by shares."""
-        single = self.terms.relays <= KEEPERS or len(self.products[host.kind]) < 2
-        if single or result in (Result.CONNECT, Result.RESET):
-            return False
-        host.sour[product] = now
+        several = self.terms.relays > KEEPERS and len(self.products[host.kind]) > 1
+        if several and result not in (Result.CONNECT, Result.RESET):
+            host.sour[product] = now
         others = [each for each in host.route.hosts if each is not host and each.listing is Listing.READY]
-        return not host.sick and bool(others) and len(self._sour(now, host)) == 1 and not any(
-            each.sick or self._sour(now, each) for each in others)
+        return bool(others) and host.sour.get(product) == now and not host.sick and not any(
+            each.sick or self._sour(now, each) for each in others) and len(self._sour(now, host)) == 1
 
     def _sour(self, now: int, host: Host) -> list[int]:
         return [product for product, at in host.sour.items() if at > now - SERVED_SPAN]
