The test of the starting pace counts from now

The test sets the time; with the old start (the whole limit) it fails at 20.0 of 0.2. No change of the relay.

--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -312,6 +312,7 @@
     """Forty relays that each started at the whole limit once used it up by refusals, all day."""
     for bench, room in ((fleet, (0.1, 0.2)), (relay, (20.0, 20.0))):
         route = bench.host().route
+        route.credit_at = NOW
         route.learn_limit(20.0, bench.policy.terms.relays)
         bench.out(bench.take(REPORT), Result.DELIVERED, limit_left=1.0, over=True)
         assert room[0] <= route.pace <= room[1]
