--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -86,7 +86,7 @@
 
 def test_a_returning_host_gets_no_more_than_its_part(relay):
     host = relay.host()
-    host.route.learn_limit(10.0)
+    host.route.learn_limit(10.0, 3)
     host.back_at = host.warm_at = NOW
     sent = 0
     for step in range(100):  # two seconds of deciding every 20 ms with texts always held
