Many relays start at the even part of a limit, and their pace follows the limit told

Every answer tells the new limit (x1 20.8 where 68.6 was told), but only refusals lowered the pace: each relay learned alone and late what each had been told. Line at fault: Route.learn_limit kept 'self.pace or rate' whatever limit came.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -26,9 +26,8 @@
 # The design's figures; tokens are counted in tenths.
 BUCKET, REFILL, TOKEN = 200, 1, 10
 BASE, CAP, TIME_OUT, GUIDE_TIME_OUT = 600 * MS, 8 * SECOND, 9 * SECOND, 3 * SECOND  # the guide's: few slots
-TOLD_JITTER, RECENT_CALLS = 150 * MS, 7  # on top of a told wait; calls whose median is held to the usual
+TOLD_JITTER, RECENT_CALLS, USUAL_AT_FIRST = 150 * MS, 7, 400 * MS  # told waits; median held to the usual
 PERIOD, LAST_MOMENT, NEVER = 20 * MS, 100 * MS, 1 << 62  # ours from here: the timer's least wait; a submit's
-USUAL_AT_FIRST = 400 * MS  # latency taken as usual before any is known
 SICK_SHARE, FAIL_STEP, SILENT_STEP = 0.5, 0.3, 0.6  # smoothed share of failures of a sick host, and its steps
 OVERDUE_LEAST, OVERDUE_TIMES = 800 * MS, 4  # a call this late, with no success since, makes a host suspect
 GOOD_LATELY, KEEPERS = 2 * SECOND, 5  # since a delivery that speaks against an outage; more relays than these
@@ -38,7 +37,7 @@
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
 PACE_FREE, PACE_LEARN = 4.0, 0.2  # of a pace that only refusals and deliveries tell
 PACE_STEP, FLOW_SPAN, SERVED_SPAN = 0.05, 5 * SECOND, 20 * SECOND  # growth by a delivery; spans of own rates
-PACE_START, PACE_SAVED = 1.5, 2.0  # many relays: of the even part, as some send nothing; calls saved up
+PACE_ROOM, PACE_SAVED = 0.02, 2.0  # many relays: growth by a delivery at full room told; calls saved up
 ASK_PART, ASK_CAP = 4, 3  # of the time to ask within: the first call's spread; with failures, the last's
 TRIAL_PART, SEEN_BEFORE, RATE_AT_FIRST = 0.7, 5 * SECOND, 2.0  # of what a cold one bears; age; unknown limit
 SCARCE, ROOM_LEFT = 0.9, 0.92  # share of the slots for shorter time-outs, of the room for nacks of held texts
@@ -112,9 +111,10 @@
         return self.limit or max(RATE_AT_FIRST, relays * (self.served - 1) * SECOND / SERVED_SPAN)
 
     def learn_limit(self, rate: float | None, relays: int) -> None:
-        if rate and rate > 0:  # many relays that each start at the whole limit use it up by refusals
-            start = min(1.0, PACE_START / relays) if relays > KEEPERS else 1.0
-            self.limit, self.pace = rate, self.pace or rate * start
+        if rate and rate > 0:  # many: each its even part, less as a limit falls; refusals use it up for all
+            many = relays > KEEPERS
+            scale = rate / self.limit if many and self.limit else 1.0
+            self.limit, self.pace = rate, self.pace * scale or (rate / relays if many else rate)
 
     def learn_latency(self, took: int) -> bool:
         """Follow the usual latency by steps; True when recent calls are twice as slow."""
@@ -305,10 +305,10 @@
             host.sour.pop(product, None)
             route.served *= max(0.0, 1 - (now - route.served_at) / SERVED_SPAN)
             route.served, route.served_at = route.served + 1.0, now
-            left = 1.0 if report.limit_left is None else max(0.0, report.limit_left)  # by what others leave
-            if route.limit:
-                left *= PACE_STEP if report.limit_left is None or self.terms.relays > KEEPERS else 1.0
-                route.pace = min(route.limit, route.pace * (1 + left))
+            left, part = report.limit_left, PACE_ROOM if self.terms.relays > KEEPERS else 1.0
+            if route.limit:  # by what others leave
+                growth = PACE_STEP if left is None else part * max(0.0, left)
+                route.pace = min(route.limit, route.pace * (1 + growth))
             else:
                 route.grow(PACE_LEARN)
             route.window = min(route.window + 1, self._window_cap(host))
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -308,9 +308,17 @@
     assert fleet.sent() == {} and fleet.sent(NOW + 20 * S) == {1: HOST}
 
 
-def test_one_of_many_relays_starts_near_its_even_part_of_a_limit_and_stays_there(fleet, relay):
+def test_the_pace_of_one_of_many_relays_falls_with_the_limit_that_answers_tell(fleet):
+    """Limits cut to half were met by refusals alone; each relay learned it late and all used them up."""
+    route = fleet.host().route
+    route.learn_limit(20.0, 200)
+    route.learn_limit(10.0, 200)
+    assert route.limit == 10.0 and route.pace == 0.05
+
+
+def test_one_of_many_relays_starts_at_its_even_part_of_a_limit_and_stays_there(fleet, relay):
     """Forty relays that each started at the whole limit once used it up by refusals, all day."""
-    for bench, room in ((fleet, (0.1, 0.2)), (relay, (20.0, 20.0))):
+    for bench, room in ((fleet, (0.1, 0.11)), (relay, (20.0, 20.0))):
         route = bench.host().route
         route.credit_at = NOW
         route.learn_limit(20.0, bench.policy.terms.relays)
