--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -321,7 +321,6 @@
 
 
 def test_one_of_many_relays_saves_up_calls_for_texts_that_come_together(fleet):
-    route = fleet.host().route
-    route.learn_limit(20.0, 200)
+    fleet.host().route.learn_limit(20.0, 200)
     fleet.policy._advance(NOW + 60 * S, fleet.host())
     assert {fleet.take(REPORT, now=NOW + 60 * S) for _ in range(2)} == set(fleet.sent(NOW + 60 * S))
