--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -244,7 +244,7 @@
 def test_cuts_in_a_row_without_a_delivery_are_an_outage(relay):
     """The even part of a shut destination is more than it bears when it returns."""
     route = relay.host().route
-    route.learn_limit(20.0, 200)
+    route.learn_limit(20.0, 3)
     for step in range(REFUSED_OFTEN):
         relay.policy._refused(NOW + step * S, relay.host(), 0, None)
     assert relay.host().sick
@@ -321,6 +321,7 @@
 
 
 def test_one_of_many_relays_saves_up_calls_for_texts_that_come_together(fleet):
-    fleet.host().route.learn_limit(20.0, 200)
+    (route := fleet.host().route).learn_limit(20.0, 200)
+    route.credit_at = NOW
     fleet.policy._advance(NOW + 60 * S, fleet.host())
     assert {fleet.take(REPORT, now=NOW + 60 * S) for _ in range(2)} == set(fleet.sent(NOW + 60 * S))
