--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -334,14 +334,13 @@
     assert outcomes(status, **headers) == [outcome]
 
 
-@pytest.mark.parametrize("idle, keeps, report, result", [
-    (0, False, b"", Result.CONNECT), (1, False, b"", Result.FULL), (0, True, b"", Result.FULL),
-    (0, False, b"x0=0,x1=9", Result.FULL)])
-def test_a_new_connection_that_is_turned_away_and_closed_met_a_full_table(idle, keeps, report, result):
+@pytest.mark.parametrize("idle, keeps, headers, result", [
+    (0, False, {}, Result.CONNECT), (1, False, {}, Result.FULL), (0, True, {}, Result.FULL),
+    (0, False, {b"x-pressure": b"x0=0,x1=9"}, Result.FULL)])
+def test_a_new_connection_that_is_turned_away_and_closed_met_a_full_table(idle, keeps, headers, result):
     """Full tables once passed for used-up limits: paces were cut where much of a limit was left."""
     call = Call(b"s-1", [Parcel(b"a", b"", b"", 0, 0, 0)], 0, idle=idle)
-    answer = Answer(503, {b"x-pressure": report} if report else {}, keeps)
-    assert read_outcomes(call, answer, b"")[0].result is result
+    assert read_outcomes(call, Answer(503, headers, keeps), b"")[0].result is result
 
 
 def test_a_batch_answer_says_how_each_text_fared():
