A submit out at a kill may have run, whatever a later submit of its text says

Ruled out: floors not named in the settings (all hosts' floors are known), clocks (wall and monotonic agree over the restarts), compaction (the ledger was small).

Cause: records.py, Book._apply. GOING over an entry that is still out lost that submit; ENDED with ran=False then took ran_at and ran_zone of both away. Now a GOING over one that is out marks the text as run.

--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -113,6 +113,9 @@
             return "nothing was taken on under this id"
         match kind:
             case Kind.GOING:
+                # One still out here was out when its process was killed: it may have run for good. Guards
+                # against a later submit's refusal, after a second kill, that passes for the proof of both.
+                entry.ran = entry.ran or entry.out
                 entry.submits, entry.out = entry.submits + 1, True
                 if entry.ran_at is None:
                     entry.ran_at, entry.ran_zone = pairs["at"], pairs["zone"]
