A batch is given up whole when the time of one of its texts is over, and near ends go alone

All other texts had their end in time in the relay's own log. Ruled out: platform connections that fall silent (no platform-lost, each notice heard within 4 ms), restarts (no overdue text was of a relay just restarted).

Cause: Yard._out_of_time ended a text of a batch alone and let the call stay out. The protocol knows no such end: 'to give up a call, a relay closes its connection'. Change: the call ends whole at its first due time. Lest a text with little time left take others with it, a text with less than a host's patience left goes alone (policy._fill_call; it extends 'a call that may be lost takes one text with it'). Option not taken: keep the text's notice back until the call ends; that is a final answer held back and may be too late.

test_a_batch_gives_up_a_text_whose_validity_ends_and_waits_on_for_the_others asserted what loses texts; in its place stands test_a_batch_is_given_up_whole_when_the_time_of_one_text_is_over, as strict on ends, counts and the connection. test_a_text_near_its_end_takes_no_others_into_its_call fails without the module's lines, the former without the yard's.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -203,9 +203,8 @@
         self.ask_at = now + self.chance.below(part * min(self.asked + 1, ASK_CAP))
 
     def _sort_hosts(self, dest: Destination) -> None:
-        for host in dest.hosts:
-            if host.listing is Listing.GONE and not host.out:
-                del self.hosts[host.id]
+        for host in [each for each in dest.hosts if each.listing is Listing.GONE and not each.out]:
+            del self.hosts[host.id]
         dest.hosts, dest.look_at = [host for host in dest.hosts if host.id in self.hosts], 0
         for host in dest.hosts:
             host.route.hosts = [other for other in dest.hosts if other.route is host.route]
@@ -455,19 +454,20 @@
 
     def _rank(self, now: int, held: Held) -> tuple:
         """Texts that can still make their SLA time, the nearest first; then the late ones by revenue."""
-        late = now + USUAL_AT_FIRST > held.sla_at
-        return (late, -held.row.revenue * held.row.late_share if late else held.sla_at, held.text.valid_until,
-                held.text.id)
+        late, text = now + USUAL_AT_FIRST > held.sla_at, held.text
+        stake = -held.row.revenue * held.row.late_share if late else held.sla_at
+        return late, stake, text.valid_until, text.id
 
     def _fill_call(self, now: int, dest: Destination, ready: list[Held]) -> list[Held]:
         """Choose a host for the best text and fill its call; return the texts still to be placed."""
         while (host := self._choose(now, dest, ready[0])) is None:
             if not (ready := ready[1:]):
                 return []
-        most = 1 if host.sick or host.overdue(now) else self.terms.kinds[host.kind].texts_per_call
-        call, rest = Call(host, now), []  # a call that may be lost takes one text with it
+        call, rest, soon = Call(host, now), [], now + host.patience()
+        alone = host.sick or host.overdue(now) or ready[0].until < soon
+        most = 1 if alone else self.terms.kinds[host.kind].texts_per_call  # it may be lost or given up whole
         for held in ready:
-            if call.texts < most and self._gate(now, held, host):
+            if call.texts < most and (not call.texts or held.until >= soon) and self._gate(now, held, host):
                 held.call, call.texts = call, call.texts + 1
                 del dest.waiting[held.text.id]
                 self.changed.append(held)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -395,8 +395,7 @@
         if len(calls.get(host, [])) >= most:
             self.yard.send(host, calls.pop(host))
         calls.setdefault(host, []).append(
-            Parcel(text, owed.mark, owed.body, now + time_out, owed.text.valid_until, keep,
-                   bool(owed.text.key) and owed.row.in_order))
+            Parcel(text, owed.mark, owed.body, now + time_out, keep))
 
     def _end_later(self, owed: Owed, notice: dict) -> None:
         """The final answer of a text that was taken on is a notice, owed until it is answered."""
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -40,9 +40,7 @@
     mark: bytes
     body: bytes
     due: int  # when the relay stops waiting
-    last: int  # when the text's validity ends
     keep: int  # for how long the connection may stand idle afterwards
-    ordered: bool = False  # other texts of its key wait until it is over
 
 
 @dataclass(slots=True)
@@ -300,19 +298,11 @@
             self.close_idle(host)
 
     def _out_of_time(self, call: Call) -> None:
-        """The relay stops waiting: for texts whose validity is over alone, else for the whole call."""
-        now = self.clock.now()
-        late = [each for each in call.parcels if each.due <= now]
-        rest = [each for each in call.parcels if each.due > now]
-        # A text in order can't end alone: its submit stays out, and the next of its key would go beside it.
-        if rest and all(each.due >= each.last and not each.ordered for each in late):
-            call.parcels = rest
-            for each in late:
-                self.driver.ended(call, each, Outcome(Result.TIMEOUT))
-            call.deadline = self.deadlines.at(min(each.due for each in rest), lambda: self._out_of_time(call))
-            return
-        asking = call.connection.asking
-        call.connection.give_up(Ending.SILENT if asking else Ending.UNREACHED)
+        """The relay stops waiting: the call is given up whole, by closing its connection.
+
+        Guards against a text of a batch that ends alone while its submit stays out: what the others are
+        answered after that end does not count as delivered, and a copy of it may go out beside it."""
+        call.connection.give_up(Ending.SILENT if call.connection.asking else Ending.UNREACHED)
 
     def _finish(self, call: Call) -> None:
         self.calls_out -= 1
