The watch reads indented lists, counts only what is whole as life, and asks anew for old changes

'Lists may come indented': an indented change ended the watch as garbled ('list-not-read'), it was opened anew from the same version 0.25 s later, told the same, and so on: the list stood still without an error that lasts. Now an object may lie over several lines, with LF, CRLF or empty lines between. - The same lines called heard() for any byte of a body. A watch that trickles spaces, or stops within an object, was held open for good. Now only a whole object, or an empty line between two, is a sign of life; connecting, heads, 1xx heads and the first object run against the clock that begins with connect(), 4.5 s. - A change with a lower version than the list held was taken, and a host that had left came back. Now the whole list is asked for. - RecursionError of a deep list went out of dataReceived. It is a list that can't be read. - platform.py: a second 204 right behind the first passed for the answer to the next request, whose notices were dropped unheard. What is left in the ring behind an answer now ends the connection, and what is owed goes again. Not shown: a 204 that comes late, after the next request has gone, can't be told apart; one request is out at a time.

Refuted by reading: move() between connect and connectionMade (the connector is stopped, or the watch closed as moved; the next connect reads the new address); heads and 1xx without end (16 KiB, and the silence clock is not reset by them).

--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -49,6 +49,7 @@
     def __init__(self, catalog: Catalog) -> None:
         super().__init__(LIST_MOST, 8 * 1024)
         self.catalog, self._line = catalog, b""
+        self._object = b""  # the lines so far of an object that is not whole
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -72,15 +73,35 @@
         if self.catalog.index is None or self.answer.status != 200:
             return False
         *lines, self._line = (self._line + part).split(b"\n")
-        self.catalog.heard()
-        if len(self._line) > LIST_MOST or not all(self._read(line) for line in lines if line.strip()):
+        if not all(self._said(line.strip()) for line in lines) or len(self._line + self._object) > LIST_MOST:
             self.close(Ending.GARBLED)
         return True
 
-    def _read(self, line: bytes) -> bool:
+    def _said(self, line: bytes) -> bool:
+        """One line of the watch; an object may be indented, over several of them.
+
+        Only a whole object, or an empty line between two, tells that the catalog lives: guards against a
+        watch that trickles, or that stops within an object, and is held open for good."""
+        if not line and not self._object:
+            self.catalog.heard()
+            return True
+        self._object += line
+        if not line.endswith(b"}") and self._object.startswith(b"{"):
+            return True  # there is more to come
+        try:
+            json.loads(self._object)
+        except json.JSONDecodeError as error:
+            return self._object.startswith(b"{") and error.pos >= len(error.doc)  # the same
+        except (ValueError, RecursionError):
+            return False
+        whole, self._object = self._object, b""
+        self.catalog.heard()
+        return self._read(whole)
+
+    def _read(self, raw: bytes) -> bool:
         try:
-            self.catalog.news(json.loads(line))
-        except (ValueError, BadList) as error:
+            self.catalog.news(json.loads(raw))
+        except (ValueError, RecursionError, BadList) as error:
             say(log, "list-not-read", why=error)
             return False
         return True
@@ -147,6 +168,9 @@
 
     def _take(self, raw: object) -> None:
         index, whole, entries, addresses = read_list(raw, self.names)
+        if not whole and self.index is not None and index < self.index:
+            self.index = None  # the whole list is asked for
+            raise BadList("changes older than the list that is held")
         self.index = index
         self.addresses = addresses if whole else self.addresses | addresses
         self.told(entries, whole)
--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -29,7 +29,7 @@
         self.desk.send()
 
     def answered(self, answer: Answer, body: bytes) -> None:
-        if not answer.keeps:
+        if not answer.keeps or self.inbound:  # what came behind would pass for the next request's answer
             self.close(Ending.CLOSED_BY_PEER)
         self.desk.answered(answer.status)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,12 +1,20 @@
 """Faults at narrow moments: what comes between two lines of the relay; one side is held still."""
 
+import json
 import time
 
+import pytest
 from conftest import WAIT, S
+from test_parts import NAMES, Wire
+from twisted.internet.task import Clock as Reactor
 
-from limelatch.interface import Result
+from limelatch.interface import SECOND, Result
+from limelatch.relay.catalog import Catalog
+from limelatch.relay.deadlines import Deadlines
+from limelatch.relay.ending import Ending
 from limelatch.relay.inspection import look
 from limelatch.relay.ledger import Ledger
+from limelatch.relay.platform import Desk
 
 
 def until(true):
@@ -67,3 +75,96 @@
     for text in relay.sent():
         calls.setdefault(id(relay.held(text).call), []).append(text)
     assert sorted(calls.values()) == [[near], others]
+
+
+# The watch on the list.
+
+ROW = {"name": "s-1", "address": "127.0.0.1:80", "zone": "a", "type": "single", "group": 1,
+       "status": "active", "weight": 1.0, "since_ms": 0}
+
+
+def page(index, whole=False, **row):
+    return {"index": index, "snapshot": whole, "endpoints": [ROW | row]}
+
+
+class Running(Reactor):
+    """A clock that passes for a reactor at work."""
+
+    running = True
+
+    def now(self):
+        return int(self.seconds() * SECOND)
+
+
+@pytest.fixture
+def clock():
+    return Running()
+
+
+@pytest.fixture
+def watch(clock):
+    """A watch that has been answered with a head, from version 41; silence after 4.5 s."""
+    told = []
+    catalog = Catalog(clock, Deadlines(clock, clock), None, NAMES, 45_000, 9 * SECOND,
+                      lambda entries, whole: told.append((entries[0].host, entries[0].listing.value)))
+    catalog.known(page(41))
+    catalog.heard()
+    (watch := catalog.buildProtocol(None)).makeConnection(Wire())
+    watch.dataReceived(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    watch.told, told[:] = told, []
+    return watch
+
+
+def say(watch, raw):
+    watch.dataReceived(b"%x\r\n%s\r\n" % (len(raw), raw))
+
+
+@pytest.mark.parametrize("form", [{"indent": 2}, {"indent": 1, "separators": (",", ":")}, {}])
+@pytest.mark.parametrize("end, size", [("\n", 7), ("\r\n", 60_000), ("\n\n", 1)])
+def test_a_list_may_come_indented_and_in_any_pieces(watch, form, end, size):
+    raw = "".join(json.dumps(page(number, name=f"s-{number}"), **form).replace("\n", end.strip(" ")) + end
+                  for number in (42, 43)).encode()
+    for at in range(0, len(raw), size):
+        say(watch, raw[at:at + size])
+    assert watch.told == [(b"s-42", "ready"), (b"s-43", "ready")] and watch.ending is None
+    assert watch.catalog.index == 43
+
+
+@pytest.mark.parametrize("piece", [b" ", b'{"index": 42,\n', b'{"index": 42,\n\n', b"\n"])
+def test_a_watch_that_trickles_and_tells_nothing_is_silent(watch, clock, piece):
+    say(watch, piece)
+    for _ in range(10):  # for five seconds
+        clock.advance(0.5)
+        say(watch, piece[-1:])
+    assert watch.ending is (None if piece == b"\n" else Ending.SILENT)
+
+
+@pytest.mark.parametrize("raw", [b'{"index": 42,}\n', b"[]\n", b"}\n", b"x\n", b'{"index": 42}\n',
+                                 b"[" * 99_999 + b"\n"])
+def test_a_list_that_can_t_be_read_ends_the_watch(watch, raw):
+    say(watch, raw)
+    assert watch.ending is Ending.GARBLED and watch.told == []
+
+
+def test_changes_older_than_the_list_held_have_the_whole_list_asked_for(watch):
+    say(watch, json.dumps(page(40, status="left")).encode() + b"\n")
+    assert watch.ending is Ending.GARBLED and watch.told == [] and watch.catalog.index is None
+
+
+def test_a_whole_list_of_a_lower_version_is_taken(watch):
+    """The agent has begun to count anew."""
+    say(watch, json.dumps(page(3, True)).encode() + b"\n")
+    assert watch.told == [(b"s-1", "ready")] and watch.catalog.index == 3 and watch.ending is None
+
+
+# Notices.
+
+def test_a_second_answer_does_not_pass_for_the_next_notice_s(clock):
+    heard = []
+    desk = Desk(clock, Deadlines(clock, clock), None, SECOND, SECOND, heard.append)
+    reporting = desk.buildProtocol(None)
+    desk.notice(b"a", {"result": "dead"})
+    reporting.makeConnection(Wire())
+    desk.notice(b"b", {"result": "dead"})  # while the request of the first is out
+    reporting.dataReceived(b"HTTP/1.1 204 No Content\r\n\r\n" * 2)
+    assert heard == [b"a"] and list(desk.owed) == [b"b"] and reporting.ending is Ending.CLOSED_BY_PEER
