A full disk takes on no text and sends no call; connections with a request unread stay open

Now ledger.py writes all or nothing (what was written in part is cut off again); what can't be written waits and goes first with the next record; meanwhile taken() and going() say no: the client gets -BUSY, a call is held back as not sent. A new file that can't be written leaves the old one; an upgrade's take-over then stays in the seat and tries again.

The new process now looks for 0.2 s. Kill at each line of take_over and _take_seat: old and new file hold the same texts between compact and remove, so nothing is lost or comes back; read, and the full-disk test forces the undone half.

SIGHUP with another stop_ms during a stop no longer moves the earliest end.

Tests: tests/test_crossings.py; a full disk over sockets by RLIMIT_FSIZE, a stand-in for os.write that takes 0 to 150 bytes in pieces of 7.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -40,6 +40,8 @@
     "ledger-cut": Event("driver", WARNING, "the end of an earlier process tore a record, and the tail was "
                                            "cut", {
         "bytes": "that were cut"}),
+    "ledger-behind": Event("ledger", ERROR, "the disk takes no more: no text is taken on and no call goes "
+                                            "out until it does", {"why": WHY, "bytes": "still to write"}),
     "known-list-not-read": Event("driver", WARNING, "the known list of the configuration is passed over", {
         "why": WHY}),
     "product-unknown": Event("driver", WARNING, "an owed text's product is not in the configuration any "
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -14,7 +14,7 @@
 from limelatch.interface import MS, SECOND
 from limelatch.logs import HeldDown, logger, say
 from limelatch.relay.ending import Ending
-from limelatch.relay.lines import RingLines
+from limelatch.relay.lines import RingLines, waits
 from limelatch.relay.slots import Slots
 
 log = logger("clients")
@@ -107,7 +107,7 @@
     def _look(self) -> None:
         """Guards against connections that say nothing, or half a command, and hold a descriptor for good."""
         now, due = self.hall.driver.clock.now(), self.due()
-        if now >= due and not self.waiting:
+        if now >= due and not self.waiting and not (self.between_requests() and waits(self.transport)):
             self.end(Ending.SILENT)
         else:
             self.deadline = self.hall.driver.deadlines.at(
@@ -121,6 +121,12 @@
     def between_requests(self) -> bool:
         return not self.waiting and not self.missing and not self.inbound
 
+    def at_rest(self) -> bool:
+        """Between requests, and none has arrived that is not read yet.
+
+        Guards against closing under a request: the peer is reset, and may lose its last answer with it."""
+        return self.ending is None and self.between_requests() and not waits(self.transport)
+
     def dataReceived(self, data: bytes) -> None:
         self.heard_at = self.hall.driver.clock.now()
         if self.between_requests():
@@ -209,7 +215,7 @@
         self.waiting = False
         self.reply(line)
         self.pump()
-        if (self.hall.stopping or self.hall.closing) and self.between_requests():
+        if (self.hall.stopping or self.hall.closing) and self.at_rest():
             self.end(Ending.STOPPING)
         elif self.all_said:
             self.readConnectionLost()
@@ -296,7 +302,7 @@
         resting = [each for each in self.connections
                    if each is not newest and not each.waiting and each.ending is None]
         if resting:
-            silent = min(resting, key=lambda client: client.heard_at)
+            silent = min(resting, key=lambda client: (waits(client.transport), client.heard_at))
             silent.end(Ending.CROWDED)
             self.connections.release(silent.number)
             silent.number = None
@@ -318,9 +324,13 @@
             self.port.stopListening()
         self._close_resting()
 
+    def comes(self) -> bool:
+        """Whether a request has arrived that is not answered, or not even read."""
+        return any(each.waiting or waits(each.transport) for each in self.connections if each.ending is None)
+
     def _close_resting(self) -> None:
         for client in self.connections:
-            if client.between_requests():
+            if client.at_rest():
                 client.end(Ending.STOPPING)
 
     def pause(self) -> None:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -26,6 +26,7 @@
 log, policy_log = logger("driver"), logger("policy")
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.MOOT)
 HAND_OVER_LOOK = li.SECOND // 10  # between two looks whether the process before has ended
+LAST_LOOK = 20 * li.MS  # between two looks whether clients still ask, before an early end
 
 
 @dataclass(slots=True)
@@ -59,7 +60,7 @@
         self.out = HostsOut(plan.state)  # by hand, through the door
         self.kinds: dict[li.HostId, int] = {}
         self.destinations: set[int] = set()  # that the catalog has told since the start
-        self._turn_due, self.ready, self._stop_at = False, False, None
+        self._turn_due, self.ready, self._stop_at, self._stop_least_at = False, False, None, 0
         self.failed, self._ended = False, False
         self.yard = Yard(reactor, self.deadlines, clock, self, plan.host_connections, plan.connect_wait,
                          plan.probe_wait)
@@ -168,7 +169,7 @@
         if self._stop_at is not None:
             return
         now = self.clock.now()
-        self._stop_at = now + self.plan.stop_wait
+        self._stop_at, self._stop_least_at = now + self.plan.stop_wait, now + self.plan.stop_least
         handed_over = self.ready and self.ledger.successor()
         self.policy.stopping(self._stop_at)
         self.hall.stop(handed_over)
@@ -181,9 +182,11 @@
 
     def _exit_if_idle(self) -> None:
         """End early, once clients have stopped coming, when nothing is owed and no call is out."""
-        least_over = self.clock.now() >= self._stop_at - self.plan.stop_wait + self.plan.stop_least
-        if least_over and not self.owed and not self.yard.calls_out:
-            self._exit()
+        if self.clock.now() >= self._stop_least_at and not self.owed and not self.yard.calls_out:
+            if self.hall.comes():  # it gets its answer first: at the latest when the stop's time is over
+                self.deadlines.after(LAST_LOOK, self._exit_if_idle)
+            else:
+                self._exit()
 
     def _exit(self) -> None:
         if not self._ended:
@@ -287,11 +290,12 @@
     def may_go(self, now: int, text: bytes, host: li.HostId) -> bool:
         return self.policy.may_go(now, text, host)
 
-    def going(self, call: Call) -> None:
-        for each in call.parcels:
-            if owed := self.owed.get(each.text):
-                owed.submit_out = True
-                self.ledger.going(each.text, call.sent, self.zones.get(call.host, -1))
+    def going(self, call: Call, parcel: Parcel) -> bool:
+        """A submit is about to be written; not where the ledger can't tell of it."""
+        if (owed := self.owed.get(parcel.text)) is None:
+            return False
+        owed.submit_out = self.ledger.going(parcel.text, call.sent, self.zones.get(call.host, -1))
+        return owed.submit_out
 
     def ended(self, call: Call, parcel: Parcel, outcome: Outcome) -> None:
         """A submit's outcome."""
@@ -338,7 +342,8 @@
             return  # what an earlier process took on waits for the list too
         if self.ledger.beside:
             self._keys_before()
-        actions = self.policy.decide(self.clock.now())
+        now = self.clock.now()
+        actions = self.policy.decide(now)
         arrived, self.arrived = self.arrived, {}  # an answer may bring a client's next text, for a later turn
         for action in actions:
             if isinstance(action, (li.Nack, li.Undeliverable)) and action.text in arrived:
@@ -348,6 +353,9 @@
         calls: dict[li.HostId, list[Parcel]] = {}
         for action in actions:
             match action:
+                case li.Submit(text, host) if text not in self.owed:  # it could not be taken on
+                    self.policy.submit_ended(now, li.SubmitReport(text, host, li.Result.MOOT, 0, over=True))
+                    self.soon()
                 case li.Submit(text, host, time_out):
                     self._pack(calls, host, text, time_out, action.keep)
                 case li.Nack(text, advice) if text in self.owed:
@@ -381,12 +389,16 @@
 
     def _take_on(self, text: bytes, owed: Owed) -> None:
         """First the ledger, then the client's answer, and only then a call."""
-        row = owed.text
-        self.ledger.taken(text, owed.body, key=row.key.decode(), mark=owed.mark.decode(),
-                          dest=row.destination, product=owed.product, customer=row.customer,
-                          until=row.valid_until)
-        client, owed.client = owed.client, None
-        client.answer("+OK")
+        row, client = owed.text, owed.client
+        owed.client = None
+        if self.ledger.taken(text, owed.body, key=row.key.decode(), mark=owed.mark.decode(),
+                             dest=row.destination, product=owed.product, customer=row.customer,
+                             until=row.valid_until):
+            client.answer("+OK")
+        else:  # a disk that takes no more
+            self.policy.text_over(self.clock.now(), text)
+            self._release(owed)
+            client.answer("-BUSY")
 
     def _pack(self, calls: dict, host: li.HostId, text: bytes, time_out: int, keep: int) -> None:
         """Texts to one host in one turn share a call as far as its kind allows."""
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -5,7 +5,6 @@
 import base64
 import json
 import re
-import socket
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -24,6 +23,7 @@
     Ending,
 )
 from limelatch.relay.http import Answer, HttpCaller, request_head
+from limelatch.relay.lines import waits
 from limelatch.relay.slots import Slots
 
 log = logger("hosts")
@@ -135,11 +135,7 @@
         Guards against a second answer, or noise, that would pass for the answer to the next call."""
         if self.ending is not None or not self.connected or self.inbound or not self.outflow.empty:
             return False
-        try:
-            self.transport.socket.recv(1, socket.MSG_PEEK)
-        except OSError as error:
-            return isinstance(error, BlockingIOError)
-        return False  # bytes, or the peer's end
+        return not waits(self.transport)
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -241,7 +237,8 @@
         if call is None:  # it was given up as it came up
             connection.give_up(Ending.IDLE)
             return
-        held = [each for each in call.parcels if not self.driver.may_go(now, each.text, call.host)]
+        held = [each for each in call.parcels if not (self.driver.may_go(now, each.text, call.host)
+                                                      and self.driver.going(call, each))]
         if held:
             call.parcels = [each for each in call.parcels if each not in held]
             for each in held:
@@ -251,7 +248,6 @@
                 self._rest(connection, held[0].keep)
                 return
         call.batched = len(call.parcels) > 1
-        self.driver.going(call)
         connection.ask(*write_call(call, str(self.addresses.get(call.host, "")), now))
 
     def answered(self, connection: Connection, answer: Answer, body: bytes) -> None:
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -12,13 +12,18 @@
 import errno
 import fcntl
 import os
+import time
 
+from limelatch.logs import logger, say
 from limelatch.relay.records import LATER, BadRecord, Book, Entry, Kind, kept, record, split
 
+log = logger("ledger")
+
 FILE, NEW_FILE, SEAT = "ledger", "ledger.new", "next"
 BLOCK = 512  # files count in whole blocks
 LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest: growth, the new file
 MEMORY_SHARE = 0.1  # of the memory, for the same records, which are kept there too
+SEAT_LOOKS, SEAT_PAUSE = 20, 0.01  # seconds: the old process takes the seat's lock for a look at times
 NO_LOCKS = (errno.ENOLCK, errno.EOPNOTSUPP, errno.ENOSYS)  # a file system without locks
 
 
@@ -47,20 +52,41 @@
     return held
 
 
+def append(file: int, raw: bytes) -> None:
+    """Write all of it: a disk that is nearly full may take a part."""
+    while raw:
+        raw = raw[os.write(file, raw):]
+
+
+def lock_seat(seat: str) -> int:
+    """Hold the seat; FolderInUse where a third process does.
+
+    Guards against a new process that is refused because the old one looks just then whether it waits."""
+    for _ in range(SEAT_LOOKS):
+        try:
+            return lock(seat)
+        except FolderInUse:
+            time.sleep(SEAT_PAUSE)
+    return lock(seat)
+
+
 class Ledger:
-    """The ledger of one relay: `entries` are the texts that it owes their end."""
+    """The ledger of one relay: `entries` are the texts that it owes their end.
+
+    What can't be written, as on a full disk, waits in `behind` for the next record; until it is written no
+    text is taken on and no submit goes out, since a restart would know nothing of them."""
 
     def __init__(self, folder: str, disk_bytes: int, memory_bytes: int) -> None:
         self.folder, self.seat, self._before = folder, folder, None
         self.disk = disk_bytes // BLOCK * BLOCK - 2 * BLOCK
         self.live_most = min(self.disk * LIVE_SHARE, memory_bytes * MEMORY_SHARE)
-        self.book, self.size, self.cut = Book(), 0, 0
+        self.book, self.size, self.cut, self.behind = Book(), 0, 0, b""
         try:
             self._lock = lock(folder)
         except FolderInUse:  # an upgrade: the process before still holds it; a third one is refused
             self.seat = os.path.join(folder, SEAT)
             os.makedirs(self.seat, exist_ok=True)
-            self._lock = lock(self.seat)
+            self._lock = lock_seat(self.seat)
         self._open()
         self._replay()
         if self.seat == folder:
@@ -114,12 +140,15 @@
             held = lock(self.folder)
         except FolderInUse:
             return None
-        seat, seat_lock = self.seat, self._lock
-        self._lock, self.seat, self._before = held, self.folder, None
-        os.close(self._file)
-        self._open()
+        seat, seat_lock, paths = self.seat, self._lock, (self.path, self._new)
+        self.path, self._new = os.path.join(self.folder, FILE), os.path.join(self.folder, NEW_FILE)
         adopted = self._absorb(self.path)
-        self.compact()
+        if not self.compact():  # it stays in the seat, whole, and tries again at the next look
+            self._leave(adopted)
+            self.path, self._new = paths
+            os.close(held)
+            return None
+        self._lock, self.seat, self._before = held, self.folder, None
         os.remove(os.path.join(seat, FILE))
         os.close(seat_lock)
         return adopted
@@ -133,9 +162,11 @@
             held = lock(seat)
         except FolderInUse:  # it still lives: it takes this folder over itself
             return
-        if self._absorb(path, first=False):
-            self.compact()
-        os.remove(path)
+        adopted = self._absorb(path, first=False)
+        if adopted and not self.compact():
+            self._leave(adopted)
+        else:
+            os.remove(path)
         os.close(held)
 
     def _absorb(self, path: str, first: bool = True) -> list[Entry]:
@@ -154,6 +185,12 @@
         self.book.live += sum(len(entry.taken) + LATER for entry in adopted)
         return adopted
 
+    def _leave(self, adopted: list[Entry]) -> None:
+        """What was taken in stays with the other file, since it can't be written to this one."""
+        for entry in adopted:
+            self.book.live -= len(entry.taken) + LATER
+            del self.entries[entry.id]
+
     @property
     def entries(self) -> dict[bytes, Entry]:
         return self.book.entries
@@ -183,12 +220,13 @@
         """Whether one more text fits, with all that will be written of it and of the others."""
         return self.book.live + body + 2 * LATER <= self.live_most
 
-    def taken(self, text: bytes, body: bytes, **pairs: object) -> None:
-        self._write(Kind.TAKEN, text, pairs, body)
+    def taken(self, text: bytes, body: bytes, **pairs: object) -> bool:
+        """Whether the text is in the ledger; else it is not taken on."""
+        return self._flush() and self._write(Kind.TAKEN, text, pairs, body, must=True)
 
-    def going(self, text: bytes, at: int, zone: int) -> None:
-        """A submit is about to go out; written before the call's last byte."""
-        self._write(Kind.GOING, text, {"at": at, "zone": zone})
+    def going(self, text: bytes, at: int, zone: int) -> bool:
+        """A submit is about to go: written before the call's last byte; where it can't be, none may go."""
+        return self._flush() and self._write(Kind.GOING, text, {"at": at, "zone": zone}, must=True)
 
     def ended(self, text: bytes, ran: bool) -> None:
         """The submit has ended; `ran` unless it is proved never to have run."""
@@ -201,19 +239,47 @@
         if text in self.entries:
             self._write(Kind.OVER, text, {})
 
-    def _write(self, kind: Kind, text: bytes, pairs: dict, body: bytes = b"") -> None:
+    def _write(self, kind: Kind, text: bytes, pairs: dict, body: bytes = b"", must: bool = False) -> bool:
+        """Add a record; False where it could not be written: it waits, or, if it `must`, it is dropped."""
         one = record(kind, text, pairs, body)
         if self.size + len(one) + self.book.live > self.disk - BLOCK:
             self.compact()
-        os.write(self._file, one)
-        self.size += len(one)
+        self.behind += one
+        written = self._flush()
+        if not written and must:
+            self.behind = b""  # nothing else was behind
+            return False
         self.book.apply(one)
+        return written
+
+    def _flush(self) -> bool:
+        """Write what is behind; of a record written in part nothing stays."""
+        if not self.behind:
+            return True
+        try:
+            append(self._file, self.behind)
+        except OSError as error:
+            say(log, "ledger-behind", why=error, bytes=len(self.behind))
+            os.ftruncate(self._file, self.size)
+            return False
+        self.size, self.behind = self.size + len(self.behind), b""
+        return True
 
-    def compact(self) -> None:
-        """Write what still matters to a new file, in the order of the texts; put it in place."""
-        records = b"".join(kept(entry) for entry in self.entries.values())
-        new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-        os.write(new, records)
-        os.replace(self._new, self.path)
+    def compact(self) -> bool:
+        """Write what still matters to a new file, in the order of the texts; put it in place.
+
+        Where it can't be written the old file stays."""
+        records, new = b"".join(kept(entry) for entry in self.entries.values()), None
+        try:
+            new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+            append(new, records)
+            os.replace(self._new, self.path)
+        except OSError as error:
+            say(log, "ledger-behind", why=error, bytes=len(self.behind))
+            if new is not None:
+                os.close(new)
+                os.remove(self._new)
+            return False
         os.close(self._file)
-        self._file, self.size = new, len(records)
+        self._file, self.size, self.behind = new, len(records), b""  # what was behind is in it
+        return True
--- a/limelatch/relay/lines.py
+++ b/limelatch/relay/lines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from collections.abc import Callable
 
@@ -15,6 +16,17 @@
 READ_SIZE = 16 * 1024  # taken from the socket at once
 
 
+def waits(transport) -> bool:
+    """Whether the peer's bytes, or its end, have arrived and are not read yet."""
+    try:
+        transport.socket.recv(1, socket.MSG_PEEK)
+    except OSError as error:
+        return not isinstance(error, BlockingIOError)
+    except AttributeError:  # no socket, or none any more
+        return False
+    return True
+
+
 @implementer(interfaces.IPushProducer)
 class Outflow:
     """Moves bytes from the outbound ring to the transport, which holds it back while it is choked."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,19 +1,26 @@
 """Faults at narrow moments: what comes between two lines of the relay; one side is held still."""
 
+import errno
 import json
+import os
+import resource
+import threading
 import time
 
 import pytest
 from conftest import WAIT, S
-from test_parts import NAMES, Wire
+from test_parts import GOOD, NAMES, Wire
 from twisted.internet.task import Clock as Reactor
 
+from limelatch.configuration import plan_of
+from limelatch.configuration.platform import read_platform
 from limelatch.interface import SECOND, Result
 from limelatch.relay.catalog import Catalog
+from limelatch.relay.clients import Hall
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.ending import Ending
 from limelatch.relay.inspection import look
-from limelatch.relay.ledger import Ledger
+from limelatch.relay.ledger import SEAT, Ledger, lock
 from limelatch.relay.platform import Desk
 
 
@@ -168,3 +175,108 @@
     desk.notice(b"b", {"result": "dead"})  # while the request of the first is out
     reporting.dataReceived(b"HTTP/1.1 204 No Content\r\n\r\n" * 2)
     assert heard == [b"a"] and list(desk.owed) == [b"b"] and reporting.ending is Ending.CLOSED_BY_PEER
+
+
+# Clients.
+
+class Doorstep:
+    """What a hall needs of its driver."""
+
+    def __init__(self, clock):
+        self.clock, self.deadlines = clock, Deadlines(clock, clock)
+        self.plan = plan_of(read_platform(GOOD)[0])
+
+
+@pytest.mark.parametrize("arrived", [b"", b"*5\r\n"])
+def test_a_connection_with_a_request_not_read_yet_is_not_closed(clock, arrived):
+    """To close it would reset it; what it asked for, and its last answer, would be lost."""
+    hall = Hall(Doorstep(clock), 2, 10_000)
+    (client := hall.buildProtocol(None)).makeConnection(Wire())
+    client.dataReceived(b"PING\r\n")
+    client.transport.peer.send(arrived)
+    hall.stop()
+    assert (client.ending is None) == bool(arrived) == hall.comes()
+
+
+# The ledger.
+
+class Disk:
+    """Stands before `os.write`: takes so many bytes more, then none."""
+
+    def __init__(self, room):
+        self.room, self.write = room, os.write
+
+    def __call__(self, file, raw):
+        if not self.room:
+            raise OSError(errno.ENOSPC, "full")
+        raw = raw[:min(self.room, 7)]
+        self.room -= len(raw)
+        return self.write(file, raw)
+
+
+@pytest.mark.parametrize("room", [0, 1, 9, 60, 150])
+def test_what_a_full_disk_does_not_take_is_written_later_and_nothing_in_part(tmp_path, monkeypatch, room):
+    ledger = ledger_in(tmp_path)
+    take(ledger, b"a")
+    take(ledger, b"b")
+    assert ledger.going(b"a", 5, 1)
+    monkeypatch.setattr(os, "write", disk := Disk(room))
+    ledger.ended(b"a", ran=True)
+    ledger.over(b"a")
+    taken = ledger.taken(b"c", b"x" * 200, key="", mark="", dest=1, product="notice", customer=0, until=9)
+    assert not taken and not ledger.going(b"b", 6, 1) and list(ledger.entries) == [b"b"]
+    disk.room = 10_000
+    assert ledger.going(b"b", 7, 1)
+    ledger.close()
+    after = ledger_in(tmp_path)
+    assert list(after.entries) == [b"b"] and after.entries[b"b"].ran_at == 7 and not after.cut
+
+
+def test_a_new_file_that_the_disk_does_not_take_leaves_the_old_one(tmp_path, monkeypatch):
+    ledger = ledger_in(tmp_path)
+    take(ledger, b"a")
+    monkeypatch.setattr(os, "write", disk := Disk(20))
+    assert not ledger.compact() and os.listdir(tmp_path) == ["ledger"]
+    disk.room = 10_000
+    assert ledger.going(b"a", 5, 1)
+    ledger.close()
+    assert ledger_in(tmp_path).entries[b"a"].out
+
+
+def test_a_full_disk_leaves_both_ledgers_of_an_upgrade_as_they_are(tmp_path, monkeypatch):
+    old = ledger_in(tmp_path)
+    take(old, b"a")
+    new = ledger_in(tmp_path)
+    take(new, b"b")
+    old.close()
+    monkeypatch.setattr(os, "write", disk := Disk(20))
+    assert new.take_over() is None and list(new.entries) == [b"b"] and new.beside
+    disk.room = 10_000
+    assert new.going(b"b", 5, 1) and [each.id for each in new.take_over()] == [b"a"]
+    new.close()
+    after = ledger_in(tmp_path)
+    assert list(after.entries) == [b"a", b"b"] and after.entries[b"b"].out
+
+
+def test_a_relay_whose_disk_is_full_turns_texts_away_and_goes_on(program, agent, party):
+    host = party()
+    agent.list(host.address)
+    client = program.start()
+    assert client.submit("t1") == "+OK" and host.next()
+    until(lambda: not look(str(program.state)).entries)
+    pid, full = program.process.pid, os.path.getsize(program.state / "ledger") + 20
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (full, resource.RLIM_INFINITY))  # a part of a record goes in
+    assert client.submit("t2") == "-BUSY" and client.submit("t3", "charge", key="k1") == "-BUSY"
+    assert client.ask("PING") == "+PONG"
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, (resource.RLIM_INFINITY,) * 2)
+    assert client.submit("t4", "charge", key="k1") == "+OK" and host.next().headers["X-Txn"] == "t4"
+    assert host.asked.empty() and agent.notices.empty()
+
+
+def test_a_successor_is_not_refused_while_the_old_process_looks_for_it(tmp_path):
+    old = ledger_in(tmp_path)
+    ledger_in(tmp_path).close()  # makes the seat
+    look_at_seat = lock(str(tmp_path / SEAT))  # as Ledger.successor does
+    threading.Timer(0.05, os.close, [look_at_seat]).start()
+    assert ledger_in(tmp_path).beside and not old.beside
+
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -368,8 +368,8 @@
     def may_go(self, now, text, host):
         return self.goes
 
-    def going(self, call):
-        pass
+    def going(self, call, parcel):
+        return True
 
     def ended(self, call, parcel, outcome):
         self.ends.append((parcel.text, outcome.result))
