--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -439,14 +439,14 @@
             self._advance(now, host)
         dest.look_at = min((self._opens_at(now, host) for host in dest.hosts), default=NEVER)
         if dest.look_at > now:
-            late = [h for h in dest.waiting.values() if h.until - LAST_MOMENT <= dest.look_at < NEVER]
-            found = [h.until - now for h in late if h.found and not h.submits and h.until - now > SECOND]
+            found = sorted(h.until - LAST_MOMENT - now for h in dest.waiting.values()
+                           if h.found and not h.submits and h.until > now + SECOND)
             for host in dest.hosts if found else ():
-                route, calls = host.route, 2 + len(found) // self.terms.kinds[host.kind].texts_per_call
-                needed = (calls - route.credit) * SECOND / (min(found) - LAST_MOMENT)
+                route, batch = host.route, self.terms.kinds[host.kind].texts_per_call
+                needed = SECOND * max((at // batch + 2 - route.credit) / left for at, left in enumerate(found))
                 route.pace = route.pace and max(route.pace, min(needed, route.limit or needed))
                 dest.look_at = min(dest.look_at, self._opens_at(now, host))
-            for held in [h for h in late if h.until - LAST_MOMENT <= dest.look_at]:
+            for held in [h for h in dest.waiting.values() if h.until - LAST_MOMENT <= dest.look_at < NEVER]:
                 self._end(now, held)
             return []
         if not (due := [held for held in dest.waiting.values() if held.due <= now]):
