--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -443,8 +443,8 @@
                            if h.found and not h.submits and h.until > now + SECOND)
             for host in dest.hosts if found else ():
                 route, batch = host.route, self.terms.kinds[host.kind].texts_per_call
-                needed = SECOND * max((at // batch + 2 - route.credit) / left for at, left in enumerate(found))
-                route.pace = route.pace and max(route.pace, min(needed, route.limit or needed))
+                calls = [(at // batch + 2 - route.credit) / left for at, left in enumerate(found)]
+                route.pace = route.pace and max(route.pace, min(SECOND * max(calls), route.limit or NEVER))
                 dest.look_at = min(dest.look_at, self._opens_at(now, host))
             for held in [h for h in dest.waiting.values() if h.until - LAST_MOMENT <= dest.look_at < NEVER]:
                 self._end(now, held)
