A SIGHUP before the reactor runs is kept for it; the ledger names customers

Not covered: the interpreter's own start and imports.

Products were names already; reordered and dropped products, over a kill, are in the test.

--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -34,6 +34,8 @@
 
     `tied`: the end of standard input is a SIGTERM too, so that a relay does not outlive whoever started
     it."""
+    early: list[int] = []  # guards against a SIGHUP before the reactor runs, which would end the process
+    signal.signal(signal.SIGHUP, lambda number, frame: early.append(number))
     try:
         plan = relay_plan(os.environ, path, form)
         logs.take_twisteds()
@@ -65,6 +67,8 @@
             StandardIO(Tie(driver.stop))
         try:
             driver.start()
+            if early:
+                configure()
         except Exception as error:  # a relay that can't start says why and ends
             faults.append(error)
             logs.say(log, "not-started", trace=True)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -118,11 +118,11 @@
 
     def _resume(self, now: int, entry: Entry, earlier: bool = False) -> None:
         """A text that an earlier process took on: an end it still owes, or the module decides anew."""
-        pairs, names = entry.pairs, self.plan.names
+        pairs, names, said = entry.pairs, self.plan.names, entry.pairs["customer"]
         known = pairs["product"] in names.products
         product = names.products.index(pairs["product"]) if known else 0
-        text = li.Text(entry.id, pairs["dest"], product, pairs["until"], pairs["customer"],
-                       pairs["key"].encode())
+        customer = names.customers.index(said) if said in names.customers else 0
+        text = li.Text(entry.id, pairs["dest"], product, pairs["until"], customer, pairs["key"].encode())
         row = self.plan.terms.products[product]
         owed = self._own(Owed(text, pairs["mark"].encode(), entry.body, row, pairs["product"]))
         answered = entry.notice is not None or not known
@@ -389,11 +389,11 @@
 
     def _take_on(self, text: bytes, owed: Owed) -> None:
         """First the ledger, then the client's answer, and only then a call."""
-        row, client = owed.text, owed.client
+        row, client, names = owed.text, owed.client, self.plan.names.customers
         owed.client = None
         if self.ledger.taken(text, owed.body, key=row.key.decode(), mark=owed.mark.decode(),
-                             dest=row.destination, product=owed.product, customer=row.customer,
-                             until=row.valid_until):
+                             dest=row.destination, product=owed.product, until=row.valid_until,
+                             customer=names[row.customer] if names else ""):  # a number does not outlast them
             client.answer("+OK")
         else:  # a disk that takes no more
             self.policy.text_over(self.clock.now(), text)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,12 +4,13 @@
 import json
 import os
 import resource
+import signal
 import threading
 import time
 from dataclasses import replace
 
 import pytest
-from conftest import HOST, NOW, REPORT, TWIN, WAIT, Bench, S
+from conftest import HOST, NOW, REPORT, SETTINGS, TWIN, WAIT, Bench, S
 from test_parts import GOOD, NAMES, Wire
 from twisted.internet.task import Clock as Reactor
 
@@ -17,6 +18,7 @@
 from limelatch.configuration.platform import read_platform
 from limelatch.interface import SECOND, Nack, Past, Result, Text
 from limelatch.policy import Policy
+from limelatch.relay import __main__ as entry
 from limelatch.relay.catalog import Catalog
 from limelatch.relay.clients import Hall
 from limelatch.relay.deadlines import Deadlines
@@ -327,3 +329,95 @@
     assert len(bench.sent()) == 2  # what is saved up
     text = bench.take(REPORT, valid=S // 2)
     assert [end.text for end in bench.decide(Nack)] == [text]
+
+
+# Signals and settings.
+
+@pytest.fixture
+def hangup():
+    """Whether a SIGHUP met the handler from before, which for a program is its end."""
+    met, before = [], signal.getsignal(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, lambda number, frame: met.append(number))
+    yield met
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.default_int_handler if number == signal.SIGINT else signal.SIG_DFL)
+    signal.signal(signal.SIGHUP, before)
+
+
+def test_a_sighup_before_the_relay_runs_is_kept_for_it(monkeypatch, hangup):
+    class Stage:
+        """Stands for the driver and the reactor; the signal comes while the folder is read."""
+
+        failed, done = False, []
+
+        def __init__(self, *given):
+            if given:
+                os.kill(os.getpid(), signal.SIGHUP)
+                self.done.append("read")
+
+        def start(self):
+            self.done.append("started")
+
+        def configured(self, plan):
+            self.done.append(plan)
+
+        def callWhenRunning(self, call):
+            self.call = call
+
+        def run(self, installSignalHandlers):
+            self.call()
+
+    monkeypatch.setattr(entry, "Driver", Stage)
+    monkeypatch.setattr(entry, "reactor", Stage())
+    monkeypatch.setattr(entry, "relay_plan", lambda *given: plan_of(read_platform(GOOD)[0]))
+    monkeypatch.setattr(entry, "retuned_plan", lambda *given: "the file as it is now")
+    monkeypatch.setattr(entry.logs, "start", lambda plan: None)
+    monkeypatch.setattr(entry.logs, "take_twisteds", lambda: None)
+    assert entry.main() == entry.DONE and hangup == []
+    assert Stage.done == ["read", "started", "the file as it is now"]
+
+
+@pytest.mark.parametrize("broken", ["", "{", '{"listen": ', "away"])
+def test_a_broken_file_at_sighup_twice_and_in_a_stop_leaves_the_relay_at_work(program, agent, party, broken):
+    host = party(lambda request: None)
+    agent.list(host.address)
+    client, whole = program.start(), program.file.read_text()
+    assert client.submit("t1", "charge", key="k1") == "+OK"
+    call = host.next()
+    if broken == "away":
+        os.remove(program.file)
+    else:
+        program.file.write_text(broken)
+    for _ in range(2):
+        program.process.send_signal(signal.SIGHUP)
+        program.says("event=not-configured")
+    program.terminate()
+    program.says("event=stopping")
+    program.process.send_signal(signal.SIGHUP)
+    program.says("event=not-configured")
+    program.file.write_text(whole)
+    program.process.send_signal(signal.SIGHUP)
+    program.says("event=configured")
+    program.terminate()  # once more
+    call.answer(200)
+    assert program.process.wait(WAIT) == 0 and agent.notices.empty()
+
+
+def test_texts_of_a_killed_relay_keep_their_product_and_customer_whatever_their_order(plan, agent, party):
+    customers = [{"name": "acme"}, {"name": "bell"}]
+    program = plan(settings=SETTINGS | {"projects": customers})
+    host = party(lambda request: request.hang())
+    agent.list(host.address, status="leaving")
+    client = program.start()
+    assert client.ask("SUBMIT", "k1", "t1", "c=charge,t=bell,d=9000,k=5c0f,dest=1", "x") == "+OK"
+    assert client.ask("SUBMIT", "k2", "t2", "c=report,t=acme,d=9000,k=5c0f,dest=1", "y") == "+OK"
+    program.kill()
+    entries = look(str(program.state)).entries
+    assert [(each.pairs["customer"], each.pairs["product"]) for each in entries.values()] == [
+        ("bell", "charge"), ("acme", "report")]
+    agent.list(host.address)
+    settings = SETTINGS | {"projects": customers[::-1], "classes": SETTINGS["classes"][:0:-1]}
+    program.file.write_text(json.dumps(json.loads(program.file.read_text()) | {"settings": settings}))
+    host.reply = lambda request: (200,)
+    program.start()
+    assert {host.next().headers["X-Txn"] for _ in range(2)} == {"t1", "t2"}
