A start waits a second for a clients' port that the process before, ending, still holds

A new process that gets the folder (so it is no successor beside it) found the port in use and ended with exit code 2, a failed start. The port is tried for a second ('event=port-taken', once), then the relay ends with 2 as before.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -35,6 +35,8 @@
         "owed": OWED, "calls": CALLS, "handed_over": "whether a new process serves beside it and takes the "
                                                       "clients"}),
     "stopped": Event("driver", INFO, "the relay ends", {"owed": OWED, "calls": CALLS}),
+    "port-taken": Event("driver", WARNING, "the clients' port is in use at the start; it is tried for 1 s", {
+        "listen": "the address", "why": WHY}),
     "not-serving": Event("driver", ERROR, "clients can't be taken; the relay ends", {
         "listen": "the address", "why": WHY}),
     "ledger-cut": Event("driver", WARNING, "the end of an earlier process tore a record, and the tail was "
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -26,6 +26,7 @@
 log, policy_log = logger("driver"), logger("policy")
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.MOOT)
 HAND_OVER_LOOK = li.SECOND // 10  # between two looks whether the process before has ended
+PORT_WAIT, PORT_LOOK = li.SECOND, li.SECOND // 20  # for a port that is in use at the start
 LAST_LOOK = 20 * li.MS  # between two looks whether clients still ask, before an early end
 
 
@@ -61,7 +62,7 @@
         self.kinds: dict[li.HostId, int] = {}
         self.destinations: set[int] = set()  # that the catalog has told since the start
         self._turn_due, self.ready, self._stop_at, self._stop_least_at = False, False, None, 0
-        self.failed, self._ended = False, False
+        self.failed, self._ended, self._port_until = False, False, None
         self.yard = Yard(reactor, self.deadlines, clock, self, plan.host_connections, plan.connect_wait,
                          plan.probe_wait)
         self.desk = Desk(reactor, self.deadlines, plan.discovery, plan.notice_wait, plan.reconnect_wait,
@@ -136,19 +137,30 @@
 
     def serve(self) -> None:
         """Open for clients; PING is answered from here on."""
-        if not self.ready and self._stop_at is None:
-            self.ready = True
+        if not self.ready and self._stop_at is None and not self.failed:
             listen = self.plan.listen
             try:
                 self.hall.listen(self.reactor, listen.host, listen.port, self.ledger.beside)
             except CannotListenError as error:
-                say(log, "not-serving", listen=listen, why=error.socketError)
-                self.failed = True
-                self.reactor.stop()
+                self._port_taken(error)
                 return
+            self.ready = True
             say(log, "serving", listen=listen, hosts=len(self.zones), fresh_list=self.catalog.fresh)
             self.soon()
 
+    def _port_taken(self, error: CannotListenError) -> None:
+        """Guards against a process before that has given back the folder and, ending, not yet the port."""
+        now, listen = self.clock.now(), self.plan.listen
+        if self._port_until is None:
+            self._port_until = now + PORT_WAIT
+            say(log, "port-taken", listen=listen, why=error.socketError)
+        if now < self._port_until:
+            self.deadlines.after(PORT_LOOK, self.serve)
+        else:
+            say(log, "not-serving", listen=listen, why=error.socketError)
+            self.failed = True
+            self.reactor.stop()
+
     def configured(self, plan: RelayPlan) -> None:
         """SIGHUP: take the keys that can change while texts are held; the others need a restart."""
         later = [each.path for each in changes(self.started_with, plan.told) if each.reload is Reload.RESTART]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -261,13 +261,16 @@
 
     def start(self):
         """Start it and wait until it says that it serves."""
+        self.launch()
+        self.says("event=serving")
+        return self.client()
+
+    def launch(self):
         self.process = subprocess.Popen(
             [sys.executable, "-m", "limelatch.relay"], stderr=subprocess.PIPE, text=True,
             env=os.environ | {"RELAY_CONFIG": str(self.file)}, cwd=Path(__file__).parent.parent)
         self.log = queue.Queue()
         threading.Thread(target=self._read, args=(self.process,), daemon=True).start()
-        self.says("event=serving")
-        return self.client()
 
     def client(self):
         return Client((self.address, self.port))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 import os
 import resource
 import signal
+import socket
 import threading
 import time
 from dataclasses import replace
@@ -403,6 +404,16 @@
     assert program.process.wait(WAIT) == 0 and agent.notices.empty()
 
 
+def test_a_start_waits_a_moment_for_the_port_of_a_process_that_ends(program, agent):
+    agent.list("127.0.0.1:1")
+    ending = socket.create_server((program.address, program.port))
+    program.launch()
+    program.says("event=port-taken")
+    ending.close()
+    program.says("event=serving")
+    assert program.client().ask("PING") == "+PONG"
+
+
 def test_texts_of_a_killed_relay_keep_their_product_and_customer_whatever_their_order(plan, agent, party):
     customers = [{"name": "acme"}, {"name": "bell"}]
     program = plan(settings=SETTINGS | {"projects": customers})
