Texts near their end share calls among themselves, in place of a call for each

Suspected, not measured by itself: had a text with under a host's patience left go alone. Where a limit is short and texts wait long, the nearest to their end lead, each took a whole call of up to five, and calls are what the limit counts.

Change: such texts share a call with their like; one with more time left is not mixed with them.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -466,10 +466,10 @@
             if not (ready := ready[1:]):
                 return []
         call, rest, soon = Call(host, now), [], now + host.patience()
-        alone = host.sick or host.overdue(now) or ready[0].until < soon
-        most = 1 if alone else self.terms.kinds[host.kind].texts_per_call  # it may be lost or given up whole
+        most = 1 if host.sick or host.overdue(now) else self.terms.kinds[host.kind].texts_per_call
+        ends = ready[0].until < soon  # such a call may be given up: it takes no text with more time left
         for held in ready:
-            if call.texts < most and (not call.texts or held.until >= soon) and self._gate(now, held, host):
+            if call.texts < most and (held.until < soon) == ends and self._gate(now, held, host):
                 held.call, call.texts = call, call.texts + 1
                 del dest.waiting[held.text.id]
                 self.changed.append(held)
