--- a/limelatch/command/lab.py
+++ b/limelatch/command/lab.py
@@ -11,6 +11,7 @@
 import click
 
 from limelatch.command import BAD_USE, WRONG, BadUse, Wrong
+from limelatch.command.scale import scale
 from limelatch.command.text import Span, address_of
 
 SCENARIO = click.argument("scenario", metavar="SCENARIO")
@@ -447,3 +448,6 @@
     from limelatch.lab.scenario.page import page as made
 
     click.echo(made(), nl=False)
+
+
+lab.add_command(scale)
