--- a/limelatch/lab/scale/results.py
+++ b/limelatch/lab/scale/results.py
@@ -13,8 +13,8 @@
 class Point(msgspec.Struct, frozen=True, omit_defaults=True):
     """One measured place: `values` are of single runs, `unit` is theirs; `x` is counted in `axis`.
 
-    `scenario` and `measure` name the series, as in "start" and "memory"; `note` says what a reader must know, such as
-    that the program refused to go on. A point without values says that nothing was to be had there, and why."""
+    `scenario` and `measure` name the series, as in "start" and "memory"; `note` says what a reader must know,
+    such as that the program refused to go on. A point without values: none were to be had, and why."""
 
     scenario: str
     measure: str
@@ -26,7 +26,7 @@
 
 
 class Results(msgspec.Struct, frozen=True):
-    """One command's measurements at one commit. `subject`: a program, or a version of it, such as "before"."""
+    """One command's measurements at one commit. `subject`: a program or a version of it, as in "before"."""
 
     subject: str
     command: str
