--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from limelatch import interface as li
 from limelatch.configuration.faults import ConfigurationError
@@ -118,7 +118,8 @@
         name=relay.name, listen=address_of(relay.listen),
         operator=address_of(relay.operator) if relay.operator else None,
         discovery=address_of(catalog.address),
-        state=relay.state, log=installation.log, terms=terms_of(installation, seed),
+        state=relay.state, log=installation.log,
+        terms=replace(terms_of(installation, seed), hosts_on_demand=True),
         names=names_of(installation), known=installation.known,
         disk_bytes=limits.disk, memory_bytes=limits.memory,
         client_connections=limits.sockets // 2, host_connections=limits.sockets // 4,
--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -74,7 +74,15 @@
         "why": "how it ended", "index": "of the list held"}),
     "list-not-read": Event("catalog", WARNING, "what the catalog told can't be read", {"why": WHY}),
     "kind-unknown": Event("catalog", WARNING, "a host was left out: its kind is not in the configuration", {
-        "host": HOST, "kind": "its kind"}),
+        "host": HOST, "kind": "its kind", "left_out": HELD_DOWN}),
+    "row-not-read": Event("catalog", WARNING, "a host was left out, or stays as it was: its row is beyond "
+                                              "the directory's bounds", {
+        "host": HOST, "why": WHY, "left_out": HELD_DOWN}),
+    "copy-not-read": Event("catalog", WARNING, "the folder's copy of the list is passed over", {"why": WHY}),
+    "copy-not-written": Event("catalog", WARNING, "the folder keeps no new copy of the list; it is tried "
+                                                  "again", {"why": WHY}),
+    "no-list": Event("driver", ERROR, "a text was turned back: no list of hosts could be read so far", {
+        "why": WHY, "left_out": HELD_DOWN}),
     "platform-lost": Event("platform", WARNING, "the connection for notices has ended; they go again", {
         "why": "how it ended", "owed": "notices not answered"}),
     "notices-not-taken": Event("platform", ERROR, "the platform answered notices with another status than "
--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -82,6 +82,7 @@
     zone_fees: list[float] = field(default_factory=list)
     rates_listed: bool = False
     list_asked: bool = False  # news of the hosts comes only to relays that ask for it
+    hosts_on_demand: bool = False  # the list is kept outside: a destination's hosts are told as it is met
     ask_within: int = 0  # who has not asked for so long is taken as told all the same
     cold_share: float = 1.0
     cold_time: int = 0
@@ -195,6 +196,14 @@
     host: HostId
 
 
+@dataclass(slots=True)
+class Forget:
+    """The module knows nothing of the destination and its hosts any more: it is to be told again when met."""
+
+    destination: int
+    hosts: list[HostId]
+
+
 @dataclass(slots=True)
 class Watch:
     """Ask for the list of hosts and what changes in it from now on."""
@@ -223,4 +232,4 @@
     return (None, None) if not left and rate == 0 else (left, rate)
 
 
-Action = Submit | Nack | Undeliverable | Probe | CloseIdle | Watch | Wake | LogLine
+Action = Submit | Nack | Undeliverable | Probe | CloseIdle | Forget | Watch | Wake | LogLine
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -19,9 +19,9 @@
 from collections import defaultdict, deque
 
 from limelatch.chance import Chance
-from limelatch.interface import (MS, SECOND, Action, CloseIdle, Effect, HostEntry, HostId, Listing, LogLine,
-                                 Nack, Past, Product, Result, Submit, SubmitReport, Terms, Text, TextId,
-                                 Undeliverable, Wake, Watch)
+from limelatch.interface import (MS, SECOND, Action, CloseIdle, Effect, Forget, HostEntry, HostId, Listing,
+                                 LogLine, Nack, Past, Product, Result, Submit, SubmitReport, Terms, Text,
+                                 TextId, Undeliverable, Wake, Watch)
 
 # The design's figures; tokens are counted in tenths.
 BUCKET, REFILL, TOKEN = 200, 1, 10
@@ -35,9 +35,9 @@
 STALE_STEP, STALE_FADE, STALE_SHARE, STALE_ONCE = 0.05, 0.02, 0.08, 0.02  # of kept connections reset
 LIMIT_USED_UP, TOLD_SHUT, REFUSED_OFTEN = 0.15, 3 * SECOND, 8  # share left; wait, cuts in a row of an outage
 PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
-PACE_FREE, PACE_LEARN = 4.0, 0.2  # of a pace that only refusals and deliveries tell
 PACE_STEP, FLOW_SPAN, SERVED_SPAN = 0.05, 5 * SECOND, 20 * SECOND  # growth by a delivery; spans of own rates
-PACE_ROOM, PACE_SAVED = 0.02, 2.0  # many relays: growth by a delivery at full room told; calls saved up
+REST, LESSON = SERVED_SPAN, 600 * SECOND  # own rates have faded; age of what only deliveries would undo
+PACE_FREE, PACE_LEARN, PACE_ROOM, PACE_SAVED = 4.0, 0.2, 0.02, 2.0  # no limit told; many relays: room
 ASK_PART, ASK_CAP = 4, 3  # of the time to ask within: the first call's spread; with failures, the last's
 TRIAL_PART, SEEN_BEFORE, RATE_AT_FIRST = 0.7, 5 * SECOND, 2.0  # of what a cold one bears; age; unknown limit
 SCARCE, ROOM_LEFT = 0.9, 0.92  # share of the slots for shorter time-outs, of the room for nacks of held texts
@@ -57,14 +57,14 @@
 class Held:
     """A text that this relay has taken and not finally answered."""
 
-    def __init__(self, text: Text, row: Product, submits: int) -> None:
-        self.text, self.row, self.submits, self.due, self.found = text, row, submits, 0, False  # by a restart
+    def __init__(self, text: Text, row: Product, past: Past) -> None:
+        self.text, self.row, self.submits, self.due, self.found = text, row, past.submits, 0, past is not NEW
         self.key = text.key if row.in_order else 0
-        self.ran_at, self.zone = None, None  # when and where the first submit that may have run was sent
-        self.call: Call | None = None
-        self.verdict: Action | None = None
+        self.ran_at = self.zone = None  # when and where the first submit that may have run was sent
+        self.call = self.verdict = None  # the Call that it is out in, its final Action
         self.until = text.valid_until  # too late to send it: its validity period, or its product's window
         self.sla_at = text.valid_until - row.validity_period + row.sla_time
+        self.may_have_run(past.ran_at, past.ran_zone)
 
     def may_have_run(self, at: int | None, zone: int | None) -> None:
         if self.ran_at is None and at is not None:
@@ -82,9 +82,8 @@
 
     def __init__(self, window: int) -> None:
         self.hosts: list[Host] = []
-        self.window, self.halved_at, self.calls = window, -1, 0
-        self.usual, self.seen = USUAL_AT_FIRST, 0
-        self.recent: deque[int] = deque(maxlen=RECENT_CALLS)
+        self.window, self.halved_at, self.calls, self.usual, self.seen = window, -1, 0, USUAL_AT_FIRST, 0
+        self.recent: list[int] = []
         self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
         self.credit, self.credit_at, self.cut_at, self.cuts = 1.0, 0, 0, 0
         self.flow, self.flow_at, self.served, self.served_at = 0.0, 0, 0.0, 0  # own calls, deliveries; fading
@@ -101,10 +100,9 @@
         self.credit = min(saved, self.credit + self.pace * passed)
 
     def grow(self, share: float) -> None:
-        """A pace learned from refusals alone: past what a relay has a use for it binds no longer."""
-        self.pace *= 1 + share
-        if self.pace > PACE_FREE:
-            self.pace = 0.0
+        """To the limit; learned from refusals alone, past what a relay has a use for it binds no longer."""
+        grown = self.pace * (1 + share)
+        self.pace = min(self.limit, grown) if self.limit else grown if grown <= PACE_FREE else 0.0
 
     def rate(self, relays: int) -> float:
         """What it takes from all relays together; where nobody tells, what their like deliveries come to."""
@@ -121,10 +119,9 @@
         self.seen += 1
         step = abs(took - self.usual) // self.seen if self.seen <= 8 else self.usual >> 6
         self.usual += step if took > self.usual else -step
-        self.recent.append(took)
+        self.recent = self.recent[1 - RECENT_CALLS:] + [took]
         slow = len(self.recent) == RECENT_CALLS and sorted(self.recent)[RECENT_CALLS // 2] > 2 * self.usual
-        if slow:
-            self.recent.clear()
+        self.recent = [] if slow else self.recent
         return slow
 
 
@@ -135,7 +132,7 @@
         self.out, self.failing, self.sick, self.seers, self.back_at = [], 0.0, False, 1.0, None  # out: calls
         self.warm_credit, self.warm_at, self.last_ok, self.used_at = 0.0, 0, -GOOD_LATELY, 0
         self.gap = self.gap_most = keep  # time between calls, as far as hosts keep connections idle
-        self.kept, self.sour = False, {}  # whether there may be an idle one; products that fail: when
+        self.kept, self.sour = False, {}  # an idle one there; products that fail: when
 
     def overdue(self, now: int) -> bool:
         """A call is out for too long with no success since: one more a span, lest a silent host fills up."""
@@ -149,7 +146,7 @@
     """One outside receiver: its token bucket, its hosts, and the texts held for it."""
 
     def __init__(self) -> None:
-        self.tokens, self.calls, self.shared, self.look_at = BUCKET, 0, None, 0
+        self.tokens, self.calls, self.shared, self.look_at, self.rest_at = BUCKET, 0, None, 0, 0
         self.waiting: dict[TextId, Held] = {}  # its texts that are not out
         self.hosts: list[Host] = []
 
@@ -166,46 +163,45 @@
         self.rests: dict[int | bytes, int] = {}  # until when a key rests
         self.expiries: list[tuple[int, TextId]] = []
         self.slots_used, self.wake_at, self.stop_at = 0, now, NEVER
+        self.rest = REST if terms.hosts_on_demand else NEVER  # of a destination, until it may be forgotten
         self.elsewhere: set[bytes] = set()  # keys with texts open in the process before, in an upgrade
         self.ask_at, self.asked = NEVER, 0  # when to ask for the list; calls for it that failed in a row
-        if terms.list_asked:
-            self._ask_later(now)
+        self.list_failed(now, 0)
         self.keep = int(terms.conn_idle * KEEP_PART)  # how long connections may stand idle
         self.idle_most = [self.keep // 2 if terms.relays > KEEPERS else NEVER] * len(terms.kinds)  # by kind
         self.room_at = [now + terms.conn_idle] * len(terms.kinds)  # when no connect has failed until then
         self.stale = [0.0] * len(terms.kinds)  # smoothed share of calls on kept connections that were reset
         self.products: list[set[int]] = [set() for _ in terms.kinds]  # that go to each kind
         self.changed, self.closing, self.log = [], [], []  # texts to act on, hosts, lines
+        self.resting: dict[int, int] = {}  # destinations that lost a text: when to look at them
 
-    def hosts_listed(self, now: int, entries: list[HostEntry], whole: bool) -> None:
-        """News of the list of hosts; what a whole list leaves out is gone."""
-        self.asked = 0
+    def hosts_listed(self, now: int, entries: list[HostEntry], whole: bool, news: bool = True) -> None:
+        """News of the list; what a whole list leaves out is gone. No news: of a destination met anew."""
+        self.asked = 0 if news else self.asked
         self.rests = {key: until for key, until in self.rests.items() if until > now}
         for host in self.hosts.values() if whole else ():
             host.listing = Listing.GONE
-        for entry in entries:
-            host = self.hosts.get(entry.host) or self._add_host(entry)
+        for host, entry in [(self._host(entry), entry) for entry in entries]:
             host.listing = entry.listing
             if self.terms.rates_listed and not host.route.limit:
                 host.route.learn_limit(entry.rate, self.terms.relays)
         for number in list(self.dests) if whole else dict.fromkeys(entry.destination for entry in entries):
             self._sort_hosts(self.dests[number])
 
-    def list_failed(self, now: int) -> None:
-        """A call for the list failed, or the watch that it had opened ended: the list held serves on."""
+    def list_failed(self, now: int, calls: int = 1) -> None:
+        """A call for the list failed, or the watch that it had opened ended: the list held serves on.
+        Guards against hundreds of relays that ask together, and against one that is taken as told."""
         if self.terms.list_asked:
-            self.asked += 1
-            self._ask_later(now)
-
-    def _ask_later(self, now: int) -> None:
-        """Guards against hundreds of relays that ask together, and against one that is taken as told."""
-        part = self.terms.ask_within // ASK_PART
-        self.ask_at = now + self.chance.below(part * min(self.asked + 1, ASK_CAP))
+            self.asked += calls
+            part = self.terms.ask_within // ASK_PART
+            self.ask_at = now + self.chance.below(part * min(self.asked + 1, ASK_CAP))
 
     def _sort_hosts(self, dest: Destination) -> None:
         for host in [each for each in dest.hosts if each.listing is Listing.GONE and not each.out]:
-            del self.hosts[host.id]
-        dest.hosts, dest.look_at = [host for host in dest.hosts if host.id in self.hosts], 0
+            dest.hosts.remove(host)
+            if self.hosts.get(host.id) is host:  # else it has moved to another destination
+                del self.hosts[host.id]
+        dest.look_at = 0
         for host in dest.hosts:
             host.route.hosts = [other for other in dest.hosts if other.route is host.route]
 
@@ -213,12 +209,10 @@
         """A text from a client or, with its past, from this relay's time before a restart, in the same order.
         Guards against a repeat of what may have run when the process ended: its key rests, once-only ends;
         and against nacked texts that refill a destination's limit by way of relays that never met it."""
-        held = self.texts[text.id] = Held(text, self.terms.products[text.product], past.submits)
+        held = self.texts[text.id] = Held(text, self.terms.products[text.product], past)
         if held.key:
             line = self.lines.setdefault(held.key, deque())
             line.insert(0 if past.earlier else len(line), text.id)  # the process before took it earlier
-        held.found = past is not NEW
-        held.may_have_run(past.ran_at, past.ran_zone)
         if past.out and held.key:
             self.rests[held.key] = now + self.terms.turn_gap
         if past.answered:
@@ -239,10 +233,9 @@
         heapq.heappush(self.expiries, (held.until - LAST_MOMENT, held.text.id))
 
     def submit_ended(self, now: int, report: SubmitReport) -> None:
-        host, held = self.hosts.get(report.host), self.texts.get(report.text)
-        if host is None or held is None or held.call is None:
+        if (held := self.texts.get(report.text)) is None or held.call is None:
             return
-        call, held.call = held.call, None
+        call, host, held.call = held.call, held.call.host, None
         self._release(now, call)
         self._learn(now, host, call, report, held.text.product)
         if not host.out and host.gap > self.idle_most[host.kind]:
@@ -253,14 +246,20 @@
             if report.result is not Result.ERROR and held.key:
                 self.rests[held.key] = now + self.terms.turn_gap
         if report.over:
-            self._forget(held)
+            return self._forget(now, held)
+        wait = self._jitter(held.submits)  # the design's test for a repeat, its token last
+        once_ran = held.row.effect is Effect.ONCE_ONLY and held.ran_at is not None
+        in_time = now + wait < held.until - (host.route.usual if held.ran_at is None else 0)
+        if held.submits < self.terms.max_submits and not once_ran and in_time and host.dest.tokens >= TOKEN:
+            host.dest.tokens, held.due = host.dest.tokens - TOKEN, now + wait
+            self._hold(held)
         else:
-            self._repeat_or_end(now, host, held)
+            self._end(now, held)
 
     def text_over(self, now: int, text: TextId) -> None:
         """Its client left, or its final answer has been heard: only now may the next text of its key go."""
         if (held := self.unheard.pop(text, None) or self.texts.get(text)) and held.call is None:
-            self._forget(held)
+            self._forget(now, held)
 
     def stopping(self, until: int) -> None:
         self.stop_at = until
@@ -268,14 +267,38 @@
     def may_go(self, now: int, text: TextId, host: HostId) -> bool:
         """Asked as the connection for a submit has come up: guards against a drain or wait told since."""
         held, host = self.texts.get(text), self.hosts.get(host)
-        ready = held is not None and host is not None and host.listing is Listing.READY
-        return ready and host.route.wait_until <= now < held.until
+        ready = held and host and host.listing is Listing.READY
+        return bool(ready) and host.route.wait_until <= now < held.until
 
     def decide(self, now: int) -> list[Action]:
         self._give_up(now)
         self._plan(now)
+        self._let_go(now)
         return self._emit(now)
 
+    def _let_go(self, now: int) -> None:
+        """What is at rest, and of which nothing is known but what the list tells, is forgotten again."""
+        while next(iter(self.resting.values()), NEVER) <= now:
+            dest = self.dests.get(number := next(iter(self.resting)))
+            del self.resting[number]
+            if dest and (dest.waiting or dest.calls or now < dest.rest_at + REST or self._learned(now, dest)):
+                self.resting[number] = now + self.rest
+            elif dest:
+                self._sort_hosts(self.dests.pop(number))
+                self.log.append(Forget(number, [self.hosts.pop(host.id).id for host in dest.hosts]))
+
+    def _learned(self, now: int, dest: Destination) -> bool:
+        """Whether it knows what a new start would not; what only deliveries undo counts until it is old."""
+        aged, part = now > dest.rest_at + LESSON, self.terms.relays if self.terms.relays > KEEPERS else 1
+        for host in dest.hosts:
+            self._advance(now, host)
+            route, even = host.route, host.route.limit / part
+            slowed = route.pace > 0 and (not even or route.pace < even)
+            ailing = host.sick or host.back_at is not None or host.failing > FAIL_STEP / 2 and not aged
+            if ailing or slowed or route.wait_until > now or host.kept and now < host.used_at + self.keep:
+                return True
+        return not aged and dest.tokens < BUCKET
+
     def _learn(self, now: int, host: Host, call: Call, report: SubmitReport, product: int) -> None:
         """Take an outcome into the bucket, the window, the pace and the host's health."""
         route, result, kind, counts = host.route, report.result, host.kind, call.texts == 0
@@ -284,6 +307,8 @@
         idle, reset = call.idle if report.idle is None else report.idle, result is Result.RESET
         many = self.terms.relays > KEEPERS and result in (Result.CONNECT, Result.TIMEOUT)
         lost = idle > 0 and (reset or many and result is Result.TIMEOUT)
+        near, quick = now - host.last_ok < GOOD_LATELY, report.took < route.usual // 2
+        spared = near and result is Result.CONNECT or reset and quick and (idle or near)  # no outage
         self.stale[kind] += (STALE_STEP if idle else STALE_FADE) * (lost - self.stale[kind])
         table = many and result is Result.CONNECT and self.room_at[kind] < NEVER  # full of idle ones?
         self.idle_most[kind] = max(self.idle_most[kind], self.keep if self.room_at[kind] <= now else 0)
@@ -305,11 +330,8 @@
             route.served *= max(0.0, 1 - (now - route.served_at) / SERVED_SPAN)
             route.served, route.served_at = route.served + 1.0, now
             left, part = report.limit_left, PACE_ROOM if self.terms.relays > KEEPERS else 1.0
-            if route.limit:  # by what others leave
-                growth = PACE_STEP if left is None else part * max(0.0, left)
-                route.pace = min(route.limit, route.pace * (1 + growth))
-            else:
-                route.grow(PACE_LEARN)
+            growth = PACE_STEP if left is None else part * max(0.0, left)  # by what others leave
+            route.grow(growth if route.limit else PACE_LEARN)
             route.window = min(route.window + 1, self._window_cap(host))
             if route.learn_latency(report.took):
                 self._halve(now, route, call)
@@ -318,10 +340,7 @@
                 self._come_back(now, route)
         elif result is Result.FULL and counts:
             self._refused(now, host, report.told_wait, report.limit_left)
-        elif (result is Result.CONNECT and now - host.last_ok < GOOD_LATELY
-              or reset and report.took < route.usual // 2 and (idle or now - host.last_ok < GOOD_LATELY)):
-            pass  # others hold its connections, or a connection was lost at a host that answers: no outage
-        elif result not in (Result.FULL, Result.MOOT, Result.CANCELLED) and counts:
+        elif result not in (Result.FULL, Result.MOOT, Result.CANCELLED) and counts and not spared:
             self._halve(now, route, call)
             ok = host.last_ok > call.sent - (0 if result is Result.TIMEOUT else GOOD_LATELY)
             step = FAIL_STEP if ok or lost or table or result in ANSWERED else SILENT_STEP
@@ -330,8 +349,7 @@
 
     def _one_product(self, now: int, host: Host, product: int, result: Result) -> bool:
         """Whether all that speaks against this host is one product, at no other host of its route.
-        Guards against an endpoint that fails one product and takes the others: what else waits for its
-        destination must not be held. A silent destination costs one call more. Few relays tell by shares."""
+        Guards against holding all else for an endpoint that fails one product; few relays tell by shares."""
         several = self.terms.relays > KEEPERS and len(self.products[host.kind]) > 1
         if several and result not in (Result.CONNECT, Result.RESET):
             host.sour[product] = now
@@ -373,8 +391,7 @@
                 deeper = route.cuts * weight if self.terms.relays > KEEPERS else 0.0  # few relays push less
                 route.pace = max(PACE_CUT * fair / (1 + deeper), PACE_LEAST * even)
             else:  # the first may be chance; few relays have texts for it at one time
-                cut = PACE_CUT / (1 + min(route.cuts, 1))
-                route.pace = max(cut * min(route.pace or own, own), 2 * even)
+                route.pace = max(PACE_CUT / (1 + min(route.cuts, 1)) * min(route.pace or own, own), 2 * even)
                 route.credit = -self.chance.below(1000) / 1000
             route.cut_at, route.cuts = now, route.cuts + 1
         route.credit = min(route.credit, 0.0)
@@ -406,25 +423,11 @@
             self.log.append(LogLine(f"back after {route.tries} trials, warming", host.id))
         route.tries = 0
 
-    def _repeat_or_end(self, now: int, host: Host, held: Held) -> None:
-        """The design's test for a repeat, its token last; else the final answer at once."""
-        wait = self._jitter(held.submits)
-        once_ran = held.row.effect is Effect.ONCE_ONLY and held.ran_at is not None
-        in_time = now + wait < held.until - (host.route.usual if held.ran_at is None else 0)
-        if held.submits < self.terms.max_submits and not once_ran and in_time and host.dest.tokens >= TOKEN:
-            host.dest.tokens -= TOKEN
-            held.due = now + wait
-            self._hold(held)
-        else:
-            self._end(now, held)
-
     def _plan(self, now: int) -> None:
         """Set the wanted state: for each destination in the order of what is at stake, its best texts out."""
-        queue = []
-        for number, dest in self.active.items() if self.slots_used < self.terms.slots else ():
-            if dest.waiting and dest.look_at <= now and (best := self._ready(now, dest)):
-                queue.append((self._rank(now, best[0]), number, best))
-        heapq.heapify(queue)
+        looked = [each for each in self.active.items() if each[1].waiting and each[1].look_at <= now]
+        queue = sorted((self._rank(now, best[0]), number, best) for number, dest in looked
+                       if self.slots_used < self.terms.slots and (best := self._ready(now, dest)))
         while queue and self.slots_used < self.terms.slots:
             _, number, ready = heapq.heappop(queue)
             if ready := self._fill_call(now, self.dests[number], ready):
@@ -432,9 +435,8 @@
         self.active = {number: dest for number, dest in self.active.items() if dest.waiting}
 
     def _ready(self, now: int, dest: Destination) -> list[Held]:
-        """The held texts of a destination whose turn and time have come, the best first.
-        What can't be sent in time is given up at once, but what a restart found untried is tried, at the pace
-        that it takes: guards against an even part far under what the process before took texts on at."""
+        """The held texts of a destination whose turn and time have come, the best first. What can't be sent
+        in time ends at once, but what a restart found untried is tried, at the pace that it takes."""
         for host in dest.hosts:
             self._advance(now, host)
         dest.look_at = min((self._opens_at(now, host) for host in dest.hosts), default=NEVER)
@@ -465,7 +467,7 @@
         while (host := self._choose(now, dest, ready[0])) is None:
             if not (ready := ready[1:]):
                 return []
-        call, rest, soon = Call(host, now), [], now + host.patience()
+        call, route, rest, soon = Call(host, now), host.route, [], now + host.patience()
         most = 1 if host.sick or host.overdue(now) else self.terms.kinds[host.kind].texts_per_call
         ends = ready[0].until < soon  # such a call may be given up: it takes no text with more time left
         for held in ready:
@@ -475,7 +477,10 @@
                 self.changed.append(held)
             else:
                 rest.append(held)
-        self._occupy(now, call)
+        host.out.append(call)
+        route.calls, dest.calls, self.slots_used = route.calls + 1, dest.calls + 1, self.slots_used + 1
+        route.credit, host.warm_credit = route.credit - 1.0, host.warm_credit - 1.0
+        route.flow, route.flow_at = route.flow * max(0.0, 1 - (now - route.flow_at) / FLOW_SPAN) + 1.0, now
         return rest
 
     def _choose(self, now: int, dest: Destination, held: Held) -> Host | None:
@@ -489,9 +494,8 @@
     def _gate(self, now: int, held: Held, host: Host) -> bool:
         """The rules, for every send: no text twice out, no effect twice, drains, waits and order kept."""
         done = held.verdict is not None or held.call is not None or held.submits >= self.terms.max_submits
-        if done or host.route.wait_until > now or now + host.patience() > self.stop_at:
-            return False
-        if host.listing is not Listing.READY or not self._has_turn(now, held):
+        late = host.route.wait_until > now or now + host.patience() > self.stop_at
+        if done or late or host.listing is not Listing.READY or not self._has_turn(now, held):
             return False
         if held.ran_at is not None and held.row.effect is not Effect.RESENDABLE:
             elsewhere = not held.row.repeats_anywhere and host.zone != held.zone
@@ -515,12 +519,9 @@
             return NEVER if any(each.sick and each.out for each in route.hosts) else route.trial_at
         if host.overdue(now):
             return max(route.wait_until, host.out[-1].sent + host.patience())
-        opens = max(now, route.wait_until)
-        if route.pace and route.credit < 1.0:
-            opens = max(opens, now + 1 + int((1.0 - route.credit) * SECOND / route.pace))
-        if host.back_at is not None and host.warm_credit < 1.0:
-            opens = max(opens, now + PERIOD)
-        return opens
+        paced, cold = route.pace and route.credit < 1.0, host.back_at is not None and host.warm_credit < 1.0
+        opens = now + 1 + int((1.0 - route.credit) * SECOND / route.pace) if paced else now
+        return max(opens, route.wait_until, now + PERIOD if cold else now)
 
     def _window_cap(self, host: Host) -> int:
         """Three quarters of the slots for a healthy destination, half otherwise; one at the least."""
@@ -580,13 +581,13 @@
         if self.ask_at <= now:
             self.ask_at = NEVER
             actions.append(Watch())
-        looks = [dest.look_at for dest in self.active.values() if self.slots_used < self.terms.slots]
-        looks += [self.ask_at] + [due for due, _ in self.expiries[:1] if self.active]
-        if min(looks) < NEVER:
-            wake_at = max(now + PERIOD, min(looks))
-            if wake_at < self.wake_at or self.wake_at <= now:
-                self.wake_at = wake_at
-                actions.append(Wake(wake_at - now))
+        looks = [self.ask_at, next(iter(self.resting.values()), NEVER)]
+        looks += [dest.look_at for dest in self.active.values() if self.slots_used < self.terms.slots]
+        looks += [due for due, _ in self.expiries[:1] if self.active]
+        wake_at = max(now + PERIOD, min(looks))
+        if wake_at < NEVER and (wake_at < self.wake_at or self.wake_at <= now):
+            self.wake_at = wake_at
+            actions.append(Wake(wake_at - now))
         self.changed, self.closing, self.log = [], [], []
         return actions
 
@@ -595,18 +596,21 @@
         return -1 if self.stale[kind] > (STALE_ONCE if once else STALE_SHARE) else self.idle_most[kind]
 
     def _time_out(self, held: Held) -> int:
-        """The design's; a referenced text must not lose its repeat window to one answer that never comes.
-        While slots are scarce as long as an answer may be missing, for once-only ones longer."""
+        """The design's; a referenced text keeps time for its repeat; scarce slots wait for no lost answer."""
         scarce = self.slots_used > min(SCARCE * self.terms.slots, self.terms.slots - 1.5)
         known = held.call.host.patience() if held.call.host.route.seen >= RECENT_CALLS else GUIDE_TIME_OUT
         least = held.row.repeat_window // 4 if held.row.effect is Effect.REFERENCED else TIME_OUT
-        if scarce and held.row.effect is not Effect.ONCE_ONLY:
-            return known
-        return min(TIME_OUT, max(2 * known, GUIDE_TIME_OUT if scarce else least))
-
-    def _add_host(self, entry: HostEntry) -> Host:
-        dest, window = self.dests[entry.destination], max(1, self.terms.slots // 2)
-        apart = self.terms.kinds[entry.kind].routes_apart
+        whole = min(TIME_OUT, max(2 * known, GUIDE_TIME_OUT if scarce else least))
+        return known if scarce and held.row.effect is not Effect.ONCE_ONLY else whole
+
+    def _host(self, entry: HostEntry) -> Host:
+        """The entry's host; a new one where it has moved: what is out at the old place ends there."""
+        dest = self.dests[entry.destination]
+        if (host := self.hosts.get(entry.host)) and host.dest is dest:
+            return host
+        elif host:
+            host.listing = Listing.GONE
+        apart, window = self.terms.kinds[entry.kind].routes_apart, max(1, self.terms.slots // 2)
         route = dest.shared = Route(window) if apart else dest.shared or Route(window)
         host = self.hosts[entry.host] = Host(entry, dest, route, self.keep)
         host.sick = route.tries > 0 and all(each.sick for each in route.hosts)  # new in an outage
@@ -616,13 +620,6 @@
     def _jitter(self, submits: int) -> int:
         return self.chance.below(min(CAP, BASE << min(submits - 1, 20)) + 1)
 
-    def _occupy(self, now: int, call: Call) -> None:
-        host, route, dest = call.host, call.host.route, call.host.dest
-        host.out.append(call)
-        route.calls, dest.calls, self.slots_used = route.calls + 1, dest.calls + 1, self.slots_used + 1
-        route.credit, host.warm_credit = route.credit - 1.0, host.warm_credit - 1.0
-        route.flow, route.flow_at = route.flow * max(0.0, 1 - (now - route.flow_at) / FLOW_SPAN) + 1.0, now
-
     def _release(self, now: int, call: Call) -> None:
         host, route, dest = call.host, call.host.route, call.host.dest
         call.texts -= 1
@@ -631,9 +628,12 @@
             host.used_at, host.kept, dest.look_at = now, True, 0
             route.calls, dest.calls, self.slots_used = route.calls - 1, dest.calls - 1, self.slots_used - 1
 
-    def _forget(self, held: Held) -> None:
+    def _forget(self, now: int, held: Held) -> None:
         self.texts.pop(held.text.id, None)
-        self.dests[held.text.destination].waiting.pop(held.text.id, None)
+        if (dest := self.dests.get(held.text.destination)) is not None:
+            dest.waiting.pop(held.text.id, None)
+            dest.rest_at = now
+            self.resting.setdefault(held.text.destination, now + self.rest)
         if held.key:
             self.lines[held.key].remove(held.text.id)
             if not self.lines[held.key]:
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -2,54 +2,58 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 
 from twisted.internet.protocol import ClientFactory
 
 from limelatch.configuration import Address, Names
-from limelatch.interface import HostEntry, Listing
-from limelatch.logs import logger, say
+from limelatch.interface import HostEntry, HostId, Listing
+from limelatch.logs import HeldDown, logger, say
+from limelatch.relay.directory import DRAINING, GONE, READY, Directory, Row
 from limelatch.relay.ending import Ending
 from limelatch.relay.http import Answer, HttpCaller, request_head
+from limelatch.relay.list_copy import ListCopy
+from limelatch.relay.list_reader import BadList, ListReader
 
 log = logger("catalog")
 
-LIST_MOST = 1024 * 1024
-LISTINGS = {"active": Listing.READY, "leaving": Listing.DRAINING, "left": Listing.GONE}
+INBOUND_MOST, PART_MOST = 1024 * 1024, 16 * 1024  # bytes that wait to be read; of a body, taken at once
+SWEEP_MOST = 1024  # rows that a whole list left out, cleared in one turn
+STATUSES = {"active": READY, "leaving": DRAINING}  # any other is gone
+LISTINGS = {READY: Listing.READY, DRAINING: Listing.DRAINING, GONE: Listing.GONE}
 
 
-class BadList(Exception):
-    """The list can't be read."""
-
-
-def read_list(raw: object, names: Names) -> tuple[int, bool, list[HostEntry], dict[bytes, Address]]:
-    """Index, whether it is the whole list, its entries, and where each host is reached."""
+def row_of(raw: object) -> Row:
+    """A row as the catalog tells it; BadList where it is none."""
     try:
-        index, whole, entries, addresses = int(raw["index"]), bool(raw["snapshot"]), [], {}
-        for row in raw["endpoints"]:
-            host = row["name"].encode()
-            address, _, port = row["address"].partition(":")
-            if row["type"] not in names.kinds:
-                say(log, "kind-unknown", host=host, kind=row["type"])
-                continue
-            zone = names.zones.index(row["zone"]) if row["zone"] in names.zones else -1
-            kind, rate = names.kinds.index(row["type"]), float(row.get("weight") or 0.0)
-            listing = LISTINGS.get(row["status"], Listing.GONE)
-            entries.append(HostEntry(host, int(row["group"]), zone, kind, rate, listing))
-            addresses[host] = Address(address, int(port))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        name, address, zone, kind = (raw[key] for key in ("name", "address", "zone", "type"))
+        if not isinstance(name, str) or not isinstance(kind, str):
+            raise TypeError("name and type are words")
+        int(address.rpartition(":")[2])
+        return Row(name, address, zone if isinstance(zone, str) else "", kind, int(raw["group"]),
+                   STATUSES.get(raw["status"], GONE), float(raw.get("weight") or 0.0))
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise BadList(f"{type(error).__name__}: {error}") from None
-    return index, whole, entries, addresses
+
+
+def entry_of(row: Row, names: Names) -> HostEntry:
+    """A row in the module's numbers; its kind is one of the configuration's."""
+    zone = names.zones.index(row.zone) if row.zone in names.zones else -1
+    return HostEntry(row.name.encode(), row.destination, zone, names.kinds.index(row.kind), row.rate,
+                     LISTINGS[row.status])
+
+
+def address_of(row: Row) -> Address:
+    address, _, port = row.address.rpartition(":")
+    return Address(address, int(port))
 
 
 class Watch(HttpCaller):
     """The connection to the catalog: the whole list first where none is held, then the changes."""
 
     def __init__(self, catalog: Catalog) -> None:
-        super().__init__(LIST_MOST, 8 * 1024)
-        self.catalog, self._line = catalog, b""
-        self._object = b""  # the lines so far of an object that is not whole
+        super().__init__(INBOUND_MOST, 8 * 1024, PART_MOST)
+        self.catalog, self._reader, self._objects = catalog, ListReader(self), 0
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -60,9 +64,11 @@
         self.ask(request_head("GET", target, str(self.catalog.address), None, []))
 
     def answered(self, answer: Answer, body: bytes) -> None:
-        if answer.status != 200 or not body:
+        objects, self._objects = self._objects, 0
+        if answer.status != 200 or not objects and self._reader.between:
             self.close(Ending.CLOSED_BY_PEER)  # a watch that ended, or no list
-        elif not self._read(body):
+        elif not self._reader.between:
+            say(log, "list-not-read", why="it ended within an object")
             self.close(Ending.GARBLED)
         elif answer.keeps:
             self._ask(self.catalog.index)
@@ -70,41 +76,32 @@
             self.close(Ending.CLOSED_BY_PEER)
 
     def body_part(self, part: bytes) -> bool:
-        if self.catalog.index is None or self.answer.status != 200:
-            return False
-        *lines, self._line = (self._line + part).split(b"\n")
-        if not all(self._said(line.strip()) for line in lines) or len(self._line + self._object) > LIST_MOST:
-            self.close(Ending.GARBLED)
+        """Rows are taken as they come: neither a list's size nor its pace holds up a turn."""
+        if self.answer.status == 200 and self.ending is None:
+            try:
+                self._reader.feed(part)
+            except BadList as error:
+                say(log, "list-not-read", why=error)
+                self.close(Ending.GARBLED)
+            self.catalog.told_so_far()
         return True
 
-    def _said(self, line: bytes) -> bool:
-        """One line of the watch; an object may be indented, over several of them.
-
-        Only a whole object, or an empty line between two, tells that the catalog lives: guards against a
-        watch that trickles, or that stops within an object, and is held open for good."""
-        if not line and not self._object:
-            self.catalog.heard()
-            return True
-        self._object += line
-        if not line.endswith(b"}") and self._object.startswith(b"{"):
-            return True  # there is more to come
-        try:
-            json.loads(self._object)
-        except json.JSONDecodeError as error:
-            return self._object.startswith(b"{") and error.pos >= len(error.doc)  # the same
-        except (ValueError, RecursionError):
-            return False
-        whole, self._object = self._object, b""
+    # What the reader finds. Only a whole row or object, or an empty line between two, tells that the catalog
+    # lives: guards against a watch that trickles, or that stops within an object, and is held open for good.
+
+    def began(self, index: int, whole: bool) -> None:
+        self.catalog.began(index, whole)
+
+    def row(self, raw: object) -> None:
+        self.catalog.row(raw)
+
+    def empty_line(self) -> None:
         self.catalog.heard()
-        return self._read(whole)
 
-    def _read(self, raw: bytes) -> bool:
-        try:
-            self.catalog.news(json.loads(raw))
-        except (ValueError, RecursionError, BadList) as error:
-            say(log, "list-not-read", why=error)
-            return False
-        return True
+    def whole_object(self) -> None:
+        self._objects += 1
+        self.catalog.ended()
+        self.catalog.heard()
 
     def ended(self, ending: Ending) -> None:
         self.catalog.lost(ending)
@@ -117,23 +114,46 @@
 
     def __init__(self, reactor, deadlines, address: Address, names: Names, silence: int, again: int,
                  told: Callable[[list[HostEntry], bool], None],
-                 failed: Callable[[], None] | None = None) -> None:
+                 failed: Callable[[], None] | None = None, copy: ListCopy | None = None,
+                 wanted: Callable[[int], bool] = lambda destination: True) -> None:
+        """`wanted`: whether news of a destination are to be told; the others are held, and not told."""
         self.reactor, self.deadlines, self.address, self.names = reactor, deadlines, address, names
         self.silence, self.again, self.told = silence, again, told
         self.failed = failed  # hears of a lost watch and says when to ask again; none: after a fixed wait
         self.index: int | None = None
         self.fresh = False  # the catalog itself has told a list since the start
-        self.addresses: dict[bytes, Address] = {}
+        self.directory, self.copy, self.wanted = Directory(), copy, wanted
+        self._coming: tuple[int, bool] | None = None  # index of the object that comes, whether it is whole
+        self._news: list[HostEntry] = []  # read and not told yet
+        self._rows = self._rows_heard = 0  # of the object that comes
+        self.held_down = HeldDown(log, deadlines.clock) if deadlines is not None else None
         self._watch: Watch | None = None
         self._deadline, self._connector = None, None
 
     def known(self, raw: dict) -> None:
-        """The list as the relay last had it; it may be old, so what has changed since is asked for.
+        """The list as the configuration last had it; it may be old, so what has changed since is asked for.
+        BadList where it can't be read: nothing of it is held then.
 
         Guards against forty relays that each make two calls at a start, the whole list and a watch: what
         the catalog can't answer in time fails, is asked for again, and keeps it over its limit for good."""
-        if raw:
-            self._take(raw)
+        try:
+            if raw:
+                self.began(int(raw["index"]), bool(raw["snapshot"]))
+                for each in raw["endpoints"]:
+                    self.row(each)
+                self.ended(known=True)
+        except (BadList, KeyError, TypeError, ValueError, OverflowError) as error:
+            self.directory, self.index, self._news = Directory(), None, []
+            raise BadList(f"{type(error).__name__}: {error}") from None
+
+    def recall(self) -> None:
+        """Take the folder's copy, unless the list held is as late; another catalog's index means nothing."""
+        if self.copy is None or (found := self.copy.read()) is None:
+            return
+        address, index, directory = found
+        same = address == str(self.address)
+        if self.index is None or same and index > self.index:
+            self.index, self.directory = index if same else None, directory
 
     def move(self, address: Address) -> None:
         """Watch at another address, the whole list first: an index means nothing to another catalog.
@@ -141,6 +161,8 @@
         The list held serves until the new one has told its own."""
         if address != self.address:
             self.address, self.index, self.fresh = address, None, False
+            if self.copy is not None:
+                self.copy.abort()
             if self._watch is not None:
                 self._watch.close(Ending.MOVED)
             elif self._connector is not None and self._connector.state == "connecting":
@@ -162,18 +184,83 @@
         else:
             self._connector.stopConnecting()
 
-    def news(self, raw: object) -> None:
-        self.fresh = True
-        self._take(raw)
+    # An object of the list, as it is read.
 
-    def _take(self, raw: object) -> None:
-        index, whole, entries, addresses = read_list(raw, self.names)
+    def began(self, index: int, whole: bool) -> None:
         if not whole and self.index is not None and index < self.index:
             self.index = None  # the whole list is asked for
             raise BadList("changes older than the list that is held")
-        self.index = index
-        self.addresses = addresses if whole else self.addresses | addresses
-        self.told(entries, whole)
+        self._coming, self._rows, self._rows_heard = (index, whole), 0, 0
+        if whole:
+            self.directory.begin()
+            if self.copy is not None:
+                self.copy.abort()
+
+    def row(self, raw: object) -> None:
+        """A row that can't be held is left out; BadList where it is no row at all."""
+        row = row_of(raw)
+        self._rows += 1
+        if row.kind not in self.names.kinds:
+            self.held_down("kind-unknown", host=row.name, kind=row.kind)
+            return
+        try:
+            before = self.directory.put(row)
+        except ValueError as error:
+            self.held_down("row-not-read", host=row.name[:64], why=error)
+            return
+        moved = before is not None and before.destination != row.destination
+        if moved and self.wanted(before.destination) and before.kind in self.names.kinds:
+            self._news.append(entry_of(before._replace(status=GONE), self.names))
+        if self.wanted(row.destination):
+            self._news.append(entry_of(row, self.names))
+
+    def ended(self, known: bool = False) -> None:
+        """The object is whole: its index holds from here on."""
+        index, whole = self._coming
+        if whole and not self._rows and len(self.directory):
+            self.index = None
+            raise BadList(f"a whole list with nothing, where {len(self.directory)} hosts are held")
+        self.index, self.fresh = index, not known
+        if whole:
+            self.directory.end()
+            self._sweep()
+        news, self._news = self._news, []
+        self.told(news, whole)
+        if self.copy is not None and not known:
+            self.copy.soon(self)
+
+    def told_so_far(self) -> None:
+        """Rows of an object that has more to come: at once, lest a drain waits for a long list's end."""
+        if self._rows > self._rows_heard:
+            self.heard()
+        if self._news:
+            news, self._news = self._news, []
+            self.told(news, False)
+        self._rows_heard = self._rows
+
+    def _sweep(self) -> None:
+        if self.directory.sweep(SWEEP_MOST):
+            self.deadlines.after(0, self._sweep)
+
+    def entries(self, destination: int) -> list[HostEntry]:
+        """The destination's hosts; those of kinds that the configuration has not are left out."""
+        return [entry_of(row, self.names) for row in self.directory.rows(destination)
+                if row.kind in self.names.kinds]
+
+    def entry(self, host: HostId) -> HostEntry | None:
+        """The host as the catalog last told it, None where it is not on the list."""
+        row = self.directory.find(host)
+        return entry_of(row, self.names) if row is not None and row.kind in self.names.kinds else None
+
+    def reached(self, host: HostId) -> Address | None:
+        """Where the host is reached, None where it is not on the list."""
+        row = self.directory.find(host)
+        return address_of(row) if row is not None else None
+
+    @property
+    def holds_a_list(self) -> bool:
+        """Whether any list is held, told or known: else nobody can say where a text is to go."""
+        return self.fresh or len(self.directory) > 0
 
     def buildProtocol(self, address) -> Watch:
         self._watch = Watch(self)
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -26,7 +26,6 @@
 CROWD_PART = 4  # a crowded hall closes those between commands so many times sooner
 BACKLOG = 128  # connections that wait to be accepted
 BAD_MOST = 8  # bad commands on one connection, then it is closed
-DESTINATION_MOST = 65535  # since the module remembers each destination
 ARGUMENTS_MOST, SKIP_MOST, REPLY_MOST = 16, 1024 * 1024, 256
 COMMAND_MOST, SKIP_STEP = BODY_MOST + 4 * 1024, 8 * 1024  # of all arguments; of a skipped one at once
 WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
@@ -64,9 +63,8 @@
     mark, dest, span = values.get(b"k", b""), values.get(b"dest", b""), values.get(b"d", b"")
     if mark and not WORD.match(mark):
         raise BadCommand("k takes 1 to 64 letters and digits")
-    numbered = SIZE.match(dest) and int(dest) <= DESTINATION_MOST
-    if not numbered or not re.fullmatch(rb"-?[0-9]{1,9}(\.[0-9]{1,6})?", span):
-        raise BadCommand(f"dest, up to {DESTINATION_MOST}, and d are wanted as numbers")
+    if not SIZE.match(dest) or not re.fullmatch(rb"-?[0-9]{1,9}(\.[0-9]{1,6})?", span):
+        raise BadCommand("dest and d are wanted as numbers")
     return Handed(text, b"" if not order.strip(b"0") else order, values.get(b"c", b""), values.get(b"t", b""),
                   int(dest), int(float(span) * MS), mark, body)
 
--- a/limelatch/relay/deadlines.py
+++ b/limelatch/relay/deadlines.py
@@ -40,7 +40,7 @@
     """The heap; cancelled entries stay until they are due or are half of it."""
 
     def __init__(self, reactor, clock: Clock) -> None:
-        self._reactor, self._clock = reactor, clock
+        self._reactor, self._clock, self.clock = reactor, clock, clock
         self._heap: list[tuple[int, int, Deadline]] = []
         self._count, self.cancelled = 0, 0
         self._timer, self._timer_at, self._running = None, 0, False
--- a/limelatch/relay/door.py
+++ b/limelatch/relay/door.py
@@ -172,7 +172,7 @@
         if name == b"RESUME":
             return driver.resume()
         host = arguments[0]
-        if host not in driver.zones and host not in driver.out.counts:
+        if driver.catalog.directory.find(host) is None and host not in driver.out.counts:
             raise DoorError(f"no host {host[:64].decode()!r} is known")
         return driver.suspend(host) if name == b"SUSPEND" else driver.restore(host)
 
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -10,7 +10,7 @@
 from limelatch.configuration import RelayPlan
 from limelatch.configuration.changes import changes
 from limelatch.configuration.model import Reload
-from limelatch.logs import logger, say
+from limelatch.logs import HeldDown, logger, say
 from limelatch.logs import start as start_logs
 from limelatch.policy import Policy
 from limelatch.relay.catalog import BadList, Catalog
@@ -19,6 +19,7 @@
 from limelatch.relay.door import Door, HostsOut
 from limelatch.relay.hosts import Call, Outcome, Parcel, Yard
 from limelatch.relay.ledger import Ledger
+from limelatch.relay.list_copy import ListCopy
 from limelatch.relay.records import Entry
 from limelatch.relay.platform import Desk
 from limelatch.relay.slots import Slots
@@ -56,11 +57,9 @@
         self.slots: Slots[Owed] = Slots(max(plan.terms.max_texts, len(self.ledger.entries)))
         self.owed: dict[bytes, Owed] = {}
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
-        self.zones: dict[li.HostId, int] = {}
-        self.lines: dict[li.HostId, li.HostEntry] = {}  # as the catalog last told them
+        self.hosts: dict[li.HostId, li.HostEntry] = {}  # of the destinations at work, as last told
         self.out = HostsOut(plan.state)  # by hand, through the door
-        self.kinds: dict[li.HostId, int] = {}
-        self.destinations: set[int] = set()  # that the catalog has told since the start
+        self.held_down = HeldDown(log, clock)
         self._turn_due, self.ready, self._stop_at, self._stop_least_at = False, False, None, 0
         self.failed, self._ended, self._port_until = False, False, None
         self.yard = Yard(reactor, self.deadlines, clock, self, plan.host_connections, plan.connect_wait,
@@ -69,7 +68,9 @@
                          self.notice_heard)
         self.catalog = Catalog(reactor, self.deadlines, plan.discovery, plan.names, plan.silence,
                                plan.reconnect_wait, self.listed,
-                               self.list_failed if plan.terms.list_asked else None)
+                               self.list_failed if plan.terms.list_asked else None,
+                               ListCopy(plan.state, self.deadlines, self.ledger),
+                               lambda destination: destination in self.policy.dests)
         self.hall = Hall(self, plan.client_connections, plan.client_bytes)
         self.door = Door(self)
 
@@ -79,6 +80,8 @@
             self.catalog.known(self.plan.known)
         except BadList as error:
             say(log, "known-list-not-read", why=error)
+        self.plan = replace(self.plan, known={})  # the directory has it
+        self.catalog.recall()
         now = self.clock.now()
         if self.ledger.cut:
             say(log, "ledger-cut", bytes=self.ledger.cut)
@@ -86,7 +89,8 @@
             self._resume(now, entry)
         if self.ledger.beside:
             self.deadlines.after(HAND_OVER_LOOK, self._take_over)
-        say(log, "started", owed=len(self.owed), hosts=len(self.zones), ledger_bytes=self.ledger.size)
+        say(log, "started", owed=len(self.owed), hosts=len(self.catalog.directory),
+            ledger_bytes=self.ledger.size)
         if self.plan.operator is not None:  # at once: STATUS says whether clients are served yet
             self.door.listen(self.reactor, self.plan.operator.host, self.plan.operator.port)
         self.deadlines.after(self.plan.list_wait, self.serve)
@@ -128,6 +132,7 @@
         owed = self._own(Owed(text, pairs["mark"].encode(), entry.body, row, pairs["product"]))
         answered = entry.notice is not None or not known
         past = li.Past(entry.submits, entry.ran_at, entry.ran_zone, entry.out, answered, earlier)
+        self._meet(now, text.destination)
         self.policy.text_taken(now, text, past)
         if entry.notice is not None:
             self.desk.notice(entry.id, entry.notice)
@@ -145,7 +150,8 @@
                 self._port_taken(error)
                 return
             self.ready = True
-            say(log, "serving", listen=listen, hosts=len(self.zones), fresh_list=self.catalog.fresh)
+            say(log, "serving", listen=listen, hosts=len(self.catalog.directory),
+                fresh_list=self.catalog.fresh)
             self.soon()
 
     def _port_taken(self, error: CannotListenError) -> None:
@@ -221,8 +227,11 @@
             client.answer(f"-ERR unknown class {product[:40]!r}")
         elif names.customers and customer and customer not in names.customers:
             client.answer(f"-ERR unknown tenant {customer[:40]!r}")
-        elif self.catalog.fresh and handed.destination not in self.destinations:
+        elif self.catalog.fresh and not self.catalog.directory.knows(handed.destination):
             client.answer("-ERR unknown destination")  # else it would be held until its validity ends
+        elif not self.catalog.holds_a_list:
+            self.held_down("no-list", why="no list of hosts has been read yet")
+            client.answer("-BUSY")
         elif handed.id in self.owed:
             client.answer("-ERR this id was handed in before")
         elif self._stop_at is not None or self.slots.full or not self.ledger.has_room(len(handed.body)):
@@ -235,6 +244,7 @@
             text = li.Text(handed.id, handed.destination, row, until, number, handed.order)
             rules = self.plan.terms.products[row]
             self.arrived[handed.id] = self._own(Owed(text, handed.mark, handed.body, rules, product, client))
+            self._meet(now, text.destination)
             self.policy.text_taken(now, text)
             self.soon()
 
@@ -252,21 +262,36 @@
             self.soon()
 
     def listed(self, entries: list[li.HostEntry], whole: bool) -> None:
-        for entry in entries:
-            if entry.listing is li.Listing.GONE:
-                self.catalog.addresses.pop(entry.host, None)
-            else:
-                self.zones[entry.host], self.kinds[entry.host] = entry.zone, entry.kind
-                self.lines[entry.host] = entry
-            self.destinations.add(entry.destination)
-        self.policy.hosts_listed(self.clock.now(), [self.out.seen(entry) for entry in entries], whole)
-        self.yard.listed(self.catalog.addresses)
-        for host in [each for each in self.zones if each not in self.catalog.addresses]:
-            del self.zones[host], self.kinds[host], self.lines[host]
+        """News of the list: the module hears of the destinations at work alone, after a whole list of all
+        those. The others are told as they are met."""
+        if whole:
+            entries = [entry for number in list(self.policy.dests) for entry in self.catalog.entries(number)]
+            for host in self.hosts.keys() - {entry.host for entry in entries}:
+                self._leave(host)
+        self._tell(self.clock.now(), entries, whole)
         self.soon()
         if self.catalog.fresh and not self.ready:
             self.deadlines.after(0, self.serve)
 
+    def _meet(self, now: int, destination: int) -> None:
+        """A text's destination: the module is told its hosts, unless it knows them."""
+        if destination not in self.policy.dests:
+            self._tell(now, self.catalog.entries(destination), news=False)
+
+    def _tell(self, now: int, entries: list[li.HostEntry], whole: bool = False, news: bool = True) -> None:
+        for entry in entries:
+            if entry.listing is li.Listing.GONE:
+                self._leave(entry.host)
+            else:
+                self.hosts[entry.host] = entry
+                self.yard.reach(entry.host, self.catalog.reached(entry.host))
+        self.policy.hosts_listed(now, [self.out.seen(entry) for entry in entries], whole, news)
+
+    def _leave(self, host: li.HostId) -> None:
+        """The host is off the list, or its destination at rest."""
+        self.hosts.pop(host, None)
+        self.yard.reach(host, None)
+
     # What the operators ask through the door; each answer is one line.
 
     def status(self) -> str:
@@ -274,7 +299,8 @@
             return "-ERR stopping"
         if not self.ready:
             return "-ERR starting"
-        return (f"+OK serving owed={len(self.owed)} hosts={len(self.zones)} out={len(self.out.counts)}"
+        return (f"+OK serving owed={len(self.owed)} hosts={len(self.catalog.directory)} "
+                f"out={len(self.out.counts)}"
                 f" paused={'yes' if self.hall.paused else 'no'}")
 
     def pause(self) -> str:
@@ -287,15 +313,15 @@
 
     def suspend(self, host: li.HostId) -> str:
         """The host counts as draining until RESTORE, whatever the catalog says."""
-        if self.out.suspend(host) and host in self.lines:
-            self.policy.hosts_listed(self.clock.now(), [self.out.seen(self.lines[host])], False)
+        if self.out.suspend(host) and host in self.hosts:
+            self._tell(self.clock.now(), [self.hosts[host]], news=False)
             self.soon()
         return f"+OK {host.decode()} out, {self.out.counts[host]} calls"
 
     def restore(self, host: li.HostId) -> str:
         """The catalog's own line of the host holds again."""
-        if self.out.restore(host) and host in self.lines:
-            self.policy.hosts_listed(self.clock.now(), [self.lines[host]], False)
+        if self.out.restore(host) and host in self.hosts:
+            self._tell(self.clock.now(), [self.hosts[host]], news=False)
             self.soon()
         return f"+OK {host.decode()} back"
 
@@ -311,7 +337,8 @@
         """A submit is about to be written; not where the ledger can't tell of it."""
         if (owed := self.owed.get(parcel.text)) is None:
             return False
-        owed.submit_out = self.ledger.going(parcel.text, call.sent, self.zones.get(call.host, -1))
+        zone = self.hosts[call.host].zone if call.host in self.hosts else -1
+        owed.submit_out = self.ledger.going(parcel.text, call.sent, zone)
         return owed.submit_out
 
     def ended(self, call: Call, parcel: Parcel, outcome: Outcome) -> None:
@@ -384,6 +411,9 @@
                     self.yard.send(host, [])
                 case li.CloseIdle(host):
                     self.yard.close_idle(host)
+                case li.Forget(_, hosts):
+                    for host in hosts:
+                        self._leave(host)
                 case li.Watch():
                     self.catalog.connect()
                 case li.Wake(after):
@@ -420,7 +450,7 @@
     def _pack(self, calls: dict, host: li.HostId, text: bytes, time_out: int, keep: int) -> None:
         """Texts to one host in one turn share a call as far as its kind allows."""
         owed, now = self.owed[text], self.clock.now()
-        most = self.plan.terms.kinds[self.kinds[host]].texts_per_call if host in self.kinds else 1
+        most = self.plan.terms.kinds[self.hosts[host].kind].texts_per_call if host in self.hosts else 1
         if len(calls.get(host, [])) >= most:
             self.yard.send(host, calls.pop(host))
         calls.setdefault(host, []).append(
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -286,12 +286,14 @@
         for connection in self.idle.pop(host, []):
             connection.give_up(Ending.IDLE)
 
-    def listed(self, addresses: dict[HostId, Address]) -> None:
-        """Where hosts are reached now; nothing is kept to those that are gone or have moved."""
-        gone = [host for host, address in self.addresses.items() if addresses.get(host) != address]
-        self.addresses = dict(addresses)
-        for host in gone:
+    def reach(self, host: HostId, address: Address | None) -> None:
+        """Where the host is reached now; nothing is kept to one that is gone, at rest or has moved."""
+        if self.addresses.get(host, address) != address:
             self.close_idle(host)
+        if address is None:
+            self.addresses.pop(host, None)
+        else:
+            self.addresses[host] = address
 
     def _out_of_time(self, call: Call) -> None:
         """The relay stops waiting: the call is given up whole, by closing its connection.
--- a/limelatch/relay/http.py
+++ b/limelatch/relay/http.py
@@ -34,11 +34,15 @@
 
 
 class HttpCaller(RingLines):
-    """Reads answers; a subclass takes what comes: `answered`, `body_part`, `ended`."""
+    """Reads answers; a subclass takes what comes: `answered`, `body_part`, `ended`.
 
-    def __init__(self, body_most: int, outbound: int) -> None:
+    `parts`: a body of any length comes to `body_part`, at most so many bytes at once; else it is kept, up to
+    `body_most`, for `answered`."""
+
+    def __init__(self, body_most: int, outbound: int, parts: int | None = None) -> None:
         super().__init__(body_most, outbound)
-        self.body_most = body_most
+        self.body_most, self._parts = body_most, parts
+        self._left = 0  # bytes of the body, or of its chunk, that are still to come
         self.asking = False  # a request is out
         self.answer: Answer | None = None
         self._body: list[bytes] = []
@@ -56,7 +60,7 @@
         raise NotImplementedError
 
     def body_part(self, part: bytes) -> bool:
-        """Part of a chunked body; True if it was used up."""
+        """Part of a body that comes in parts or in chunks; True if it was used up."""
         return False
 
     def ended(self, ending: Ending) -> None:
@@ -106,24 +110,32 @@
         elif (length := headers.get(b"content-length")) is None:
             self.answer.keeps = False  # the body lasts until the connection ends, and nobody needs it
             self._whole()
-        elif not LENGTH.match(length) or int(length) > self.body_most:
+        elif not LENGTH.match(length) or self._too_long(int(length)):
             self.close(Ending.GARBLED)
         elif int(length):
             self._step = None
-            self.expect(int(length))
+            self._expect_part(int(length))
         else:
             self._whole()
 
     def _chunk_size(self, line: bytes) -> None:
         size = line.partition(b";")[0].strip()
-        if not re.fullmatch(rb"[0-9a-fA-F]{1,8}", size) or int(size, 16) > self.body_most:
+        if not re.fullmatch(rb"[0-9a-fA-F]{1,8}", size) or self._too_long(int(size, 16)):
             self.close(Ending.GARBLED)
         elif int(size, 16):
             self._step = self._chunk_end
-            self.expect(int(size, 16))
+            self._expect_part(int(size, 16))
         else:
             self._step = self._trailer
 
+    def _too_long(self, length: int) -> bool:
+        return self._parts is None and length > self.body_most
+
+    def _expect_part(self, left: int) -> None:
+        part = left if self._parts is None else min(left, self._parts)
+        self._left = left - part
+        self.expect(part)
+
     def _chunk_end(self, line: bytes) -> None:
         self._step = self._chunk_size
         if line:
@@ -135,14 +147,18 @@
 
     def rawDataReceived(self, data: bytes) -> None:
         self.setLineMode()
-        if self._step is None:
-            self._body.append(data)
-            self._whole()
-        elif not self.body_part(data):
+        by_length = self._step is None
+        if by_length and self._parts is None or not self.body_part(data):
             self._body.append(data)
             self._held += len(data)
             if self._held > self.body_most:
                 self.close(Ending.GARBLED)
+        if self.ending is not None:
+            return
+        if self._left:
+            self._expect_part(self._left)
+        elif by_length:
+            self._whole()
 
     def _whole(self) -> None:
         answer, body, self.asking = self.answer, b"".join(self._body), False
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -22,6 +22,7 @@
 FILE, NEW_FILE, SEAT = "ledger", "ledger.new", "next"
 BLOCK = 512  # files count in whole blocks
 LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest: growth, the new file
+BESIDE_SHARE = 0.125  # of the disk at the most, for the copy of the list and the new one beside it
 MEMORY_SHARE = 0.1  # of the memory, for the same records, which are kept there too
 SEAT_LOOKS, SEAT_PAUSE = 20, 0.01  # seconds: the old process takes the seat's lock for a look at times
 NO_LOCKS = (errno.ENOLCK, errno.EOPNOTSUPP, errno.ENOSYS)  # a file system without locks
@@ -78,8 +79,8 @@
 
     def __init__(self, folder: str, disk_bytes: int, memory_bytes: int) -> None:
         self.folder, self.seat, self._before = folder, folder, None
-        self.disk = disk_bytes // BLOCK * BLOCK - 2 * BLOCK
-        self.live_most = min(self.disk * LIVE_SHARE, memory_bytes * MEMORY_SHARE)
+        self._whole, self._memory = disk_bytes // BLOCK * BLOCK - 2 * BLOCK, memory_bytes
+        self.leave_room(0, at_once=True)
         self.book, self.size, self.cut, self.behind = Book(), 0, 0, b""
         try:
             self._lock = lock(folder)
@@ -216,6 +217,14 @@
             os.ftruncate(self._file, at)
         self.size = at
 
+    def leave_room(self, size: int, at_once: bool = False) -> bool:
+        """Leave so many bytes of the disk to another file of the folder; not where the ledger needs them."""
+        disk = self._whole - (-size // BLOCK * -BLOCK)
+        if not at_once and (size > self._whole * BESIDE_SHARE or self.size + self.book.live > disk - BLOCK):
+            return False
+        self.disk, self.live_most = disk, min(disk * LIVE_SHARE, self._memory * MEMORY_SHARE)
+        return True
+
     def has_room(self, body: int) -> bool:
         """Whether one more text fits, with all that will be written of it and of the others."""
         return self.book.live + body + 2 * LATER <= self.live_most
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -122,7 +122,7 @@
     """A watch that has been answered with a head, from version 41; silence after 4.5 s."""
     told = []
     catalog = Catalog(clock, Deadlines(clock, clock), None, NAMES, 45_000, 9 * SECOND,
-                      lambda entries, whole: told.append((entries[0].host, entries[0].listing.value)))
+                      lambda entries, whole: told.extend((each.host, each.listing.value) for each in entries))
     catalog.known(page(41))
     catalog.heard()
     (watch := catalog.buildProtocol(None)).makeConnection(Wire())
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,7 +15,7 @@
 from limelatch.configuration.platform import read_platform
 from limelatch.interface import SECOND, Effect, Listing, Result
 from limelatch.logs import HeldDown
-from limelatch.relay.catalog import BadList, Catalog, read_list
+from limelatch.relay.catalog import BadList, Catalog
 from limelatch.relay.clients import BadCommand, read_submit
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.ending import RESULT_OF_ENDING, Ending
@@ -471,17 +471,25 @@
        "status": "leaving"}
 
 
-def test_the_list_is_read_in_the_modules_numbers():
-    rows = [ROW, ROW | {"name": "s-2", "type": "unheard of"}]
-    index, whole, entries, addresses = read_list({"index": 4, "snapshot": True, "endpoints": rows}, NAMES)
-    assert (index, whole, len(entries), str(addresses[b"s-1"])) == (4, True, 1, "127.0.0.1:80")
+def test_the_list_is_read_in_the_modules_numbers(deadlines):
+    deadlines, _ = deadlines
+    rows, told = [ROW, ROW | {"name": "s-2", "type": "unheard of"}], []
+    catalog = Catalog(None, deadlines, None, NAMES, 9, 9, lambda entries, whole: told.append((entries, whole)))
+    catalog.known({"index": 4, "snapshot": True, "endpoints": rows})
+    ((entries, whole),) = told
+    assert (catalog.index, whole, len(entries), str(catalog.reached(b"s-1"))) == (4, True, 1, "127.0.0.1:80")
     assert (entries[0].zone, entries[0].kind, entries[0].listing) == (1, 2, Listing.DRAINING)
+    assert catalog.entries(3) == entries and catalog.reached(b"s-2") is None
 
 
-@pytest.mark.parametrize("raw", [[], {}, {"index": 1, "snapshot": True, "endpoints": [{"name": "x"}]}])
-def test_a_list_that_cannot_be_read_is_named_so(raw):
+@pytest.mark.parametrize("raw", [[1], {"index": 1}, {"index": 1, "snapshot": True, "endpoints": [{"name": "x"}]},
+                                 {"index": 1, "snapshot": True, "endpoints": [ROW, ROW | {"group": "x"}]}])
+def test_a_list_that_cannot_be_read_is_named_so_and_nothing_of_it_is_held(raw, deadlines):
+    deadlines, _ = deadlines
+    catalog = Catalog(None, deadlines, None, NAMES, 9, 9, lambda entries, whole: None)
     with pytest.raises(BadList):
-        read_list(raw, NAMES)
+        catalog.known(raw)
+    assert catalog.index is None and not catalog.directory.rows(3) and not catalog.holds_a_list
 
 
 def test_settings_get_defaults_and_unknown_effects_never_run_twice():
