docs/CAPACITY.md is made by a command from results, roles and the target's own figures

`limelatch lab scale page` works them out with the result files beside it (fit.py: a line, n log n and n^2 by least squares, residuals, spread; roles.py: expressions and what each rests on; page.py: the tables). A row says whether it is arithmetic, measured, fitted or extrapolated and how far, and at which size its budget is reached; without its series it says "not measured", and nothing is worked out past a point without values. `make pages` makes it too.

Nothing is measured in this commit: the page holds arithmetic alone.

Not taken: a template (the page is tables; jinja2 would hide which figure comes from where), eval() for expressions (a page's file must not run code), choosing a curve by the least residual alone (noise of three runs would pass for growth), weighting by size (the issue asks for least squares, and the residual tells).

--- a/Makefile
+++ b/Makefile
@@ -13,10 +13,11 @@
 lint: .venv/ready
 	$(RUN) ruff check limelatch tests example
 
-# The operators' pages that are made from the code.
+# The pages that are made from the code and from results.
 pages: .venv/ready
 	$(RUN) limelatch config page > docs/operators/configuration.md
 	$(RUN) limelatch relay events --page > docs/operators/logs.md
+	$(RUN) limelatch lab scale page > docs/CAPACITY.md
 
 .venv/ready: pyproject.toml $(wildcard requirements*.txt)
 	$(PYTHON) -m venv .venv
--- /dev/null
+++ b/tests/test_capacity_page.py
@@ -0,0 +1,444 @@
+"""docs/CAPACITY.md is what roles.toml and the results give; fits and words are right on known series."""
+
+import ast
+import itertools
+import math
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from limelatch.command import main
+from limelatch.lab.scale import page as made
+from limelatch.lab.scale.fit import Growth, TooFewPoints, fit, reaches
+from limelatch.lab.scale.results import Point, Results, save
+from limelatch.lab.scale.roles import FUNCTIONS, NONE_YET, Book, Roles, read, results_in
+
+ROOT = Path(__file__).parent.parent
+FOLDER = ROOT / made.FOLDER
+SIZES = (2000.0, 20_000.0, 60_000.0, 180_000.0)
+
+
+@pytest.fixture(scope="module")
+def roles():
+    return read(FOLDER / made.ROLES)
+
+
+@pytest.fixture(scope="module")
+def book(roles):
+    return Book(roles, results_in(FOLDER))
+
+
+# The page as it stands.
+
+
+def test_the_page_is_what_the_results_and_roles_give():
+    assert (ROOT / "docs/CAPACITY.md").read_text(encoding="utf-8") == made.page(FOLDER)
+
+
+def test_the_command_prints_the_page():
+    result = CliRunner().invoke(main, ["lab", "scale", "page", "--folder", str(FOLDER)])
+    assert (result.exit_code, result.output) == (0, made.page(FOLDER))
+
+
+@pytest.mark.parametrize(("name", "figure"), [
+    ("texts_a_relay", 136), ("texts_zone_lost", 158), ("texts_region_lost", 204),
+    ("texts_a_destination", 0.53), ("texts_from_one_relay", 0.00075), ("between_texts", 22 * 60),
+    ("down_destinations", 3060), ("down_texts", 1615), ("backlog_days", 6.2), ("backlog_a_relay", 1.24e6),
+    ("backlog_a_down", 284_000), ("backlog_a_down_and_relay", 406), ("between_changes", 131),
+    ("between_restarts", 12), ("list_bytes", 25), ("list_hours", 2.3), ("trials_at_cap", 87),
+    ("even_part", 100)])
+def test_the_targets_arithmetic_is_that_of_the_issue(book, name, figure):
+    assert book.work_out(name).value == pytest.approx(figure, rel=0.015)
+
+
+def test_trials_over_usual_are_166_times_where_the_issue_rounds_to_160(book):
+    assert book.work_out("trials_over_usual").value == pytest.approx(87.5 / (95_000 / 180_000))
+    assert book.work_out("trials_over_usual").value == pytest.approx(160, rel=0.04)
+
+
+def expressions(roles):
+    yield from (each.value for each in roles.arithmetic)
+    words = [*roles.readings, *(each.about for each in roles.arithmetic), roles.comparison.about,
+             *(each.aim for each in roles.comparison.series),
+             *itertools.chain(*(each.carries for each in roles.mechanisms))]
+    for role in roles.roles:
+        words += [role.about, *(getattr(role.failures, name) for name, _ in made.EVENTS)]
+        for row in role.rows:
+            yield row.value
+            yield from filter(None, [row.budget, row.grows_with])
+            words.append(row.note)
+    for each in words:
+        assert each.count("{") == each.count("}") == len(re.findall(r"\{[^{}]+\}", each)), each
+        yield from re.findall(r"\{([^{}]+)\}", each)
+
+
+def test_every_name_in_an_expression_is_a_figure_or_a_series(book, roles):
+    known = {*book.figures, *book.series, *FUNCTIONS, "same"}
+    for expression in expressions(roles):
+        names = {node.id for node in ast.walk(ast.parse(expression)) if isinstance(node, ast.Name)}
+        assert names <= known, expression
+
+
+def test_names_of_figures_and_series_are_there_once(roles):
+    names = [each.name for each in [*roles.target, *roles.assumed, *roles.arithmetic, *roles.series]]
+    assert len(names) == len(set(names))
+
+
+def test_a_row_names_its_mechanism_by_a_file_of_the_repository_or_says_none_yet(roles):
+    for row in (row for role in roles.roles for row in role.rows):
+        if row.mechanism == NONE_YET:
+            assert not row.file, row.quantity
+        else:
+            assert (ROOT / row.file).is_file(), row.quantity
+        assert bool(row.budget) == bool(row.budget_from), row.quantity
+
+
+def test_every_role_tells_state_messages_processor_and_memory(roles):
+    for role in roles.roles:
+        told = {row.aspect for row in role.rows}
+        if "not known" not in role.about:  # a partner's own processor and memory
+            assert told >= {"messages", "processor", "memory"}, role.name
+        assert told >= {"state", "messages"}, role.name
+
+
+def test_a_series_has_points_or_its_rows_say_not_measured(book, roles):
+    lines = made.page(FOLDER).splitlines()
+    for where, row in [(role.name, row) for role in roles.roles for row in role.rows]:
+        called = [node.id for node in ast.walk(ast.parse(row.value)) if isinstance(node, ast.Name)
+                  and node.id in book.series]
+        cells = [line.split(" | ") for line in lines if line.startswith(f"| {row.quantity}")]
+        assert cells, (where, row.quantity)
+        if any(not (held := book.held.get(name)) or not held.points for name in called):
+            assert all(cell[2] == made.NOT_MEASURED for cell in cells), row.quantity
+
+
+def test_units_of_series_are_those_of_their_points(book):
+    for name, held in book.held.items():
+        assert {point.unit for point in held.points.values()} <= {held.series.unit}, name
+
+
+# Fits on known series.
+
+
+GROWTH = {"line": (Growth.LINE, lambda x: 33 + 0.0031 * x),
+          "n log n": (Growth.N_LOG_N, lambda x: 1 + 2e-6 * x * math.log2(x)),
+          "n2": (Growth.SQUARE, lambda x: 2 + 1e-9 * x * x),
+          "flat": (Growth.LINE, lambda x: 0.2),
+          "down": (Growth.LINE, lambda x: 9 - 1e-5 * x)}
+
+
+@pytest.mark.parametrize("name", GROWTH)
+def test_an_exact_series_is_fitted_exactly_by_its_own_curve(name):
+    growth, of = GROWTH[name]
+    found = fit({x: [of(x)] * 3 for x in SIZES})
+    assert found.taken.growth is growth
+    assert found.taken.residual == pytest.approx(0, abs=1e-9)
+    assert found.taken.at(1e6) == pytest.approx(of(1e6))
+    assert found.worse_than_line == (name in ("n log n", "n2"))
+    assert (found.runs, found.spread, found.sizes) == (3, 0, SIZES)
+    assert [curve.growth for curve in found.curves] == list(Growth)
+
+
+def test_a_line_under_noise_is_a_line_and_its_spread_is_told():
+    noise = itertools.cycle([0.94, 1.0, 1.06])
+    found = fit({x: [(10 + 0.001 * x) * next(noise) for _ in range(3)] for x in SIZES})
+    assert found.taken.growth is Growth.LINE
+    assert found.spread == pytest.approx(0.12)
+    assert 0.01 < found.taken.residual < 0.12
+
+
+def test_a_curve_under_as_much_noise_as_it_bends_is_a_line():
+    bend = {2000.0: 1.0, 20_000.0: 0.97, 60_000.0: 0.97, 180_000.0: 1.0}
+    of = {x: 0.001 * x * bend[x] for x in SIZES}
+    noise = itertools.cycle([0.9, 1.0, 1.1])
+    assert fit({x: [of[x] * next(noise) for _ in range(3)] for x in SIZES}).taken.growth is Growth.LINE
+
+
+def test_residuals_are_a_share_of_the_mean():
+    found = fit({1.0: [0.0], 10.0: [20.0], 100.0: [0.0], 1000.0: [20.0]})
+    misses = [found.curves[0].at(x) - y for x, y in zip([1, 10, 100, 1000], [0, 20, 0, 20], strict=True)]
+    assert found.curves[0].residual == pytest.approx(math.sqrt(sum(miss ** 2 for miss in misses) / 4) / 10)
+
+
+@pytest.mark.parametrize("sizes", [(2000, 20_000, 180_000), (10_000, 20_000, 60_000, 180_000), (0, 1, 2, 19),
+                                   ()])
+def test_too_few_points_or_too_narrow_a_range_give_no_slope(sizes):
+    with pytest.raises(TooFewPoints):
+        fit({float(x): [1.0] for x in sizes})
+
+
+def test_a_size_without_values_is_no_point_and_0_is_one():
+    with pytest.raises(TooFewPoints):
+        fit({x: [1.0] if x > 2000 else [] for x in SIZES})
+    assert fit({0.0: [1.0], 10.0: [2.0], 100.0: [11.0], 300.0: [31.0]}).sizes == (0, 10, 100, 300)
+
+
+def test_how_far_past_the_last_point_a_size_is():
+    found = fit({x: [x] for x in SIZES})
+    assert [found.past(x) for x in (500, 180_000, 1_800_000)] == [1, 1, 10]
+
+
+def test_where_a_budget_is_reached():
+    assert reaches(lambda x: 2 * x, 100, 1, 1e9) == pytest.approx(50, rel=1e-3)
+    assert reaches(lambda x: x * x, 100, 1, 1e9) == pytest.approx(10, rel=1e-3)
+    assert reaches(lambda x: x, 100, 1, 99) is None
+    assert reaches(lambda x: x, 100, 200, 1e9) == 200
+
+
+# Pages of made-up results.
+
+
+TOML = """
+readings = ["{relays} relays are read so"]
+[[target]]
+name = "relays"
+value = 700
+unit = ""
+about = "relays"
+[[target]]
+name = "destinations"
+value = 180000
+unit = ""
+about = "destinations"
+[[assumed]]
+name = "limit"
+value = 64
+unit = "MB"
+about = "not told"
+[[arithmetic]]
+name = "each"
+value = "destinations / relays"
+unit = ""
+about = "of each"
+[[series]]
+name = "memory"
+files = ["after", "before"]
+scenario = "rest"
+measure = "memory"
+axis = "destinations"
+unit = "MB"
+[[series]]
+name = "time"
+files = ["before"]
+scenario = "change"
+measure = "processor"
+axis = "destinations"
+unit = "ms"
+[[roles]]
+name = "Relay"
+about = "One of {relays}."
+[roles.failures]
+machine = "{each} a relay"
+restart = "{memory(destinations)} MB"
+rack = "{time(destinations) * 2} ms"
+zone = "nothing"
+region_cut = "nothing"
+[[roles.rows]]
+quantity = "memory of all"
+aspect = "memory"
+unit = "MB"
+value = "memory(destinations)"
+mechanism = "objects"
+file = "limelatch/policy.py"
+budget = "limit"
+budget_from = "target"
+grows_with = "destinations"
+carried_by = "a directory"
+[[roles.rows]]
+quantity = "time of a change"
+aspect = "processor"
+unit = "ms"
+value = "time(destinations) * 2"
+budget = "0.1"
+budget_from = "aim"
+grows_with = "destinations"
+[[roles.rows]]
+quantity = "time of a fleet ten times as large"
+aspect = "processor"
+unit = "ms"
+value = "time(destinations * 10)"
+option = true
+[[roles.rows]]
+quantity = "time at the figure of each"
+aspect = "processor"
+unit = "ms"
+value = "same(time, destinations * 10)"
+[[roles.rows]]
+quantity = "rows of each"
+aspect = "state"
+unit = "rows"
+value = "each"
+budget = "10"
+budget_from = "aim"
+grows_with = "destinations"
+[comparison]
+about = "one and the other"
+before = "before"
+after = "after"
+[[comparison.series]]
+scenario = "rest"
+measure = "memory"
+axis = "destinations"
+about = "memory at rest"
+aim = "{limit} MB"
+[[mechanisms]]
+name = "Placement"
+carries = ["{each} of {destinations}"]
+"""
+
+
+def points(scenario, measure, unit, of, sizes=SIZES):
+    return [Point(scenario, measure, unit, "destinations", x, [of(x) * part for part in (0.99, 1.0, 1.01)])
+            for x in sizes]
+
+
+MEMORY = points("rest", "memory", "MB", lambda x: 40 + 0.003 * x)
+SQUARE = points("change", "processor", "ms", lambda x: 0.1 + 1e-9 * x * x)
+
+
+@pytest.fixture
+def page(tmp_path):
+    """Makes the page of these results; the row of a quantity as cells."""
+    def make(**files):
+        (tmp_path / made.ROLES).write_text(TOML)
+        for name, found in files.items():
+            save(tmp_path / f"{name}.json",
+                 Results(f"the {name} one", f"scale {name}", "abc1234", "2026-12-02", "8 cores", found))
+        return made.page(tmp_path)
+
+    return make
+
+
+def cells(page, start):
+    return [[cell.strip() for cell in line.strip("| ").split(" | ")] for line in page.splitlines()
+            if line.startswith(f"| {start}")]
+
+
+def section(page, title):
+    return page.partition(f"## {title}\n")[2].partition("\n## ")[0]
+
+
+def test_without_results_rows_say_not_measured_and_arithmetic_stands(page):
+    text = page()
+    assert cells(text, "memory of all")[0][2:7] == ["not measured", "64 MB (target)", "", "",
+                                                    "no points of `memory` yet"]
+    assert cells(text, "rows of each")[0][2:7] == ["257 rows", "10 rows (aim)", "**25.7 times over**",
+                                                   "7,000 destinations", "arithmetic"]
+    assert cells(text, "a machine is restarted")[0][1] == "(not measured) MB"
+    assert "Not ranked, since not measured:\n\n- Relay: memory of all" in text
+
+
+def test_a_measured_row_is_told_from_a_fitted_and_an_extrapolated_one(page):
+    text = page(before=MEMORY + SQUARE)
+    assert cells(text, "memory of all")[0][2:7] == ["580 MB", "64 MB (target)", "**9.06 times over**",
+                                                    "8,000 destinations", "measured"]
+    assert cells(text, "time of a change")[0][2:7] == [
+        "65 ms", "0.1 ms (aim)", "**650 times over**",
+        "1 destinations or fewer, **grows worse than linearly**", "arithmetic on measured"]
+    ten = cells(text, "time of a fleet ten")[0]
+    assert (ten[2], ten[6]) == ("3,240 ms", "extrapolated, 10 times past the last point of `time`")
+    assert ten[0].endswith("(a way weighed, not today's)")
+    assert cells(text, "time at the figure of each")[0][2:7:4] == [
+        "32.5 ms", "extrapolated, 10 times past the last point of `time`, taken to be the same there"]
+    assert cells(text, "a machine is restarted")[0][1] == "580 MB"
+    fewer = page(before=[point for point in MEMORY if point.x < 180_000]
+                 + points("rest", "memory", "MB", lambda x: 40 + 0.003 * x, [200.0]))
+    assert cells(fewer, "memory of all")[0][6] == "extrapolated, 3 times past the last point of `memory`"
+    wider = page(before=[point for point in MEMORY if point.x < 180_000]
+                 + points("rest", "memory", "MB", lambda x: 40 + 0.003 * x, [360_000.0]))
+    assert cells(wider, "memory of all")[0][2:7:4] == ["580 MB", "fitted"]
+
+
+def test_the_size_at_which_a_square_breaks_its_budget(page, tmp_path):
+    toml = TOML.replace('budget = "0.1"', 'budget = "2.2"')
+    page(before=SQUARE)
+    (tmp_path / made.ROLES).write_text(toml)
+    text = made.page(tmp_path)  # 2 * (0.1 + 1e-9 x^2) = 2.2
+    assert cells(text, "time of a change")[0][5] == "31,600 destinations, **grows worse than linearly**"
+    (tmp_path / made.ROLES).write_text(toml.replace('"2.2"', '"1e9"'))
+    assert cells(made.page(tmp_path), "time of a change")[0][5] == (
+        "over 1.8 million destinations, **grows worse than linearly**")
+
+
+def test_slopes_tell_range_points_residuals_curve_spread_and_commit(page):
+    row, = cells(section(page(before=SQUARE), "Slopes"), "`time`")
+    assert row[1:4] == ["change: processor, ms", "2,000 to 180,000 destinations", "4 x 3"]
+    assert row[7:] == ["0.1 + 1e-09 n²", "2%", "before: the before one, abc1234"]
+    assert float(row[4].strip("%")) > 10 > 2 > float(row[6].strip("%"))
+
+
+def test_too_few_points_give_no_slope_but_what_was_measured(page):
+    text = page(before=MEMORY[-1:] + SQUARE[:3])
+    assert cells(text, "memory of all")[0][2:7] == ["580 MB", "64 MB (target)", "**9.06 times over**",
+                                                    "too few points", "measured"]
+    assert cells(text, "time of a change")[0][2] == "not measured"
+    assert "too few points of `time`: 3 over a factor of 30; wanted are 4 over 20" in text
+    assert cells(section(text, "Slopes"), "`time`")[0][7].startswith("too few points: 3 over")
+
+
+def test_a_point_without_values_is_a_wall_and_nothing_is_worked_out_past_it(page):
+    wall = Point("rest", "served", "", "destinations", 90_000, note="it | ended")
+    text = page(before=[*MEMORY[:3], *points("rest", "memory", "MB", lambda x: x, [200.0]), wall])
+    assert cells(text, "memory of all")[0][2:7:4] == ["not measured",
+                                                      "none at 90,000 destinations: it / ended"]
+    assert cells(section(text, "Walls"), "before")[0][1:] == ["rest: served", "90,000 destinations", "none",
+                                                             "it / ended"]
+    none = page(before=[wall], after=[])
+    assert cells(section(none, "Slopes"), "`memory`")[0][2] == "none, see the walls"
+
+
+def test_points_of_a_search_for_a_wall_stand_among_the_walls(page):
+    found = Point("walls", "delivered", "texts", "highest number", 65_536, [1.0], "of 2")
+    assert cells(section(page(before=[found]), "Walls"), "before")[0][1:] == [
+        "walls: delivered", "65,536 highest number", "1 texts", "of 2"]
+
+
+def test_the_first_file_that_has_a_series_holds_it(page):
+    text = page(before=MEMORY, after=points("rest", "memory", "MB", lambda x: 30.0))
+    assert cells(text, "memory of all")[0][2:5] == ["30 MB", "64 MB (target)", "0.469 of it"]
+    assert cells(section(text, "Slopes"), "`memory`")[0][9] == "after: the after one, abc1234"
+
+
+def test_before_and_after_stand_side_by_side(page):
+    gone = Point("rest", "memory", "MB", "destinations", 2000, note="it refused")
+    small = Point("rest", "memory", "MB", "destinations", 180_000, [58.0])
+    text = section(page(before=MEMORY, after=[gone, small]), "Before and after")
+    rows = cells(text, "memory at rest")
+    assert rows[0][1:6] == ["2,000 destinations", "46 (45.5 to 46.5)", "none: it refused", "MB", ""]
+    assert rows[1][3] == "not measured"
+    assert rows[-1][1:] == ["180,000 destinations", "580 (574 to 586)", "58", "MB", "0.1", "64 MB"]
+    assert "before (the before one, abc1234)" in text
+
+
+def test_a_side_that_is_not_there_is_said_so(page):
+    text = section(page(before=MEMORY), "Before and after")
+    assert "Side by side once both are there; not measured: after." in text
+    assert cells(text, "memory at rest")[0][2:4] == ["46 (45.5 to 46.5)", "not measured"]
+
+
+def test_what_is_missing_is_ranked_by_its_factor_and_options_are_not(page):
+    text = section(page(before=MEMORY + SQUARE), "What is missing next")
+    rows = [line.split(" | ")[1:5] for line in text.splitlines() if re.match(r"\| \d", line)]
+    assert rows == [["650", "Relay: time of a change", "65 ms", "0.1 ms (aim)"],
+                    ["25.7", "Relay: rows of each", "257 rows", "10 rows (aim)"],
+                    ["9.06", "Relay: memory of all", "580 MB", "64 MB (target)"]]
+    assert "ten times as large" not in text
+    assert "- Relay: time at the figure of each, 32.5 ms" in text
+
+
+def test_a_name_that_is_not_there_is_bad_use(tmp_path):
+    (tmp_path / made.ROLES).write_text(TOML.replace("memory(destinations)\"", "memory(sizes)\""))
+    save(tmp_path / "before.json", Results("s", "c", "abc1234", "2026", "m", MEMORY))
+    result = CliRunner().invoke(main, ["lab", "scale", "page", "--folder", str(tmp_path)])
+    assert (result.exit_code, "sizes" in result.output) == (2, True)
+
+
+@pytest.mark.parametrize("word", [
+    "__import__('os')", "relays.real", "relays if relays else 1", "relays and 1", "'a' * 3", "max(*relays)",
+    "min(relays, key=relays)", "memory(1, 2)"])
+def test_an_expression_is_arithmetic_and_nothing_else(word):
+    with pytest.raises(ValueError, match="not a figure"):
+        Book(msgspec.toml.decode(TOML, type=Roles), {}).work_out(word)
