--- a/limelatch/lab/scale/roles.py
+++ b/limelatch/lab/scale/roles.py
@@ -109,8 +109,10 @@
 
 
 class Comparison(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Subjects side by side; the first file of `before` that is there is held against `after`."""
+
     about: str
-    before: str
+    before: list[str]
     after: str
     series: list[Compared]
 
