lab scale relay: destinations that refuse, and pairs of two trees side by side

Why: 1.7% of the destinations are down at any time, and their trials cost a relay; and a text's cost is to be held against an earlier commit's on a machine whose other load changes, which two runs one after the other can't.

Not taken: counting trials at hosts that refuse, which nothing outside the relay sees.

--- a/limelatch/command/scale.py
+++ b/limelatch/command/scale.py
@@ -26,15 +26,17 @@
               help="Numbers of destinations.")
 @click.option("--runs", default=1, show_default=True, type=click.IntRange(1), help="Of each scenario.")
 @click.option("--scenarios", metavar="LIST", help="Some of: walls, start, rest, text, change, burst, list, "
-              "wake, folder, trickle, beside, backlog.  [default: start to folder]")
+              "wake, folder, trickle, beside, down, backlog, pair.  [default: start to folder]")
 @click.option("--tree", default=".", show_default=True, type=click.Path(exists=True, file_okay=False),
               help="Folder of the program to be measured; another commit's, say.")
+@click.option("--against", type=click.Path(exists=True, file_okay=False),
+              help="Folder of the other program of `pair`, which gives two relays the same texts by turns.")
 @click.option("--subject", default="this tree", show_default=True, help="What the results call it.")
 @click.option("--out", type=click.Path(dir_okay=False), help="File of results; what is measured again takes "
               "the place of earlier points.")
 @click.option("--quiet", is_flag=True, help="No progress.")
-def relay(sizes: list[int], runs: int, scenarios: str | None, tree: str, subject: str, out: str | None,
-          quiet: bool) -> None:
+def relay(sizes: list[int], runs: int, scenarios: str | None, tree: str, against: str | None,
+          subject: str, out: str | None, quiet: bool) -> None:
     """What one real relay costs by the number of its destinations, from outside.
 
     Starts relay processes on loopback among stand-ins of its own: memory, processor time, descriptors and
@@ -51,8 +53,11 @@
     chosen = tuple(scenarios.split(",")) if scenarios else one.SIZED
     if unknown := set(chosen) - set(one.ALL):
         raise BadUse(f"no such scenario: {', '.join(sorted(unknown))}; there are {', '.join(one.ALL)}")
-    if not (Path(tree) / "limelatch" / "relay").is_dir():
-        raise BadUse(f"no program in {tree}")
+    if ("pair" in chosen) != (against is not None):
+        raise BadUse("pair wants --against, and nothing else does")
+    for folder in (tree, against or tree):
+        if not (Path(folder) / "limelatch" / "relay").is_dir():
+            raise BadUse(f"no program in {folder}")
     words = f"limelatch lab scale relay --sizes {','.join(map(str, sizes))} --runs {runs}"
     words += f" --scenarios {','.join(chosen)} --subject '{subject}'"
 
@@ -62,7 +67,7 @@
 
     try:
         points = asyncio.run(one.measure(Path(tree), sizes, runs, chosen, lambda line: None if quiet
-                                         else click.echo(line, err=True), keep))
+                                         else click.echo(line, err=True), keep, against and Path(against)))
     except one.OtherRun as error:
         raise BadUse(str(error)) from None
     for each in points:
--- a/limelatch/lab/scale/one.py
+++ b/limelatch/lab/scale/one.py
@@ -32,9 +32,12 @@
 BACKLOG, BACKLOG_EACH = (1000, 3000, 10_000, 30_000), 400  # texts; at a shut destination
 NUMBERS = (65_535, 65_536, 180_000)  # of destinations
 FINE = 1.02  # how narrow the list's bound is looked for
+REFUSING = (0, 100, 300, 1000, 3000)
+BLOCKS, BLOCK = 6, 160  # of texts, in turn to the two relays of a pair
 DESTINATIONS, SHUT, HELD, NUMBER = "destinations", "shut destinations", "held texts", "highest number"
+OUT = "destinations down"
 SIZED = ("start", "rest", "text", "change", "burst", "list", "wake", "folder")  # in one relay, in this order
-ALL = ("walls", *SIZED, "trickle", "beside", "backlog")
+ALL = ("walls", *SIZED, "trickle", "beside", "down", "backlog", "pair")
 
 
 class OtherRun(Exception):
@@ -337,6 +340,52 @@
             add("calls to shut ones", "calls", session.shut.calls, "each was told to wait 1,800 s")
             add("held", "texts", held - session.list.notices)
 
+    async def down(self, down: int, run: int) -> None:
+        """Texts on 16 destinations beside `down` that refuse connections, get trials and hold a text each."""
+        self.progress(f"texts beside {down} destinations that refuse, run {run + 1}")
+        first = BASE + 1
+        async with Session(self.tree, range(1, first), down=range(first, first + down),
+                           texts=2 * down + 2000) as session:
+            await session.serve()
+            said = await session.wake(session.down_ones, 0.0)
+            await asyncio.sleep(REST / 4)  # each has been tried once and is known to be down
+            used, _ = await session.rest(REST)
+            spent: list[float] = []
+            async with session.cost(spent):
+                came = await session.steady(self._round(session), STEADY_RATE)
+            add = self._adder("down", float(down), OUT)
+            add("processor at rest", "ms/s", used * 1e3, "trials among it")
+            add("processor a text", "us", spent[0] / STEADY * 1e6,
+                f"{STEADY_RATE:g} a second over {BASE}, above that at rest")
+            add("delivered", "texts", came, f"of {STEADY}")
+            add("held", "texts", said[0]["+OK"] - session.list.notices, "still, at the end")
+
+    async def pair(self, other: Path, run: int) -> None:
+        """The same texts by turns to a relay of this tree and one of another, which stand side by side.
+
+        Guards against a machine whose other load changes between the two measurements."""
+        self.progress(f"a pair, run {run + 1}")
+        listed = range(1, BASE + 1)
+        async with Session(self.tree, listed) as this, Session(other, listed) as that:
+            spent: dict[str, list[float]] = {"this": [], "other": []}
+            for session in (this, that):
+                await session.serve()
+                await session.steady(self._round(session)[:BLOCK], STEADY_RATE)  # warm
+            for session in (this, that):
+                await session.rest(REST / 4)
+            for block in range(BLOCKS):
+                both = [("this", this), ("other", that)]
+                for name, session in both if (block + run) % 2 else reversed(both):
+                    async with session.cost(spent[name]):
+                        came = await session.steady(self._round(session)[:BLOCK], STEADY_RATE)
+                    if came != BLOCK:
+                        raise NotServing(f"{came} of {BLOCK} texts were delivered by the {name} tree")
+            add, each = self._adder("pair", float(BASE)), BLOCKS * BLOCK / 1e6
+            add("processor a text", "us", sum(spent["this"]) / each)
+            add("processor a text, other tree", "us", sum(spent["other"]) / each, f"at {commit_of(other)}")
+            add("ratio", "", sum(spent["this"]) / sum(spent["other"]),
+                f"{BLOCKS} blocks of {BLOCK} texts each")
+
     async def backlog(self, texts: int, run: int) -> None:
         """`texts` held, 400 a shut destination; memory by difference to the same relay before."""
         self.progress(f"a backlog of {texts} texts, run {run + 1}")
@@ -403,8 +452,11 @@
 
 
 async def measure(tree: Path, sizes: list[int], runs: int, scenarios: tuple[str, ...],
-                  progress: Callable[[str], None], keep: Callable[[list[Point]], None]) -> list[Point]:
-    """Measure a tree; `keep` is given all points so far after the walls and after each run."""
+                  progress: Callable[[str], None], keep: Callable[[list[Point]], None],
+                  other: Path | None = None) -> list[Point]:
+    """Measure a tree, in `pair` beside another one.
+
+    `keep` is given all points so far after the walls and after each run."""
     measurement = Measurement(tree, scenarios, progress)
     await measurement.warm_up()
     if "walls" in scenarios:
@@ -415,6 +467,10 @@
         steps += [(measurement.size, count, "start", DESTINATIONS) for count in sizes]
     if "beside" in scenarios:
         steps += [(measurement.beside, down, "beside", SHUT) for down in DOWN]
+    if "down" in scenarios:
+        steps += [(measurement.down, down, "down", OUT) for down in REFUSING]
+    if "pair" in scenarios and other is not None:
+        steps += [(lambda _, run: measurement.pair(other, run), BASE, "pair", DESTINATIONS)]
     if "backlog" in scenarios:
         steps += [(measurement.backlog, texts, "backlog", HELD) for texts in BACKLOG]
     for run in range(runs):
--- a/limelatch/lab/scale/session.py
+++ b/limelatch/lab/scale/session.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from limelatch.lab.scale.partners import OK, SHUT, AnswerFace, CountedServer, ListFace, row_of
+from limelatch.lab.scale.partners import OK, SHUT, AnswerFace, CountedServer, ListFace, Refusing, row_of
 from limelatch.lab.scale.process import NotServing, RelayProcess, hand_in, trickle_in
 
 ASKED_MOST = 5  # whole lists asked for in vain, then the list counts as one that is never read
@@ -32,13 +32,15 @@
 
 
 class Session:
-    """A relay over `numbers`, one host each; `shut` ones tell every call to wait. `async with` cleans up.
+    """A relay over `numbers`, one host each; `async with` cleans up.
 
+    `shut`: more of them, whose hosts tell every call to wait; `down`: more, whose hosts refuse connections;
     `trickle`: seconds that a whole list takes to arrive; `texts`: room for texts held at once."""
 
     def __init__(self, tree: Path, numbers: range | list[int], shut: range | list[int] = (),
-                 texts: int = 2000, trickle: float = 0.0) -> None:
-        self.numbers, self.shut_ones = list(numbers), list(shut)
+                 down: range | list[int] = (), texts: int = 2000, trickle: float = 0.0) -> None:
+        self.numbers, self.shut_ones, self.down_ones = list(numbers), list(shut), list(down)
+        self.refusing = Refusing()
         self.here, self.moved, self.shut = AnswerFace(OK), AnswerFace(OK), AnswerFace(SHUT)
         self.servers = [CountedServer(face) for face in (self.here, self.moved, self.shut)]
         self.list = ListFace([], trickle)
@@ -54,8 +56,10 @@
             await server.start()
         here, _, shut = (server.address for server in self.servers)
         self.list.rows += [row_of(number, here, place) for place, number in enumerate(self.numbers, 1)]
-        self.list.rows += [row_of(number, shut, place)
-                           for place, number in enumerate(self.shut_ones, len(self.numbers) + 1)]
+        others = [(number, shut) for number in self.shut_ones]
+        others += [(number, self.refusing.address) for number in self.down_ones]
+        self.list.rows += [row_of(number, address, place)
+                           for place, (number, address) in enumerate(others, len(self.numbers) + 1)]
         self.relay = RelayProcess(self.tree, self.folder, self.control.address, self.texts)
         return self
 
@@ -63,6 +67,7 @@
         await self.relay.stop(signal.SIGKILL)
         for server in (*self.servers, self.control):
             server.down()
+        self.refusing.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def control_bytes(self) -> int:
--- a/tests/test_scale_one.py
+++ b/tests/test_scale_one.py
@@ -79,6 +79,17 @@
     asyncio.run(play())
 
 
+def test_texts_go_past_destinations_that_refuse_connections():
+    async def play() -> None:
+        async with Session(TREE, range(1, 17), down=range(17, 37)) as session:
+            await session.serve(30.0, probes=[1])
+            assert (await session.wake(session.down_ones, 0.0))[0] == {"+OK": 20}
+            assert await session.steady(session.numbers, 100.0) == 16
+            assert session.delivered() == session.here.calls == 17
+
+    asyncio.run(play())
+
+
 def test_a_trickling_list_is_read_and_one_that_never_comes_is_said():
     async def play() -> None:
         async with Session(TREE, range(1, COUNT + 1), trickle=0.5) as session:
@@ -94,7 +105,7 @@
 def test_the_command_stores_points_beside_those_of_other_scenarios(tmp_path, monkeypatch):
     out = tmp_path / "results" / "relay.json"
 
-    async def measured(tree, sizes, runs, scenarios, progress, keep):
+    async def measured(tree, sizes, runs, scenarios, progress, keep, other):
         keep(points := [Point(scenarios[0], "memory", "MB", one.DESTINATIONS, float(sizes[0]), [1.0] * runs)])
         return points
 
@@ -113,4 +124,5 @@
     before = out.read_bytes()
     assert command("--scenarios", "rest", "--subject", "another") == BAD_USE and out.read_bytes() == before
     assert command("--scenarios", "nonsense") == BAD_USE and command("--sizes", "39") == BAD_USE
+    assert command("--scenarios", "pair") == BAD_USE  # against what?
     assert json.loads(before)["subject"] == "this tree"
