lab scale relay: each step begins when no connection to a host is kept any more

At 2,000 the moved rows met the 40 connections that the step before had left idle, and their ends were counted, as far as the code tells (to be shown by the new figures), as the burst's.

--- a/limelatch/lab/scale/one.py
+++ b/limelatch/lab/scale/one.py
@@ -152,6 +152,7 @@
         for name in chosen:
             if name in steps:
                 try:
+                    await session.calm()
                     await steps[name](session, x)
                 except (NotServing, OSError) as error:
                     self.book.none(name, DESTINATIONS, x, str(error), "failed")
@@ -241,6 +242,7 @@
         add("processor a row", "us", spent[0] / len(chosen) * 1e6, f"{len(chosen)} rows in one object")
         add("in force", "hosts", await session.in_force(spread(chosen, CHANGES)), f"of {CHANGES} looked at")
         single = spread(places, OBJECTS, 2)
+        await session.calm()
         async with session.cost(spent):
             for place in single:
                 session.move([place])
@@ -348,7 +350,6 @@
                            texts=2 * down + 2000) as session:
             await session.serve()
             said = await session.wake(session.down_ones, 0.0)
-            await asyncio.sleep(REST / 4)  # each has been tried once and is known to be down
             used, _ = await session.rest(REST)
             spent: list[float] = []
             async with session.cost(spent):
--- a/limelatch/lab/scale/session.py
+++ b/limelatch/lab/scale/session.py
@@ -122,9 +122,16 @@
         await self.relay.stop()
         return await self.serve(seconds)
 
+    async def calm(self) -> None:
+        """Wait until no connection to a host is kept any more.
+
+        Guards against what the ends of kept connections cost, which would pass for that of the next step."""
+        await asyncio.sleep(IDLE_TIME)
+        await self.relay.settle()
+
     async def rest(self, seconds: float) -> tuple[float, float]:
         """Seconds of processor and control bytes a second, with nothing to do."""
-        await self.relay.settle()
+        await self.calm()
         used, control, began = self.relay.processor(), self.control_bytes(), time.monotonic()
         await asyncio.sleep(seconds)
         span = time.monotonic() - began
