Tests of the scale measurement: every scenario gives a value, and a wall says what was seen

Why: the small form played the steps alone, not the measurement that puts them together.

What: seven scenarios over 300 destinations with short spans, by counts; a destination's number that no command takes, as a point without values.

--- a/limelatch/lab/scale/process.py
+++ b/limelatch/lab/scale/process.py
@@ -27,7 +27,7 @@
 from limelatch.lab.scale.partners import FLOOR, KIND, LOOPBACK
 
 STOP_WAIT = 6.0  # seconds from SIGTERM, then SIGKILL
-LOOK = 0.02  # seconds between two tries to connect
+LOOK, CALM_LOOK = 0.02, 0.25  # seconds between two tries to connect, two looks at the processor time
 MEMORY, DISK = 4_000_000_000, 1_000_000_000  # so that neither binds; all else is the relay's own default
 PRODUCT, VALID_MS = "notice", 7_200_000
 PING = hiredis.pack_command(("PING",))
@@ -141,12 +141,12 @@
                 await self.process.wait()
 
     async def settle(self, seconds: float = 60.0, busy: float = 0.1) -> None:
-        """Wait until it uses less than `busy` of a core in two looks of 0.25 s running."""
+        """Wait until it uses less than `busy` of a core in two looks running."""
         until, calm, before = time.monotonic() + seconds, 0, self.processor()
         while calm < 2 and time.monotonic() < until:
-            await asyncio.sleep(0.25)
+            await asyncio.sleep(CALM_LOOK)
             now = self.processor()
-            calm, before = calm + 1 if now - before < 0.25 * busy else 0, now
+            calm, before = calm + 1 if now - before < CALM_LOOK * busy else 0, now
 
 
 class Hand:
--- a/tests/test_scale_one.py
+++ b/tests/test_scale_one.py
@@ -8,7 +8,8 @@
 from click.testing import CliRunner
 
 from limelatch.command import BAD_USE, main
-from limelatch.lab.scale import one
+from limelatch.lab.scale import one, process
+from limelatch.lab.scale import session as session_module
 from limelatch.lab.scale.partners import row_of
 from limelatch.lab.scale.process import NotServing
 from limelatch.lab.scale.results import Point, load
@@ -97,11 +98,42 @@
             assert (session.list.whole, session.list.whole_sent, session.delivered()) == (1, 1, 3)
         async with Session(TREE, range(1, COUNT + 1), trickle=600.0) as session:
             with pytest.raises(NotServing, match="delivered 0 of 3"):
-                await session.serve(4.0)
+                await session.serve(2.5)
 
     asyncio.run(play())
 
 
+def test_a_measurement_gives_every_run_of_every_scenario_a_value(monkeypatch):
+    short = {"REST": 0.2, "STEADY": 16, "CHANGES_MORE": 20, "CHANGE_EACH": 0.01,
+             "DOWN": (5,), "BACKLOG": (50,)}
+    for name, value in short.items():
+        monkeypatch.setattr(one, name, value)
+    monkeypatch.setattr(session_module, "IDLE_TIME", 0.05)
+    monkeypatch.setattr(process, "CALM_LOOK", 0.1)
+    kept: list[int] = []
+    scenarios = "start", "rest", "change", "list", "wake", "beside", "backlog"
+    points = asyncio.run(one.measure(TREE, [COUNT], 1, scenarios, lambda line: None,
+                                     lambda points: kept.append(len(points))))
+    counts = {(each.scenario, each.measure): each.values for each in points}
+    assert counts["change", "in force"] == counts["change", "in force at work"] == [20.0]
+    assert (counts["list", "in force"], counts["list", "whole lists asked for"]) == ([1.0], [0.0])
+    assert counts["wake", "delivered"] == [COUNT / 2]
+    assert counts["beside", "delivered"] == counts["backlog", "delivered"] == [16.0]
+    assert (counts["beside", "held"], counts["backlog", "held"]) == ([5.0], [50.0])
+    assert {len(each.values) for each in points} == {1} and kept == [len(points)]
+    assert {each.scenario for each in points} == set(scenarios)
+
+
+def test_what_the_program_does_not_do_is_a_point_without_values(monkeypatch):
+    monkeypatch.setattr(one, "NUMBERS", (10_000_000_000,))  # of more digits than a command takes
+    monkeypatch.setattr(session_module, "REFUSED_LONG", 0.3)
+    points = asyncio.run(one.measure(TREE, [40], 1, ("walls",), lambda line: None, lambda points: None))
+    number, listed = sorted(points, key=lambda each: each.x, reverse=True)
+    assert (number.axis, number.values) == (one.NUMBER, [])
+    assert "10000000000: -ERR" in number.note and "delivered 1 of 2" in number.note
+    assert (listed.axis, len(listed.values)) == (one.DESTINATIONS, 1)
+
+
 def test_the_command_stores_points_beside_those_of_other_scenarios(tmp_path, monkeypatch):
     out = tmp_path / "results" / "relay.json"
 
