--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -474,7 +474,7 @@
 def test_the_list_is_read_in_the_modules_numbers(deadlines):
     deadlines, _ = deadlines
     rows, told = [ROW, ROW | {"name": "s-2", "type": "unheard of"}], []
-    catalog = Catalog(None, deadlines, None, NAMES, 9, 9, lambda entries, whole: told.append((entries, whole)))
+    catalog = Catalog(None, deadlines, None, NAMES, 9, 9, lambda *news: told.append(news))
     catalog.known({"index": 4, "snapshot": True, "endpoints": rows})
     ((entries, whole),) = told
     assert (catalog.index, whole, len(entries), str(catalog.reached(b"s-1"))) == (4, True, 1, "127.0.0.1:80")
@@ -482,8 +482,9 @@
     assert catalog.entries(3) == entries and catalog.reached(b"s-2") is None
 
 
-@pytest.mark.parametrize("raw", [[1], {"index": 1}, {"index": 1, "snapshot": True, "endpoints": [{"name": "x"}]},
-                                 {"index": 1, "snapshot": True, "endpoints": [ROW, ROW | {"group": "x"}]}])
+@pytest.mark.parametrize("raw", [
+    [1], {"index": 1}, {"index": 1, "snapshot": True, "endpoints": [{"name": "x"}]},
+    {"index": 1, "snapshot": True, "endpoints": [ROW, ROW | {"group": "x"}]}])
 def test_a_list_that_cannot_be_read_is_named_so_and_nothing_of_it_is_held(raw, deadlines):
     deadlines, _ = deadlines
     catalog = Catalog(None, deadlines, None, NAMES, 9, 9, lambda entries, whole: None)
