Control by size: a change, cuts that end and starts at once, by 5 machines to 700 watchers

limelatch lab scale control: stand-ins of control machines serve the catalog's list and watch to hollow watchers over loopback, and count bytes, processor time and the time until the last has it.

--- a/limelatch/command/scale.py
+++ b/limelatch/command/scale.py
@@ -72,3 +72,25 @@
     except StageError as error:
         raise Wrong(str(error)) from None
     save_points(out, f"limelatch lab scale hollow --relays {relays} --seeds {seeds} --form {form}", points)
+
+
+@scale.command()
+@click.option("--watchers", default="35,100,350,700", show_default=True, metavar="LIST",
+              help="Numbers of hollow watchers; cuts are made with the most.")
+@click.option("--rows", default="2000,20000,60000,180000", show_default=True, metavar="LIST",
+              help="Rows of the list, for starts of a rack and a zone at once.")
+@click.option("--runs", type=click.IntRange(1, 20), default=3, show_default=True, help="Of each.")
+@click.option("--out", default="docs/capacity/control.json", show_default=True, help="The file of results.")
+def control(watchers: str, rows: str, runs: int, out: str) -> None:
+    """A change's way through 5 control machines, cuts that end, starts of a rack and a zone."""
+    import asyncio
+
+    from limelatch.lab.scale.control import measure
+    from limelatch.lab.stages.errors import StageError
+
+    try:
+        points = asyncio.run(measure(counts(watchers), counts(rows), runs,
+                                     lambda line: click.echo(line, err=True)))
+    except StageError as error:
+        raise Wrong(str(error)) from None
+    save_points(out, f"limelatch lab scale control --watchers {watchers} --rows {rows} --runs {runs}", points)
