Control by size: bytes are of objects alone, starts of one size share their machines

Bytes that reach a watcher are counted without heads and empty lines, so that they are exact on any machine. A run of a start is of a new version, so each machine makes its list anew.

--- a/limelatch/lab/scale/control.py
+++ b/limelatch/lab/scale/control.py
@@ -32,6 +32,7 @@
 CUTS = {"zone": 7, "fifth": 5, "region": 3}  # one of so many
 STARTS = {"rack": 20, "zone": 100}
 LINE_MOST = 1 << 16
+BEAT = len(b"1\r\n\n\r\n")  # bytes of an empty line of the watch, as they come over the wire
 
 
 def row(number: int, status: str = "active") -> bytes:
@@ -156,7 +157,7 @@
     def __init__(self, changed: Callable[[Watcher], None]) -> None:
         self.changed, self.index = changed, 0  # 0: it holds no list
         self.at = 0.0  # when its last object was whole, on the machine's monotonic clock
-        self.read = self.wholes = 0
+        self.read = self.wholes = 0  # bytes of objects; whole lists
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -169,12 +170,11 @@
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: catalog\r\n\r\n".encode())
 
     def data_received(self, data: bytes) -> None:
-        self.read += len(data)
         self.parser.feed_data(data)
 
     def on_body(self, part: bytes) -> None:
         """Lines may come in pieces; of each only its beginning is kept."""
-        begin = 0
+        self.read, begin = self.read + len(part), 0
         while (end := part.find(b"\n", begin)) >= 0:
             self.head += part[begin:min(end, begin + 64)]
             begin = end + 1
@@ -182,6 +182,8 @@
                 self.index, self.at = int(self.head[:64].split(b",")[0].partition(b":")[2]), time.monotonic()
                 self.wholes += b'"snapshot":true' in self.head[:64]
                 self.changed(self)
+            else:
+                self.read -= 1  # an empty line: bytes are of objects alone, and exact
             self.head = b""
         if len(self.head) < 64:
             self.head += part[begin:begin + 64]
@@ -213,10 +215,15 @@
 
         await asyncio.gather(*map(one, who))
 
-    def cut(self, who: list[int]) -> None:
+    def cut(self, who: Iterable[int]) -> None:
         for number in who:
             self.all[number].transport.abort()
 
+    def forget(self) -> None:
+        """All of them end, with what they hold."""
+        self.cut(self.all)
+        self.all = {}
+
     def changed(self, watcher: Watcher) -> None:
         if watcher.index >= self.wanted and watcher in self.missing:
             self.missing.discard(watcher)
@@ -225,7 +232,7 @@
 
     async def until(self, who: list[int], index: int) -> dict:
         """Wait until all of these hold that version; when the last had it, and what they have read."""
-        found = [self.all[number] for number in who]
+        found = [self.all[number] for number in who if number in self.all]
         self.wanted, self.missing = index, {each for each in found if each.index < index}
         self.done.clear()
         if self.missing:
@@ -274,6 +281,8 @@
             await watchers.connect(order["who"], order["addresses"], order["index"])
         elif order["do"] == "cut":
             watchers.cut(order["who"])
+        elif order["do"] == "forget":
+            watchers.forget()
         else:
             return await watchers.until(order["who"], order["index"])
         return {}
@@ -439,17 +448,25 @@
         return len(cut), costs
 
 
-async def start_at_once(watchers: int, rows: int) -> Cost:
-    """Watchers that hold nothing, all at once: the whole list first, then the watch."""
-    async with Control(rows, watchers) as control:
-        every = list(range(watchers))
-        await asyncio.gather(*[part.ask(do="cut", who=[]) for part in control.parts])  # they are up
-        before, began = await control.told(), time.monotonic()
-        await control.connect(every, 0)
-        got, after = await control.order("until", every, index=control.index), await control.told()
-        return Cost([max(each["at"] for each in got) - began], sum(each["read"] for each in got),
-                    sum(each["cpu"] for each in after) - sum(each["cpu"] for each in before),
-                    sum(each["wholes"] for each in got), max(each["memory"] for each in after))
+async def start_at_once(watchers: list[int], rows: int, runs: int) -> dict[int, list[Cost]]:
+    """Watchers that hold nothing, so many of them at once: the whole list first, then the watch.
+
+    Each run is of a new version, so that every machine makes its list anew."""
+    found: dict[int, list[Cost]] = {}
+    async with Control(rows, max(watchers)) as control:
+        await asyncio.gather(*[part.ask(do="forget") for part in control.parts])  # they are up
+        for count in watchers:
+            every = list(range(count))
+
+            async def start(every: list[int] = every) -> None:
+                await control.connect(every, 0)
+
+            for _ in range(runs):
+                await control.change()
+                found.setdefault(count, []).append(await control.measured(every, start))
+                await asyncio.gather(*[part.ask(do="forget") for part in control.parts])
+                await control.settle(0)
+    return found
 
 
 def change_points(watchers: int, runs: list[Cost], rows: int) -> list[Point]:
@@ -464,7 +481,7 @@
             point("until the last has it, most", "ms", [round(1000 * max(run.spreads), 3) for run in runs],
                   wall),
             point("bytes a change and watcher", "B", [round(run.read / each, 2) for run in runs],
-                  "empty lines of the watch are in it"),
+                  f"objects; some 6 B of framing, and empty lines of {BEAT / QUIET:.0f} B a second, beside them"),
             point("processor a change and watcher", "us", [round(1e6 * run.cpu / each, 3) for run in runs],
                   "all machines' together"),
             point("processor a change", "ms", [round(1000 * run.cpu / CHANGES, 4) for run in runs],
@@ -513,11 +530,11 @@
         count, costs = await cut_and_back(most, share, runs)
         found += cut_points(name, count, costs, most)
         told(f"cut and back, a {name}: {count} watchers")
-    for name, count in STARTS.items():
-        for size in rows:
-            costs = [await start_at_once(count, size) for _ in range(runs)]
-            found += start_points(name, count, size, costs)
-            told(f"start of a {name}, {size} rows")
+    for size in rows:
+        costs = await start_at_once(list(STARTS.values()), size, runs)
+        for name, count in STARTS.items():
+            found += start_points(name, count, size, costs[count])
+        told(f"starts of {' and '.join(STARTS)}, {size} rows")
     return found
 
 
