--- a/limelatch/lab/scale/control.py
+++ b/limelatch/lab/scale/control.py
@@ -481,7 +481,7 @@
             point("until the last has it, most", "ms", [round(1000 * max(run.spreads), 3) for run in runs],
                   wall),
             point("bytes a change and watcher", "B", [round(run.read / each, 2) for run in runs],
-                  f"objects; some 6 B of framing, and empty lines of {BEAT / QUIET:.0f} B a second, beside them"),
+                  f"objects; beside them 6 B of framing, and empty lines of {BEAT / QUIET:.0f} B a second"),
             point("processor a change and watcher", "us", [round(1e6 * run.cpu / each, 3) for run in runs],
                   "all machines' together"),
             point("processor a change", "ms", [round(1000 * run.cpu / CHANGES, 4) for run in runs],
