An answer read once its call's time is over delivers no text, in whichever order they come

Its call waited 0.3 ms past the text's validity period, the 200 was read 0.5 ms after that, the relay took it as the delivery, struck the text from the ledger and sent no notice. Checked by reading: Policy._emit gives a submit the time left, counted from the decision, but Driver._pack counted it from its own look at the clock, after the ledger's writes of the same turn (the 0.3 ms). The reactor's poll wakes up to 1 ms after a due time, since its wait is rounded up to whole milliseconds, and reads before it calls what is due: Yard.answered never asked whether the call's time was over (the 0.5 ms). With the calls in the other order the same text ended as a time-out, with its notice. Change: a parcel's due time counts from the decision; Yard.answered and Yard.lost compare the moment of the first line (in a batch of the whole answer) with the call's due time, and an answer read then is worth a time-out: the text is not over, and is repeated or ended as after any other. A told wait holds. A once-only text gets its notice and is not sent again.

--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -374,7 +374,7 @@
                     self.policy.submit_ended(now, li.SubmitReport(text, host, li.Result.MOOT, 0, over=True))
                     self.soon()
                 case li.Submit(text, host, time_out):
-                    self._pack(calls, host, text, time_out, action.keep)
+                    self._pack(calls, host, text, now + time_out, action.keep)
                 case li.Nack(text, advice) if text in self.owed:
                     wait = {"wait_ms": advice // li.MS} if advice else {}
                     self._end_later(self.owed[text], {"result": "bounced"} | wait)
@@ -417,14 +417,16 @@
             self._release(owed)
             client.answer("-BUSY")
 
-    def _pack(self, calls: dict, host: li.HostId, text: bytes, time_out: int, keep: int) -> None:
-        """Texts to one host in one turn share a call as far as its kind allows."""
-        owed, now = self.owed[text], self.clock.now()
+    def _pack(self, calls: dict, host: li.HostId, text: bytes, due: int, keep: int) -> None:
+        """Texts to one host in one turn share a call as far as its kind allows.
+
+        `due` counts from the decision: guards against a submit that waits past its text's validity period by
+        the time that the ledger's writes have taken since."""
+        owed = self.owed[text]
         most = self.plan.terms.kinds[self.kinds[host]].texts_per_call if host in self.kinds else 1
         if len(calls.get(host, [])) >= most:
             self.yard.send(host, calls.pop(host))
-        calls.setdefault(host, []).append(
-            Parcel(text, owed.mark, owed.body, now + time_out, keep))
+        calls.setdefault(host, []).append(Parcel(text, owed.mark, owed.body, due, keep))
 
     def _end_later(self, owed: Owed, notice: dict) -> None:
         """The final answer of a text that was taken on is a notice, owed until it is answered."""
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -64,6 +64,12 @@
     idle: int = 0  # how long its connection had stood idle; 0 for a new one
     deadline: Deadline | None = None
     connection: Connection | None = None
+    begun: int = 0  # when the first line of its answer was read
+
+    def late(self, now: int) -> bool:
+        """Whether what proves a delivery was read when the relay should have stopped waiting: the first line,
+        in a batch the whole answer."""
+        return (now if self.batched else self.begun) >= self.deadline.when
 
 
 def told_wait(headers: dict[bytes, bytes]) -> int:
@@ -99,6 +105,16 @@
     return [Outcome(result, over, wait, report) for _ in call.parcels]
 
 
+def too_late(outcome: Outcome) -> Outcome:
+    """What an answer that ends a text is worth once the relay should have stopped waiting for it: as much as
+    a time-out, whichever of the two the reactor comes to first; a wait that it tells holds.
+
+    Guards against a delivery that counts at the relay alone, so that a text has no end at all: nobody tells
+    whether such an answer was given in time. Another end does no harm to a text that has one."""
+    result = Result.TIMEOUT if outcome.result is Result.DELIVERED else outcome.result
+    return Outcome(result, False, outcome.told_wait, outcome.report)
+
+
 def write_call(call: Call, host: str, now: int) -> list[bytes]:
     """The request of a call, a batch or a probe, in pieces."""
     if not call.parcels:
@@ -143,6 +159,10 @@
         self.deadline.cancel()
         self.yard.go(self)
 
+    def begun(self) -> None:
+        if self.call is not None:
+            self.call.begun = self.yard.clock.now()
+
     def answered(self, answer: Answer, body: bytes) -> None:
         self.yard.answered(self, answer, body)
 
@@ -262,12 +282,13 @@
             self.held_down("answer-not-read", host=call.host, why=repr(error))
             connection.give_up(Ending.GARBLED)
             return
+        late = call.late(self.clock.now())
         self._finish(call)
         if not call.parcels:
             result = RESULT_OF_STATUS.get(answer.status, Result.ERROR)
             self.driver.probed(call, result, report_of(answer.headers))
         for each, outcome in zip(call.parcels, outcomes, strict=True):
-            self.driver.ended(call, each, outcome)
+            self.driver.ended(call, each, too_late(outcome) if late and outcome.over else outcome)
         self._rest(connection, keep if answer.keeps else 0)
 
     def _rest(self, connection: Connection, keep: int) -> None:
@@ -323,7 +344,7 @@
             return
         self._finish(call)
         result, over, answer = RESULT_OF_ENDING[ending], False, connection.answer
-        if answer is not None and answer.status == 200 and not call.batched:
+        if answer is not None and answer.status == 200 and not call.batched and not call.late(call.begun):
             result, over = Result.SPOILT, True  # its first line is true; the call may run on
         if not call.parcels:
             self.driver.probed(call, result, {})
--- a/limelatch/relay/http.py
+++ b/limelatch/relay/http.py
@@ -51,6 +51,9 @@
         self._held = self._head = 0
         self.send(*pieces)
 
+    def begun(self) -> None:
+        """The first line of an answer has come; that of an interim one too."""
+
     def answered(self, answer: Answer, body: bytes) -> None:
         """A whole answer has come."""
         raise NotImplementedError
@@ -78,6 +81,7 @@
             return
         self.answer = Answer(int(match[2]), keeps=match[1] == b"1")
         self._step = self._header
+        self.begun()
 
     def _header(self, line: bytes) -> None:
         if not line:
