A route's first refill counts no time, so that relays start at their even part on any clock

Lines at fault: Route.credit_at began at 0, so the first refill grew the pace by all the time since the clock's zero, to the whole limit. The same came back wherever a route had no pace for a while: _advance refilled only routes with a pace, and a limit told later grew it by the time without one (the second test). Change: credit_at begins at NEVER and a refill counts from then as no time; a route with no pace is refilled too, and its calls use no credit up: else a limit told after 30 calls would find a debt of 30 (a third test, which the module before passed by the fault itself). A start has what many relays may save up, 2 calls, as it had on the wall's clock; two tests of test_crossings count on that (first tried with 1: they failed, and stay as they are). Run: test_renewed, test_mechanisms, test_rules, test_crossings, test_wire (181 passed).

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -86,12 +86,12 @@
         self.usual, self.seen = USUAL_AT_FIRST, 0
         self.recent: deque[int] = deque(maxlen=RECENT_CALLS)
         self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
-        self.credit, self.credit_at, self.cut_at, self.cuts = 1.0, 0, 0, 0
+        self.credit, self.credit_at, self.cut_at, self.cuts = PACE_SAVED, NEVER, 0, 0  # refilled: NEVER yet
         self.flow, self.flow_at, self.served, self.served_at = 0.0, 0, 0.0, 0  # own calls, deliveries; fading
         self.wait_until = self.down_at = self.tries = self.trial_at = 0  # a told wait; an outage, its trials
 
     def refill(self, now: int, relays: int) -> None:
-        passed, self.credit_at = (now - self.credit_at) / SECOND, now
+        passed, self.credit_at = max(0, now - self.credit_at) / SECOND, now
         if self.limit:
             growth = PACE_GROWTH * (self.pace + self.limit / relays) / (1 + self.cuts)
             self.pace = min(self.limit, self.pace + growth * passed)
@@ -531,8 +531,7 @@
         """Bring a host's pace and warm-up to now: what it bears if all relays that know of its outage send.
         Guards against pushing over a returning destination; ends after the cold time."""
         terms, route = self.terms, host.route
-        if route.pace:
-            route.refill(now, terms.relays)
+        route.refill(now, terms.relays)  # also with no pace, so that the time without one fills no later one
         if host.back_at is None:
             return
         since, passed, host.warm_at = now - host.back_at, now - host.warm_at, now
@@ -620,7 +619,7 @@
         host, route, dest = call.host, call.host.route, call.host.dest
         host.out.append(call)
         route.calls, dest.calls, self.slots_used = route.calls + 1, dest.calls + 1, self.slots_used + 1
-        route.credit, host.warm_credit = route.credit - 1.0, host.warm_credit - 1.0
+        route.credit, host.warm_credit = route.credit - bool(route.pace), host.warm_credit - 1.0
         route.flow, route.flow_at = route.flow * max(0.0, 1 - (now - route.flow_at) / FLOW_SPAN) + 1.0, now
 
     def _release(self, now: int, call: Call) -> None:
--- a/tests/test_renewed.py
+++ b/tests/test_renewed.py
@@ -1,14 +1,17 @@
 """Terms of the standing test as renewed: answers and time-outs in one moment, paces on a wall's clock."""
 
 import json
+from dataclasses import replace
 
 import pytest
+from conftest import HOST, REPORT, Bench, S
 from test_crossings import Running
 from test_parts import GOOD, Wire
 
 from limelatch.configuration import Address, plan_of
 from limelatch.configuration.platform import read_platform
-from limelatch.interface import MS, SECOND, HostEntry, Listing
+from limelatch.interface import MS, SECOND, HostEntry, Listing, Result
+from limelatch.policy import Policy
 from limelatch.relay.driver import Driver
 from limelatch.relay.ending import Ending
 
@@ -212,3 +215,60 @@
     loop.pass_to(min(ends))
     loop.turn()
     assert line.ending is Ending.SILENT
+
+
+# Paces on a wall's clock.
+
+WALL = 1_796_000_000 * S  # some moment of 2026
+
+
+def sends(terms, start, told, seconds=10):
+    """How many calls one of many relays makes at a limit of 40 calls a second, in each second, with work
+    enough; the limit is listed, or told by each answer."""
+    bench = Bench(Policy(terms, start))
+    bench.list(HOST, rate=0.0 if told else 40.0, now=start)
+    counts = [0] * seconds
+    for step in range(50 * seconds):
+        now = start + step * S // 50
+        bench.take(REPORT, now=now, valid=4 * S)
+        for text in bench.sent(now):
+            counts[step // 50] += 1
+            bench.end(text, Result.DELIVERED, now, over=True, limit_rate=40.0 if told else None)
+    return counts
+
+
+@pytest.mark.parametrize("told", [False, True])
+@pytest.mark.parametrize("relays", [20, 200])
+def test_a_relay_starts_at_its_even_part_of_a_limit_whatever_the_clock_says(terms, relays, told):
+    """The first refill once counted from the clock's zero: on a wall's each relay began at the whole."""
+    terms = replace(terms, relays=relays, slots=8, rates_listed=not told)
+    first = sends(terms, 0, told)
+    assert sends(terms, WALL, told) == first
+    saved, even = 2, 40 / relays  # calls saved up at the start, its even part of the limit
+    assert first[0] <= saved + told + 2 * even  # told: the call whose answer tells comes before
+
+
+def test_a_limit_told_after_many_calls_finds_no_debt_from_the_time_without_a_pace(terms):
+    """Calls made while nothing was known would hold the next ones back for minutes."""
+    bench = Bench(Policy(replace(terms, relays=20), WALL))
+    bench.list(HOST, now=WALL)
+    for _ in range(30):
+        bench.out(bench.take(REPORT, now=WALL), Result.DELIVERED, WALL, over=True)
+    bench.out(bench.take(REPORT, now=WALL), Result.DELIVERED, WALL, over=True, limit_rate=40.0)
+    now = WALL + S // 2
+    assert bench.sent(now) == {} and bench.sent(now) == {}
+    text = bench.take(REPORT, now=now)
+    assert bench.sent(now) == {text: HOST}
+
+
+def test_a_pace_learned_anew_does_not_grow_for_the_time_without_one(terms):
+    bench = Bench(Policy(replace(terms, relays=20), WALL))
+    bench.list(HOST, now=WALL)
+    route = bench.host().route
+    route.limit, route.pace, route.credit, route.credit_at = 0.0, 0.0, 0.0, WALL  # had one, long ago
+    now = WALL + 600 * S
+    bench.out(bench.take(REPORT, now=now), Result.DELIVERED, now, over=True, limit_rate=40.0)
+    bench.decide(now=now)
+    bench.take(REPORT, now=now)
+    bench.decide(now=now)
+    assert 40 / 20 <= route.pace < 1.1 * 40 / 20 and route.credit <= 1.0
