An asked list is asked for again 5.5 s after the catalog's last word at the latest

At fault: `Policy._ask_later` draws the wait from up to three quarters of `ask_within`, whatever had passed in the call that failed (`Catalog.silence` alone takes 4.5 s of the 6); and `Catalog.move`, which did nothing in a wait after a failure and let the module draw one after `MOVED`, so that a new address by SIGHUP (4 s) was asked only when the wait for the old one was over. Ruled out: the order of timers in `Watch` (heads, interim answers, half and trickling objects, an old index: all within 4.75 s). Change: the catalog keeps when it last heard (a whole object, an empty line, or the call since), the driver tells it with the failure, and the module draws within what is left to 5.5 s; after a move nothing has been heard, and it asks at once. A failed try: 0 for "nothing heard" passed for a time 3 s ago on a clock that begins at 0; it is now before any clock's time.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -38,7 +38,7 @@
 PACE_FREE, PACE_LEARN = 4.0, 0.2  # of a pace that only refusals and deliveries tell
 PACE_STEP, FLOW_SPAN, SERVED_SPAN = 0.05, 5 * SECOND, 20 * SECOND  # growth by a delivery; spans of own rates
 PACE_ROOM, PACE_SAVED = 0.02, 2.0  # many relays: growth by a delivery at full room told; calls saved up
-ASK_PART, ASK_CAP = 4, 3  # of the time to ask within: the first call's spread; with failures, the last's
+ASK_PART, ASK_CAP, ASK_BY = 4, 3, 55 * SECOND // 10  # of the time to ask within; from the catalog's last word
 TRIAL_PART, SEEN_BEFORE, RATE_AT_FIRST = 0.7, 5 * SECOND, 2.0  # of what a cold one bears; age; unknown limit
 SCARCE, ROOM_LEFT = 0.9, 0.92  # share of the slots for shorter time-outs, of the room for nacks of held texts
 NEW = Past()  # of a text that no process had before
@@ -191,16 +191,16 @@
         for number in list(self.dests) if whole else dict.fromkeys(entry.destination for entry in entries):
             self._sort_hosts(self.dests[number])
 
-    def list_failed(self, now: int) -> None:
-        """A call for the list failed, or the watch that it had opened ended: the list held serves on."""
+    def list_failed(self, now: int, heard_at: int = NEVER) -> None:
+        """A call for the list failed, or its watch ended, last heard then: the list held serves on."""
         if self.terms.list_asked:
             self.asked += 1
-            self._ask_later(now)
+            self._ask_later(now, heard_at)
 
-    def _ask_later(self, now: int) -> None:
+    def _ask_later(self, now: int, heard_at: int = NEVER) -> None:
         """Guards against hundreds of relays that ask together, and against one that is taken as told."""
-        part = self.terms.ask_within // ASK_PART
-        self.ask_at = now + self.chance.below(part * min(self.asked + 1, ASK_CAP))
+        part = self.terms.ask_within // ASK_PART * min(self.asked + 1, ASK_CAP)
+        self.ask_at = now + self.chance.below(min(part, max(0, heard_at + ASK_BY - now)))
 
     def _sort_hosts(self, dest: Destination) -> None:
         for host in [each for each in dest.hosts if each.listing is Listing.GONE and not each.out]:
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -16,6 +16,7 @@
 log = logger("catalog")
 
 LIST_MOST = 1024 * 1024
+LONG_AGO = -1 << 62
 LISTINGS = {"active": Listing.READY, "leaving": Listing.DRAINING, "left": Listing.GONE}
 
 
@@ -126,6 +127,7 @@
         self.addresses: dict[bytes, Address] = {}
         self._watch: Watch | None = None
         self._deadline, self._connector = None, None
+        self.heard_at = LONG_AGO  # the last sign of life, or the call since
 
     def known(self, raw: dict) -> None:
         """The list as the relay last had it; it may be old, so what has changed since is asked for.
@@ -141,10 +143,13 @@
         The list held serves until the new one has told its own."""
         if address != self.address:
             self.address, self.index, self.fresh = address, None, False
+            self.heard_at = LONG_AGO  # nothing has come from there: guards against a wait for the one before
             if self._watch is not None:
                 self._watch.close(Ending.MOVED)
             elif self._connector is not None and self._connector.state == "connecting":
                 self._connector.stopConnecting()
+            elif self.failed is not None:
+                self.failed()
 
     def connect(self) -> None:
         self._connector = self.reactor.connectTCP(self.address.host, self.address.port, self, timeout=None)
@@ -155,6 +160,7 @@
         if self._deadline is not None:
             self._deadline.cancel()
         self._deadline = self.deadlines.after(self.silence, self._silent)
+        self.heard_at = self._deadline.when - self.silence
 
     def _silent(self) -> None:
         if self._watch is not None:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -301,7 +301,7 @@
 
     def list_failed(self) -> None:
         """A watch that the module had asked for ended: it says when to ask again."""
-        self.policy.list_failed(self.clock.now())
+        self.policy.list_failed(self.clock.now(), self.catalog.heard_at)
         self.soon()
 
     def may_go(self, now: int, text: bytes, host: li.HostId) -> bool:
