--- a/limelatch/command/scale.py
+++ b/limelatch/command/scale.py
@@ -4,7 +4,177 @@
 
 import click
 
+from limelatch.command import BadUse, Wrong
+
 
 @click.group()
 def scale() -> None:
     """Measure the program by size, and make docs/CAPACITY.md from what was measured."""
+
+
+def counts(word: str) -> list[int]:
+    """`7,40,700`; BadUse where it is no such list of whole numbers above 0."""
+    found = [int(each) for each in word.split(",") if each.isdigit() and int(each)]
+    if len(found) != len(word.split(",")):
+        raise BadUse(f"{word!r} is no list of sizes such as 7,40,150")
+    return found
+
+
+def seeds_in(word: str) -> list[int]:
+    """`1-3` or `1,5`; BadUse where it is no such list."""
+    from limelatch.lab.experiments import seeds_of
+
+    try:
+        return seeds_of(word)
+    except ValueError:
+        raise BadUse(f"{word!r} is no list of seeds such as 1-3 or 1,5") from None
+
+
+def save_points(out: str, command: str, points: list) -> None:
+    """Write a file of results with the commit, the machine and the time."""
+    from datetime import UTC, datetime
+
+    from limelatch.lab.scale.results import Results, commit_of, machine, save
+
+    at = datetime.now(UTC).strftime("%Y-%m-%dT%H:%MZ")
+    try:
+        save(out, Results("limelatch", command, commit_of(), at, machine(), points))
+    except OSError as error:
+        raise Wrong(f"{out}: {error.strerror}") from None
+    click.echo(f"{len(points)} points in {out}")
+
+
+@scale.command()
+@click.option("--relays", default="7,40,150,400,700", show_default=True, metavar="LIST",
+              help="Numbers of hollow relays.")
+@click.option("--seeds", default="1-3", show_default=True, metavar="LIST", help="A run each.")
+@click.option("--processes", type=click.IntRange(1, 16), default=2, show_default=True,
+              help="Runs at once.")
+@click.option("--form", type=click.Choice(["all", "short", "held", "fidelity"]), default="all",
+              show_default=True, help="Texts valid for seconds; for hours; or hollow beside 7 real relays.")
+@click.option("--out", default="docs/capacity/hollow.json", show_default=True, help="The file of results.")
+def hollow(relays: str, seeds: str, processes: int, form: str, out: str) -> None:
+    """What a down, a returning and a lowered destination get from all relays together."""
+    from limelatch.lab.scale.hollow import LONG, SHORT, measure, measure_fidelity
+    from limelatch.lab.stages.errors import StageError
+
+    sizes, numbers, points = counts(relays), seeds_in(seeds), []
+
+    def told(line: str) -> None:
+        click.echo(line, err=True)
+
+    try:
+        for name, each in (("short", SHORT), ("held", LONG)):
+            if form in ("all", name):
+                points += measure(each, sizes, numbers, processes, told)
+        if form in ("all", "fidelity"):
+            points += measure_fidelity(numbers, told)
+    except StageError as error:
+        raise Wrong(str(error)) from None
+    save_points(out, f"limelatch lab scale hollow --relays {relays} --seeds {seeds} --form {form}", points)
+
+
+@scale.command()
+@click.option("--watchers", default="35,100,350,700", show_default=True, metavar="LIST",
+              help="Numbers of hollow watchers; cuts are made with the most.")
+@click.option("--rows", default="2000,20000,60000,180000", show_default=True, metavar="LIST",
+              help="Rows of the list, for starts of a rack and a zone at once.")
+@click.option("--runs", type=click.IntRange(1, 20), default=3, show_default=True, help="Of each.")
+@click.option("--out", default="docs/capacity/control.json", show_default=True, help="The file of results.")
+def control(watchers: str, rows: str, runs: int, out: str) -> None:
+    """A change's way through 5 control machines, cuts that end, starts of a rack and a zone."""
+    import asyncio
+
+    from limelatch.lab.scale.control import measure
+    from limelatch.lab.stages.errors import StageError
+
+    try:
+        points = asyncio.run(measure(counts(watchers), counts(rows), runs,
+                                     lambda line: click.echo(line, err=True)))
+    except StageError as error:
+        raise Wrong(str(error)) from None
+    save_points(out, f"limelatch lab scale control --watchers {watchers} --rows {rows} --runs {runs}", points)
+
+
+def whole_numbers(context: click.Context, parameter: click.Parameter, word: str) -> list[int]:
+    """Such as 200,2000."""
+    try:
+        numbers = [int(each) for each in word.split(",")]
+    except ValueError:
+        raise click.BadParameter("wanted are whole numbers, such as 200,2000") from None
+    if min(numbers) < 40:
+        raise click.BadParameter("40 destinations are the least")
+    return numbers
+
+
+@scale.command()
+@click.option("--sizes", default="200,2000", show_default=True, metavar="LIST", callback=whole_numbers,
+              help="Numbers of destinations.")
+@click.option("--runs", default=1, show_default=True, type=click.IntRange(1), help="Of each scenario.")
+@click.option("--scenarios", metavar="LIST", help="Some of: walls, start, rest, text, change, burst, list, "
+              "wake, folder, trickle, beside, down, backlog, pair.  [default: start to folder]")
+@click.option("--tree", default=".", show_default=True, type=click.Path(exists=True, file_okay=False),
+              help="Folder of the program to be measured; another commit's, say.")
+@click.option("--against", type=click.Path(exists=True, file_okay=False),
+              help="Folder of the other program of `pair`, which gives two relays the same texts by turns.")
+@click.option("--subject", default="this tree", show_default=True, help="What the results call it.")
+@click.option("--out", type=click.Path(dir_okay=False), help="File of results; what is measured again takes "
+              "the place of earlier points.")
+@click.option("--quiet", is_flag=True, help="No progress.")
+def relay(sizes: list[int], runs: int, scenarios: str | None, tree: str, against: str | None,
+          subject: str, out: str | None, quiet: bool) -> None:
+    """What one real relay costs by the number of its destinations, from outside.
+
+    Starts relay processes on loopback among stand-ins of its own: memory, processor time, descriptors and
+    control bytes at the start, from the folder, at rest, for a change, a burst, a new list, a trickling
+    list, a thousand woken at once, texts beside shut destinations, and a backlog. `walls` looks for where
+    it stops working. Exit 0 also where points have no values: these say why.
+    """
+    import asyncio
+    from pathlib import Path
+
+    from limelatch.command import BadUse
+    from limelatch.lab.scale import one
+
+    chosen = tuple(scenarios.split(",")) if scenarios else one.SIZED
+    if unknown := set(chosen) - set(one.ALL):
+        raise BadUse(f"no such scenario: {', '.join(sorted(unknown))}; there are {', '.join(one.ALL)}")
+    if ("pair" in chosen) != (against is not None):
+        raise BadUse("pair wants --against, and nothing else does")
+    for folder in (tree, against or tree):
+        if not (Path(folder) / "limelatch" / "relay").is_dir():
+            raise BadUse(f"no program in {folder}")
+    words = f"limelatch lab scale relay --sizes {','.join(map(str, sizes))} --runs {runs}"
+    words += f" --scenarios {','.join(chosen)} --subject '{subject}'"
+
+    def keep(points: list) -> None:
+        if out:
+            one.store(Path(out), subject, words, Path(tree), points)
+
+    try:
+        points = asyncio.run(one.measure(Path(tree), sizes, runs, chosen, lambda line: None if quiet
+                                         else click.echo(line, err=True), keep, against and Path(against)))
+    except one.OtherRun as error:
+        raise BadUse(str(error)) from None
+    for each in points:
+        values = " ".join(f"{value:g}" for value in each.values) or "-"
+        click.echo(f"{each.scenario:8} {each.x:>8g} {each.axis:18} {each.measure:36} {values} {each.unit}"
+                   f"{'   (' + each.note + ')' if each.note else ''}")
+
+
+@scale.command("page")
+@click.option("--folder", default="docs/capacity", show_default=True, type=click.Path(file_okay=False),
+              help="Where roles.toml and the files of results are.")
+def page_of(folder: str) -> None:
+    """Print docs/CAPACITY.md, made from the results of the other commands.
+
+    Exit 2 where roles.toml or a file of results can't be read, or names what is not there."""
+    import msgspec
+
+    from limelatch.command import BadUse
+    from limelatch.lab.scale.page import page
+
+    try:
+        click.echo(page(folder), nl=False)
+    except (OSError, msgspec.MsgspecError, ValueError) as error:
+        raise BadUse(f"{folder}: {error}") from None
