tests/test_renewed.py hands its hosts to the catalog, as the relay now asks it for them

The fixture alone is at fault: it wrote the addresses into the catalog and told the driver; now the catalog gets a list of the same two hosts (Catalog.known). No case is changed.

--- a/tests/test_renewed.py
+++ b/tests/test_renewed.py
@@ -8,9 +8,9 @@
 from test_crossings import Running
 from test_parts import GOOD, Wire
 
-from limelatch.configuration import Address, plan_of
+from limelatch.configuration import plan_of
 from limelatch.configuration.platform import read_platform
-from limelatch.interface import MS, SECOND, HostEntry, Listing, Result
+from limelatch.interface import MS, SECOND, Result
 from limelatch.policy import Policy
 from limelatch.relay.driver import Driver
 from limelatch.relay.ending import Ending
@@ -55,9 +55,10 @@
     """A relay that serves, with a host that takes one text a call and one that takes five."""
     driver = Driver(plan_of(read_platform(GOOD | {"state": str(tmp_path)})[0]), loop, loop)
     driver.ready = True
-    for number, host in enumerate((b"s-1", b"s-5")):
-        driver.catalog.addresses[host] = Address("127.0.0.1", 8000)
-        driver.listed([HostEntry(host, number + 1, 0, number, 0.0, Listing.READY)], False)
+    rows = [{"name": name, "address": "127.0.0.1:8000", "zone": "a", "type": kind, "group": group,
+             "status": "active", "weight": 0.0, "since_ms": 0}
+            for name, kind, group in (("s-1", "single", 1), ("s-5", "batching", 2))]
+    driver.catalog.known({"index": 1, "snapshot": True, "endpoints": rows})
     yield driver
     driver.ledger.close()
 
