--- a/tests/test_renewed.py
+++ b/tests/test_renewed.py
@@ -55,9 +55,9 @@
     """A relay that serves, with a host that takes one text a call and one that takes five."""
     driver = Driver(plan_of(read_platform(GOOD | {"state": str(tmp_path)})[0]), loop, loop)
     driver.ready = True
-    rows = [{"name": name, "address": "127.0.0.1:8000", "zone": "a", "type": kind, "group": number,
-             "status": "active", "weight": 0.0} for number, (name, kind) in
-            enumerate((("s-1", driver.plan.names.kinds[0]), ("s-5", driver.plan.names.kinds[1])), 1)]
+    rows = [{"name": name, "address": "127.0.0.1:8000", "zone": "a", "type": kind, "group": group,
+             "status": "active", "weight": 0.0, "since_ms": 0}
+            for name, kind, group in (("s-1", "single", 1), ("s-5", "batching", 2))]
     driver.catalog.known({"index": 1, "snapshot": True, "endpoints": rows})
     yield driver
     driver.ledger.close()
