Relays that know of an outage share a cold return by their number, not by what a limit lets through

Saw (a model of one destination against 20, 30 and 60 modules in virtual time, ten seconds of outage, each module with texts waiting): with 60 modules and N = 1 just back, 72 to 296% too many calls in the cold time, up to 8 beyond N + 2 x root of N + 2; where the destination refuses instead of failing, up to 53 beyond it.

Checked: by symptom (refused connections, hangs, errors, refusals), by size, by demand (always, thin, all at once), with one and three hosts. Ruled out: the parts of warm-up credit and their random start (their sum keeps to the budget), several hosts, the slots.

Lines at fault in policy.py: `_seers` counted the relays that know by the texts that the limit lets through, which is far too few where each relay holds several; `_next_trial` set a trial by what was known at the first failure and left it there; after a refusal the credit was set to 0 at all relays alike, so that their next calls came together, and while nothing was delivered two calls were saved up.

Change: a relay that has had three texts since the outage began takes the others for its like; texts that come put the trial off; the first trial comes at any time of its span, so that the sum of the trials is even from the start; a refusal that tells room left, with no delivery for 2 s, is no sign of the limit, and the next call comes after half a span to one and a half. So that the return is not slower for it, a host counts as back since half way between the last trial that failed and the first that went through.

Not covered either: destinations whose limit nobody tells.

Failed tries: half the credit drawn for limits that nobody tells (an older test saw its next call too early); trials from half a span on after the change of `_seers` alone: no call at all for 75 s with 60 modules.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -82,13 +82,12 @@
 
     def __init__(self, window: int) -> None:
         self.hosts: list[Host] = []
-        self.window, self.halved_at, self.calls = window, -1, 0
-        self.usual, self.seen = USUAL_AT_FIRST, 0
+        self.window, self.halved_at, self.calls, self.usual, self.seen = window, -1, 0, USUAL_AT_FIRST, 0
         self.recent: deque[int] = deque(maxlen=RECENT_CALLS)
         self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
         self.credit, self.credit_at, self.cut_at, self.cuts = 1.0, 0, 0, 0
         self.flow, self.flow_at, self.served, self.served_at = 0.0, 0, 0.0, 0  # own calls, deliveries; fading
-        self.wait_until = self.down_at = self.tries = self.trial_at = 0  # a told wait; an outage, its trials
+        self.wait_until = self.down_at = self.tries = self.trial_at = self.tried_at = self.part = 0  # trials
 
     def refill(self, now: int, relays: int) -> None:
         passed, self.credit_at = (now - self.credit_at) / SECOND, now
@@ -97,7 +96,7 @@
             self.pace = min(self.limit, self.pace + growth * passed)
         else:
             self.grow(PACE_GROWTH * passed)
-        saved = max(PACE_SAVED if relays > KEEPERS else 1.0, self.pace * PACE_BURST)
+        saved = max(PACE_SAVED if relays > KEEPERS and not self.cuts else 1.0, self.pace * PACE_BURST)
         self.credit = min(saved, self.credit + self.pace * passed)
 
     def grow(self, share: float) -> None:
@@ -132,7 +131,7 @@
     def __init__(self, entry: HostEntry, dest: Destination, route: Route, keep: int) -> None:
         self.id, self.zone, self.kind = entry.host, entry.zone, entry.kind
         self.listing, self.dest, self.route = entry.listing, dest, route
-        self.out, self.failing, self.sick, self.seers, self.back_at = [], 0.0, False, 1.0, None  # out: calls
+        self.out, self.failing, self.sick, self.back_at = [], 0.0, False, None  # out: calls
         self.warm_credit, self.warm_at, self.last_ok, self.used_at = 0.0, 0, -GOOD_LATELY, 0
         self.gap = self.gap_most = keep  # time between calls, as far as hosts keep connections idle
         self.kept, self.sour = False, {}  # whether there may be an idle one; products that fail: when
@@ -149,7 +148,7 @@
     """One outside receiver: its token bucket, its hosts, and the texts held for it."""
 
     def __init__(self) -> None:
-        self.tokens, self.calls, self.shared, self.look_at = BUCKET, 0, None, 0
+        self.tokens, self.calls, self.shared, self.look_at, self.had = BUCKET, 0, None, 0, 0
         self.waiting: dict[TextId, Held] = {}  # its texts that are not out
         self.hosts: list[Host] = []
 
@@ -235,7 +234,7 @@
     def _hold(self, held: Held) -> None:
         """The text waits for a submit, until it can no longer be sent in time."""
         dest = self.active[held.text.destination] = self.dests[held.text.destination]
-        dest.waiting[held.text.id], dest.look_at = held, 0
+        dest.waiting[held.text.id], dest.look_at, dest.had = held, 0, dest.had + (held.submits == 0)
         heapq.heappush(self.expiries, (held.until - LAST_MOMENT, held.text.id))
 
     def submit_ended(self, now: int, report: SubmitReport) -> None:
@@ -300,10 +299,9 @@
             route.wait_until = max(route.wait_until, now + report.told_wait + self.chance.below(spread))
         if result is Result.DELIVERED or result is Result.SPOILT and report.over:
             host.dest.tokens = min(BUCKET, host.dest.tokens + REFILL)
-            host.last_ok, route.cuts = now, 0
             host.sour.pop(product, None)
-            route.served *= max(0.0, 1 - (now - route.served_at) / SERVED_SPAN)
-            route.served, route.served_at = route.served + 1.0, now
+            route.served = route.served * max(0.0, 1 - (now - route.served_at) / SERVED_SPAN) + 1.0
+            host.last_ok, route.served_at, route.cuts = now, now, 0
             left, part = report.limit_left, PACE_ROOM if self.terms.relays > KEEPERS else 1.0
             if route.limit:  # by what others leave
                 growth = PACE_STEP if left is None else part * max(0.0, left)
@@ -349,14 +347,13 @@
     def _failed(self, now: int, host: Host, why: str, step: float) -> None:
         """A host that fails often is sick, and with it those of its route that have not delivered lately.
         Guards against each relay finding out host by host that a whole destination is down."""
-        route, sound = host.route, not host.sick
+        route, dest, sound = host.route, host.dest, not host.sick
         host.failing += (1 - host.failing) * step
         if sound and host.failing > SICK_SHARE:
             if not any(each.sick for each in route.hosts):
-                route.down_at, route.tries = now, 0
-            for each in route.hosts:
-                if each is host or each.last_ok < now - GOOD_LATELY:
-                    each.sick, each.back_at = True, None
+                route.down_at, route.tries, dest.had = now, 0, 1 + dest.calls + len(dest.waiting)
+            for each in [one for one in route.hosts if one is host or one.last_ok < now - GOOD_LATELY]:
+                each.sick, each.back_at = True, None
             self.log.append(LogLine(f"sick: {why}, failing {host.failing:.2f}", host.id))
         if host.sick:
             self._next_trial(now, route)
@@ -369,39 +366,41 @@
             route.refill(now, self.terms.relays)
             own, weight = route.flow * SECOND / FLOW_SPAN, 1 / (route.flow + (1 if left is None else 2))
             if route.limit:
-                fair = min(route.pace, (2 * own) ** (1 - weight) * even ** weight)
+                room = left is not None and left >= LIMIT_USED_UP and now - host.last_ok > GOOD_LATELY
+                fair = min(route.pace, even if room else (2 * own) ** (1 - weight) * even ** weight)
                 deeper = route.cuts * weight if self.terms.relays > KEEPERS else 0.0  # few relays push less
                 route.pace = max(PACE_CUT * fair / (1 + deeper), PACE_LEAST * even)
             else:  # the first may be chance; few relays have texts for it at one time
-                cut = PACE_CUT / (1 + min(route.cuts, 1))
-                route.pace = max(cut * min(route.pace or own, own), 2 * even)
-                route.credit = -self.chance.below(1000) / 1000
+                route.pace = max(PACE_CUT / (1 + min(route.cuts, 1)) * min(route.pace or own, own), 2 * even)
             route.cut_at, route.cuts = now, route.cuts + 1
-        route.credit = min(route.credit, 0.0)
+        route.credit = min(route.credit, (0.5 if route.limit else 0.0) - self.chance.below(1000) / 1000)
         if host.sick:
             self._next_trial(now, route)
         elif (told > TOLD_SHUT or route.cuts >= REFUSED_OFTEN) and (left is None or left >= LIMIT_USED_UP):
             self._failed(now, host, f"refused {route.cuts} times, told to wait {told // MS} ms", 1.0)
 
     def _next_trial(self, now: int, route: Route) -> None:
-        """The next trial call comes after a wait of the design's kind, from a told wait's end on.
-        Guards against hundreds of relays pushing over a cold destination by their trials alone."""
-        route.tries += 1
-        terms, seers = self.terms, self._seers(now, route)
-        bearable = min(1.0, terms.cold_share * terms.fall_multiple * TRIAL_PART)
-        spacing = int(SECOND * seers / (bearable * route.rate(terms.relays)))
-        wait = max(self._jitter(route.tries + 1), spacing * (50 + self.chance.below(100)) // 100)
-        route.trial_at = max(now, route.wait_until) + 100 * MS + wait
+        """The next trial call comes after a wait of the design's kind, from a told wait's end on."""
+        route.tries, route.tried_at = route.tries + 1, max(now, route.wait_until) + 100 * MS
+        route.part = (50 if route.tries > 1 else 0) + self.chance.below(100)  # the first: at any time of it
+        route.trial_at = route.tried_at + self._jitter(route.tries + 1)
+        self._trial_opens(route)
+
+    def _trial_opens(self, route: Route) -> int:
+        """Guards against hundreds of relays pushing over a cold destination by their trials alone."""
+        bearable = min(1.0, self.terms.cold_share * self.terms.fall_multiple * TRIAL_PART)
+        spacing = SECOND * self._seers(route.tried_at, route) / (bearable * route.rate(self.terms.relays))
+        route.trial_at = max(route.trial_at, route.tried_at + int(spacing * route.part / 100))
+        return route.trial_at
 
     def _seers(self, now: int, route: Route) -> float:
-        """How many relays may know of an outage: as many as have had a text for it since, all at the most."""
-        rate = route.rate(self.terms.relays)
-        return min(self.terms.relays, max(1.0, rate * (now - route.down_at + SEEN_BEFORE) / SECOND))
+        """How many relays may know of an outage: by its texts, or by this one's if all are alike."""
+        relays, like = self.terms.relays, self.terms.relays * (route.hosts[0].dest.had - 1) / 2
+        return min(relays, max(1.0, like, route.rate(relays) * (now - route.down_at + SEEN_BEFORE) / SECOND))
 
     def _come_back(self, now: int, route: Route) -> None:
         for host in [each for each in route.hosts if each.sick]:
-            host.sick, host.back_at, host.failing = False, now, FAIL_STEP / 2
-            host.seers, host.warm_at = self._seers(now, route), now
+            host.sick, host.back_at, host.failing, host.warm_at = False, now, FAIL_STEP / 2, now
             host.warm_credit = self.chance.below(1000) / 1000  # many small parts add up to what is safe
             self.log.append(LogLine(f"back after {route.tries} trials, warming", host.id))
         route.tries = 0
@@ -512,7 +511,7 @@
         if full or host.dest.calls >= cap or host.listing is not Listing.READY:
             return NEVER
         if host.sick:
-            return NEVER if any(each.sick and each.out for each in route.hosts) else route.trial_at
+            return NEVER if any(each.sick and each.out for each in route.hosts) else self._trial_opens(route)
         if host.overdue(now):
             return max(route.wait_until, host.out[-1].sent + host.patience())
         opens = max(now, route.wait_until)
@@ -535,13 +534,14 @@
             route.refill(now, terms.relays)
         if host.back_at is None:
             return
-        since, passed, host.warm_at = now - host.back_at, now - host.warm_at, now
+        since, passed, seers = now - host.back_at, now - host.warm_at, self._seers(host.back_at, route)
         if since >= terms.cold_time:
             host.back_at = None
             return self.log.append(LogLine(f"warm after {since // SECOND} s", host.id))
-        share = terms.cold_share + (1 - terms.cold_share) * since / terms.cold_time
-        rate = route.rate(terms.relays) / max(1, len(route.hosts)) * share * terms.fall_multiple
-        host.warm_credit = min(1.0, host.warm_credit + rate / host.seers * passed / SECOND)
+        back = since + max(0, host.back_at - max(route.tried_at, route.down_at)) // 2  # half the last wait
+        share = min(1.0, terms.cold_share + (1 - terms.cold_share) * back / terms.cold_time)
+        rate = route.rate(terms.relays) * share * terms.fall_multiple / len(route.hosts) / seers
+        host.warm_credit, host.warm_at = min(1.0, host.warm_credit + rate * passed / SECOND), now
 
     def _give_up(self, now: int) -> None:
         """End texts that are out of time; nearly full, nack those with the least at stake to leave room."""
--- /dev/null
+++ b/tests/test_terms_cold.py
@@ -0,0 +1,229 @@
+"""A destination back from an outage, cold, under the sum of all relays that know of it.
+
+The terms of service: with N the calls that the settings allow it in their time at that moment, it bears
+N + 2 x root of N + 2, also from twenty or sixty relays. Each test plays the modules of all relays against one
+destination in virtual time; nothing else of the program takes part."""
+
+from __future__ import annotations
+
+import heapq
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import sqrt
+from random import Random
+
+import pytest
+
+from limelatch.interface import (
+    MS,
+    SECOND,
+    Effect,
+    HostEntry,
+    HostKind,
+    Listing,
+    Product,
+    Result,
+    Submit,
+    SubmitReport,
+    Terms,
+    Text,
+    Wake,
+)
+from limelatch.policy import CAP, Policy
+
+NOW, OUTAGE, LATENCY, VALID = 100 * SECOND, 10 * SECOND, 40 * MS, 60 * SECOND
+SYMPTOMS = {"refused connections": (Result.CONNECT, 1 * MS), "hangs": (Result.TIMEOUT, 0),
+            "shut": (Result.FULL, 5 * MS), "errors": (Result.ERROR, 40 * MS)}
+
+
+@dataclass(frozen=True)
+class Cold:
+    """What a deployment's settings say of a destination back from an outage."""
+
+    share: float
+    time: int
+    multiple: float
+    window: int
+
+    def rate_for(self, allowed: float) -> float:
+        """The capacity, in calls a second, at which just back so many calls are allowed in the window."""
+        return allowed * SECOND / (self.multiple * self.share * self.window)
+
+
+# Least share and longest time, the multiple and the window of three deployments.
+NAVRANG = Cold(0.14, 12 * SECOND, 2.5, 2 * SECOND)
+VADODARA = Cold(0.29, 12 * SECOND, 1.5, 2 * SECOND)
+FUKUOKA = Cold(0.21, 92 * SECOND // 10, 2.0, 3 * SECOND)
+
+
+class World:
+    """One destination and the modules of all relays that know of its outage."""
+
+    def __init__(self, cold: Cold, allowed: float, alive: int, seed: int, listed: int = 0, told: bool = True,
+                 symptom: str = "refused connections", hosts: int = 1,
+                 demand: Callable[[Random, int], int] | None = None) -> None:
+        self.cold, self.rate, self.told, self.symptom = cold, cold.rate_for(allowed), told, symptom
+        self.chance, self.now, self.queue, self.count = Random(seed), 0, [], 0
+        self.calls: list[int] = []  # when each call came after the return
+        self.back_at, self.demand, self.end = NOW + OUTAGE, demand, NOW + OUTAGE + cold.time
+        terms = [Terms(self.chance.getrandbits(32), listed or alive, 16, 200, 8, 2 * SECOND,
+                       [Product(Effect.RESENDABLE, 3 * SECOND, VALID, 2.0, 0.4, False)], [HostKind()],
+                       cold_share=cold.share, cold_time=cold.time, fall_multiple=cold.multiple,
+                       fall_time=cold.window, conn_idle=9 * SECOND, rates_listed=told)
+                 for _ in range(alive)]
+        self.relays = [Policy(each, 0) for each in terms]
+        entries = [HostEntry(b"host%d" % each, 1, 0, 0, self.rate, Listing.READY) for each in range(hosts)]
+        self.wakes = [1 << 62] * alive
+        self.room, self.room_at = 1.0, self.back_at
+        for number, relay in enumerate(self.relays):
+            relay.hosts_listed(0, entries, True)
+            for _ in range(3):
+                self.at(NOW + self.chance.randrange(SECOND), self.hand_in, number)
+            if demand is None:
+                self.at(NOW + SECOND, self.refill, number)
+            else:
+                self.at(NOW + demand(self.chance, NOW), self.trickle, number)
+
+    def at(self, when: int, call: Callable[..., None], *arguments: object) -> None:
+        self.count += 1
+        heapq.heappush(self.queue, (when, self.count, call, arguments))
+
+    def run(self) -> World:
+        while self.queue and self.queue[0][0] <= self.end:
+            self.now, _, call, arguments = heapq.heappop(self.queue)
+            call(*arguments)
+        return self
+
+    # A relay's clients.
+
+    def hand_in(self, number: int) -> None:
+        self.count += 1
+        self.relays[number].text_taken(self.now, Text(self.count, 1, 0, self.now + VALID))
+        self.decide(number)
+
+    def refill(self, number: int) -> None:
+        """Always a few texts to send."""
+        for _ in range(4 - len(self.relays[number].texts)):
+            self.hand_in(number)
+        self.at(self.now + 100 * MS, self.refill, number)
+
+    def trickle(self, number: int) -> None:
+        self.hand_in(number)
+        self.at(self.now + self.demand(self.chance, self.now), self.trickle, number)
+
+    # A relay.
+
+    def wake(self, number: int) -> None:
+        if self.wakes[number] <= self.now:
+            self.wakes[number] = 1 << 62
+            self.decide(number)
+
+    def decide(self, number: int) -> None:
+        for action in self.relays[number].decide(self.now):
+            if isinstance(action, Submit):
+                self.submit(number, action)
+            elif isinstance(action, Wake):
+                self.wakes[number] = self.now + action.after
+                self.at(self.now + action.after, self.wake, number)
+
+    def ended(self, number: int, report: SubmitReport) -> None:
+        self.relays[number].submit_ended(self.now, report)
+        self.decide(number)
+
+    # The destination.
+
+    def submit(self, number: int, submit: Submit) -> None:
+        result, took = SYMPTOMS[self.symptom]
+        if self.now >= self.back_at:
+            self.calls.append(self.now)
+            result, took = self.answer(), self.chance.randrange(LATENCY // 2, 2 * LATENCY)
+        took = took or submit.time_out
+        left = max(0.0, self.room / 5) if self.told else None
+        self.at(self.now + took, self.ended, number, SubmitReport(
+            submit.text, submit.host, result, took, result is Result.DELIVERED,
+            limit_left=left if result is not Result.CONNECT else None,
+            limit_rate=self.rate if self.told and result is not Result.CONNECT else None))
+
+    def answer(self) -> Result:
+        """It takes what it can do, with a small queue; what pushes it over is more than that."""
+        passed, self.room_at = self.now - self.room_at, self.now
+        self.room = min(5.0, self.room + self.rate * self.share(self.now) * passed / SECOND)
+        if self.room < 1.0:
+            return Result.FULL
+        self.room -= 1.0
+        return Result.DELIVERED
+
+    def share(self, at: int) -> float:
+        """Of its capacity that it has."""
+        return self.cold.share + (1 - self.cold.share) * (at - self.back_at) / self.cold.time
+
+    def allowed(self, at: int) -> float:
+        """Calls that it bears in the window that ends then."""
+        return self.cold.multiple * self.rate * self.share(at) * self.cold.window / SECOND
+
+    def half_after(self) -> tuple[float, float]:
+        """Seconds from the return to half of what the budget, and never more than the limit, let through in
+        the cold time: as sent, and as it was let."""
+        step, sums = 10 * MS, [0.0]
+        for at in range(self.back_at, self.end, step):
+            sums.append(sums[-1] + min(1.0, self.cold.multiple * self.share(at)) * self.rate * step / SECOND)
+        half = sums[-1] / 2
+        let = next(at for at, each in enumerate(sums) if each >= half) * step
+        sent = self.calls[int(half)] - self.back_at if len(self.calls) > half else self.cold.time
+        return sent / SECOND, let / SECOND
+
+    def worst(self) -> float:
+        """Calls beyond N + 2 x root of N + 2 in the worst window; under 0 it bore them all."""
+        worst, first = -1e9, 0
+        for last, at in enumerate(self.calls):
+            while self.calls[first] <= at - self.cold.window:
+                first += 1
+            n = self.allowed(at)
+            worst = max(worst, last + 1 - first - n - 2 * sqrt(n) - 2)
+        return worst
+
+
+SIZES = (20, 30, 60)
+ALLOWED = (1, 2, 5, 20, 50)  # N, just back
+QUICK = [(1, "refused connections"), (2, "refused connections"), (2, "shut"), (5, "shut"), (12, "hangs")]
+SEEDS = range(int(os.environ.get("COLD_SEEDS", "1")))  # more than one: for measuring
+EACH = pytest.mark.parametrize("cold", [NAVRANG, VADODARA, FUKUOKA], ids=["navrang", "vadodara", "fukuoka"])
+
+
+def in_bursts(chance: Random, now: int) -> int:
+    """Nothing until 3 s after the return, then at every relay much at once."""
+    start = NOW + OUTAGE + 3 * SECOND
+    return start - now + chance.randrange(200 * MS) if now < start else 250 * MS
+
+
+@EACH
+@pytest.mark.parametrize("alive", SIZES)
+def test_relays_that_know_of_an_outage_do_not_push_the_destination_over(cold, alive):
+    """Sixty relays once sent up to four times what a small destination bore: each took the others that knew
+    for as few as the limit lets texts through, and trials once set stayed however many texts came."""
+    runs = [(allowed, symptom) for allowed in ALLOWED for symptom in SYMPTOMS] if len(SEEDS) > 1 else QUICK
+    for seed in SEEDS:
+        for allowed, symptom in runs:
+            world = World(cold, allowed, alive, seed, symptom=symptom).run()
+            assert world.worst() <= 0, (allowed, symptom, seed)
+
+
+@EACH
+def test_texts_that_come_together_at_all_relays_are_no_push_either(cold):
+    for seed in (0, 1):
+        assert World(cold, 3, 60, seed, demand=in_bursts).run().worst() <= 0
+
+
+@EACH
+def test_with_fewer_relays_alive_than_listed_less_is_sent(cold):
+    for seed in (0, 1):
+        few, right = World(cold, 15, 20, seed, listed=60).run(), World(cold, 15, 20, seed).run()
+        assert few.worst() <= 0 and len(few.calls) <= len(right.calls)
+
+
+@EACH
+def test_the_return_is_as_fast_as_budget_and_trials_let_it(cold):
+    """Half of what the budget lets through has come, at most half a trial's longest wait after it could."""
+    sent, let = World(cold, 20, 30, 3).run().half_after()
+    assert sent <= let + CAP / SECOND / 2, (sent, let)
