--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -23,6 +23,8 @@
 EVENTS = {
     "started": Event("driver", INFO, "the folder that lasts has been read", {
         "owed": OWED, "hosts": "hosts on the known list", "ledger_bytes": "size of the ledger"}),
+    "waiting": Event("driver", INFO, "the relay does not serve yet", {
+        "on": "what it waits for", "most_ms": "after which it serves without"}),
     "serving": Event("driver", INFO, "clients are taken from here on", {
         "listen": "the address", "hosts": "hosts on the list", "fresh_list": "whether the catalog has told "
                                                                              "it since "
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -89,6 +89,7 @@
         say(log, "started", owed=len(self.owed), hosts=len(self.zones), ledger_bytes=self.ledger.size)
         if self.plan.operator is not None:  # at once: STATUS says whether clients are served yet
             self.door.listen(self.reactor, self.plan.operator.host, self.plan.operator.port)
+        say(log, "waiting", on="list", most_ms=self.plan.list_wait // li.MS)
         self.deadlines.after(self.plan.list_wait, self.serve)
         if not self.plan.terms.list_asked:
             self.catalog.connect()
