--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -16,7 +16,7 @@
 from limelatch.lab.scale.results import Point, Results, load, save
 from limelatch.lab.stages.errors import StageError
 from limelatch.lab.world.clients import Arrivals
-from limelatch.relay.catalog import read_list
+from limelatch.relay.catalog import Catalog
 
 SMALL = Form("small", "down", valid=24, at=20, lasts=40, lowered=60, seconds=120, settle=40, count=2)
 
@@ -130,12 +130,16 @@
 
 def test_the_list_is_in_the_form_that_a_relay_reads():
     feeder = control.Feeder(300)
-    names = Names(["n"], ["c"], list("abcdefg"), ["m2"], [])
-    index, whole, entries, addresses = read_list(json.loads(feeder.whole()), names)
-    assert (index, whole, len(entries), len(addresses)) == (1, True, 300, 300)
+    names, told = Names(["n"], ["c"], list("abcdefg"), ["m2"], []), []
+    catalog = Catalog(None, None, None, names, 9, 9, lambda *news: told.append(news))
+    catalog.known(json.loads(feeder.whole()))
+    (entries, whole), = told
+    assert (catalog.index, whole, len(entries), len(catalog.directory)) == (1, True, 300, 300)
+    assert all(catalog.reached(each.host) for each in entries)
     feeder.change(3)
-    index, whole, entries, _ = read_list(json.loads(feeder.since(1)), names)
-    assert (index, whole, len(entries)) == (4, False, 3)
+    catalog.known(json.loads(feeder.since(1)))
+    entries, whole = told[-1]
+    assert (catalog.index, whole, len(entries)) == (4, False, 3)
     assert {each.listing for each in entries} == {Listing.READY, Listing.DRAINING}
     assert json.loads(feeder.since(4))["endpoints"] == []
 
