Hollow relays: calls that came to a failing destination are counted beside tries

The stage on sockets adds a try for each line that a host is sick, so tries of real relays are a little high; calls as they come are the same count on both stages.

--- a/limelatch/lab/scale/hollow.py
+++ b/limelatch/lab/scale/hollow.py
@@ -170,7 +170,7 @@
     name: str
     capacity: float = 0.0  # texts a second of all its hosts
     calls: list[int] = field(default_factory=list)  # whole calls that came, by time
-    missed: list[int] = field(default_factory=list)  # tries that failed, as its callers saw them
+    missed: list[int] = field(default_factory=list)  # tries that failed; real relays' lines of sick hosts too
     refused: list[int] = field(default_factory=list)
     delivered: list[int] = field(default_factory=list)
     fell: bool = False
@@ -271,7 +271,9 @@
         tries = [[at for at in seen.missed if begin <= at < end] for _, seen in group]
         late = [len([at for at in each if at >= end - (end - begin) // 3]) for each in tries]
         texts = self.texts("struck", begin, end)
-        rows = {("trials", "1/s"): mean(len(each) / span for each in tries),
+        calls = [sum(begin <= at < end for at in seen.calls) for _, seen in group]
+        rows = {("calls that came", "1/s"): mean(each / span for each in calls),  # none where refused
+                ("trials", "1/s"): mean(len(each) / span for each in tries),
                 ("trials in the last third", "1/s"): mean(each / (span / 3) for each in late),
                 ("trials in the fullest second", "count"): mean(fullest(each, SECOND) for each in tries),
                 ("texts lost", "share"): lost(texts),
