Capacity page: flat series stay flat, no fit against a measured size, sides a series

Trials with the first measured files showed four faults. A flat series carried 41 times past its last point gave -0.38 ms of processor a second: a line that misses hardly less than a flat one is taken as flat now (200 noisy flat series: 190 or more flat; slopes of twice the start under the same noise are kept). A fit said that the budget of a change lasts to 2,540 destinations though 2,000 were measured over it: the words now give the measured sizes where a fit is against them. The comparison took one file before for all series, though texts beside shut destinations and backlogs are in another: the first with values of the series is taken. Whole numbers are shown whole.

--- a/limelatch/lab/scale/fit.py
+++ b/limelatch/lab/scale/fit.py
@@ -12,6 +12,7 @@
 
 POINTS_LEAST, RANGE_LEAST = 4, 20.0  # sizes with values, and the largest over the smallest of them above 0
 BETTER, VISIBLE = 0.5, 0.005  # of the line's residual; below it, as a share of the mean, a line is a line
+SLOPING = 0.75  # of what a flat line misses; one that misses more has no slope that could be told from noise
 
 
 class TooFewPoints(ValueError):
@@ -71,8 +72,9 @@
     """Least squares of each curve on every run's value, by size; a size without values is left out.
 
     The line is taken unless another curve misses less than half of what it does. What the runs of one size
-    differ by is in all residuals, so noise is no growth. TooFewPoints where there are fewer than four sizes,
-    or they span less than a factor of 20."""
+    differ by is in all residuals, so noise is no growth. A line that misses hardly less than a flat one is
+    taken as flat: guards against noise that is carried far past the last point. TooFewPoints where there are
+    fewer than four sizes, or they span less than a factor of 20."""
     filled = {x: values for x, values in sorted(points.items()) if values}
     sizes, positive = tuple(filled), [x for x in filled if x > 0]
     if len(sizes) < POINTS_LEAST or positive[-1] < RANGE_LEAST * positive[0]:
@@ -85,7 +87,9 @@
     line, *others = curves = tuple(_least_squares(growth, xs, ys, scale) for growth in Growth)
     best = min(others, key=lambda curve: curve.residual)
     curved = best.residual < BETTER * line.residual and line.residual > VISIBLE
-    return Fit(curves, best if curved else line, sizes, min(map(len, filled.values())),
+    flat = Curve(Growth.LINE, float(np.mean(ys)), 0.0, float(np.std(ys)) / scale)
+    taken = best if curved else line if line.residual < SLOPING * flat.residual else flat
+    return Fit(curves, taken, sizes, min(map(len, filled.values())),
                max(map(spread, filled.values())))
 
 
--- a/limelatch/lab/scale/page.py
+++ b/limelatch/lab/scale/page.py
@@ -60,6 +60,7 @@
 SLOPE_HEAD = ("series", "what, unit", "range", "points x runs", "residual: line", "n log n", "n²", "taken",
               "spread", "results")
 FILE_HEAD = ("file of results", "subject", "commit", "measured at", "machine", "command")
+COMPARED_HEAD = ("what", "at", "before", "after", "unit", "after, of before", "before is of", "aim")
 MISSING_HEAD = ("", "factor", "role: quantity", "at the target's size", "must reach", "today", "how known",
                 "likely carried by")
 
@@ -92,19 +93,26 @@
 
 
 def worked(book: Book, role: Role, row: Row) -> Worked:
-    budget = book.work_out(row.budget).value if row.budget else None
+    known, budget, why = None, None, []
     try:
-        return Worked(role, row, book.work_out(row.value), budget)
+        known = book.work_out(row.value)
     except NotMeasured as error:
-        return Worked(role, row, None, budget, str(error))
+        why.append(str(error))
+    try:
+        budget = book.work_out(row.budget).value if row.budget else None
+    except NotMeasured as error:
+        why.append(f"budget: {error}")
+    return Worked(role, row, known, budget, "; ".join(why))
 
 
 # Words of figures.
 
 def number(value: float) -> str:
-    """Three digits, thousands apart; millions in words."""
+    """Three digits, whole numbers all of them, thousands apart; millions in words."""
     if abs(value) >= 1e6:
         return f"{number(value / 1e6)} million"
+    if value == int(value):
+        return f"{value:,.0f}"
     if abs(value) >= 100:
         return f"{round(value, 2 - math.floor(math.log10(abs(value)))):,.0f}"
     return f"{value:.3g}"
@@ -200,9 +208,9 @@
 
 def role_row(book: Book, each: Worked) -> tuple[str, ...]:
     row, known = each.row, each.known
-    budget = budget_words(each) if each.budget is not None else "none told"
+    budget = budget_words(each) if row.budget else "none told"
     how = how_known(row.value, known) if known else each.why
-    quantity = f"{row.quantity} (a way weighed, not today's)" if row.option else row.quantity
+    quantity = f"{row.quantity} ({row.aside})" if row.aside else row.quantity
     return (quantity, row.aspect, figure_words(each), budget, factor_words(each.factor), reached(book, each),
             how, f"`{row.value}`", mechanism(row))
 
@@ -212,7 +220,8 @@
 
 
 def budget_words(each: Worked) -> str:
-    return f"{with_unit(each.budget, each.row.unit)} ({each.row.budget_from})"
+    figure = NOT_MEASURED if each.budget is None else with_unit(each.budget, each.row.unit)
+    return f"{figure} ({each.row.budget_from})"
 
 
 def mechanism(row: Row) -> str:
@@ -220,25 +229,36 @@
 
 
 def reached(book: Book, each: Worked) -> str:
-    """At which size of what it grows with a row's budget is used up."""
+    """At which size of what it grows with a row's budget is used up.
+
+    A fit is not believed against a measured size: the words then tell the sizes that lie about it."""
     name = each.row.grows_with
     if not name or each.known is None or each.budget is None:
         return ""
-    helds = [book.held[use.series.name] for use in each.known.uses]
-    if any(held.fit is None for held, use in zip(helds, each.known.uses, strict=True) if not use.same):
+    uses = each.known.uses
+    if any(book.held[use.series.name].fit is None for use in uses if not use.same):
         return "too few points"
     here = book.work_out(name).value
-    # Of the sizes that the series are read at, some may not be the figure that grows: the nearest end counts.
-    ends = [max(held.points) for held in helds]
-    most = min((here / use.x * end * PAST for use, end in zip(each.known.uses, ends, strict=True) if use.x),
-               default=MOST)
-    found = reaches(lambda x: book.work_out(each.row.value, {name: x}).value, each.budget, LEAST, most)
-    worse = any(held.fit is not None and held.fit.worse_than_line for held in helds)
-    unit = name.replace("_", " ")
-    words = f"{number(found)} {unit}" if found else f"over {number(most)} {unit}"
-    if found == LEAST:
-        words = f"1 {unit} or fewer"
-    return words + (", **grows worse than linearly**" if worse else "")
+
+    def value(x: float) -> float:
+        return book.work_out(each.row.value, {name: x}).value
+
+    # Sizes of the figure that grows at which a series it is worked out from was measured.
+    measured = sorted({here / use.x * x for use in uses if use.x for x in book.held[use.series.name].points})
+    over = next((x for x in measured if value(x) > each.budget), None)
+    within = max((x for x in measured if over is None or x < over), default=None)
+    most = measured[-1] * PAST if measured else MOST
+    found = reaches(value, each.budget, LEAST, most)
+    if over is not None and within is None:
+        words = f"under {number(over)}"
+    elif over is not None and not (found and within <= found <= over):
+        words = f"{number(within)} to {number(over)}"
+    elif found is None or (within is not None and found < within and over is None):
+        words = f"over {number(within if found else most)}"
+    else:
+        words = number(found)
+    worse = any((fit := book.held[use.series.name].fit) is not None and fit.worse_than_line for use in uses)
+    return f"{words} `{name}`" + (", **grows worse than linearly**" if worse else "")
 
 
 def slopes(book: Book) -> Iterator[str]:
@@ -268,10 +288,12 @@
 
 
 def fitted(found: Fit) -> tuple[str, ...]:
-    grown = {Growth.LINE: "n", Growth.N_LOG_N: "n log2 n", Growth.SQUARE: "n²"}[found.taken.growth]
-    sign = "-" if found.taken.slope < 0 else "+"
-    taken = f"{found.taken.base:.3g} {sign} {abs(found.taken.slope):.3g} {grown}"
-    return (*(share(curve.residual) for curve in found.curves), taken, spread_words(found.spread, found.runs))
+    taken = found.taken
+    grown = {Growth.LINE: "n", Growth.N_LOG_N: "n log2 n", Growth.SQUARE: "n²"}[taken.growth]
+    words = f"{taken.base:.3g} {'-' if taken.slope < 0 else '+'} {abs(taken.slope):.3g} {grown}"
+    if not taken.slope:
+        words = f"{taken.base:.3g}, flat"
+    return (*(share(curve.residual) for curve in found.curves), words, spread_words(found.spread, found.runs))
 
 
 def unfitted(held: Held, xs: list[float]) -> tuple[str, ...]:
@@ -302,35 +324,38 @@
 
 def comparison(book: Book) -> Iterator[str]:
     told = book.roles.comparison
-    first = next((name for name in told.before if name in book.results), told.before[0])
-    before, after = book.results.get(first), book.results.get(told.after)
     yield "## Before and after\n"
     yield wrapped(filled(book, told.about)) + "\n"
-    if before is None or after is None:
-        lacking = [name for name, each in ((first, before), (told.after, after)) if each is None]
-        yield f"Side by side once both are there; {NOT_MEASURED}: {', '.join(lacking)}.\n"
-    if before is None and after is None:
-        return
-    head = [f"before ({before.subject}, {before.commit})" if before else "before",
-            f"after ({after.subject}, {after.commit})" if after else "after"]
+    sides = [name for name in [*told.before, told.after] if name in book.results]
+    for name in sides:
+        results = book.results[name]
+        yield f"- {'after' if name == told.after else 'before'}, {name}: {results.subject}, {results.commit}"
+    yield "" if sides else f"{NOT_MEASURED}\n"
     rows = []
     for each in told.series:
-        old, new = points_of(before, each), points_of(after, each)
+        every = {name: points_of(book, name, each) for name in [*told.before, told.after]}
+        valued = [name for name in told.before if any(point.values for point in every[name].values())]
+        first = next(iter([*valued, *(name for name in told.before if every[name])]), told.before[0])
+        old, new = every[first], every[told.after]
+        aim = filled(book, each.aim)
         for x in sorted(old | new):
             a, b = old.get(x), new.get(x)
-            unit = (a or b).unit
             both = a is not None and b is not None and a.values and b.values and median(a.values)
             ratio = number(median(b.values) / median(a.values)) if both else ""
-            rows.append((each.about, f"{size(x)} {each.axis}", cell(a), cell(b), unit, ratio,
-                         filled(book, each.aim)))
+            rows.append((each.about, f"{size(x)} {each.axis}", cell(a), cell(b),
+                         next(point.unit for point in (b, a) if point), ratio, first, aim))
         if not old and not new:
-            rows.append((each.about, "", NOT_MEASURED, NOT_MEASURED, "", "", filled(book, each.aim)))
-    yield from table(("what", "at", *head, "unit", "after, of before", "aim"), rows)
+            rows.append((each.about, "", NOT_MEASURED, NOT_MEASURED, "", "", "", aim))
+    yield from table(COMPARED_HEAD, rows)
 
 
-def points_of(results: object, each: Compared) -> dict[float, Point]:
-    return {point.x: point for point in results.points if (point.scenario, point.measure, point.axis) == (
-        each.scenario, each.measure, each.axis)} if results else {}
+def points_of(book: Book, name: str, each: Compared) -> dict[float, Point]:
+    """A file's points of a series; those of its scenario that have no values stand where it has none."""
+    results = book.results.get(name)
+    every = [point for point in results.points if (point.scenario, point.axis) == (each.scenario, each.axis)
+             ] if results else []
+    none = {point.x: point for point in every if not point.values}
+    return none | {point.x: point for point in every if point.values and point.measure == each.measure}
 
 
 def cell(point: Point | None) -> str:
@@ -338,7 +363,7 @@
     if point is None:
         return NOT_MEASURED
     if not point.values:
-        return f"none: {point.note}"
+        return "none, see the walls"
     values = point.values
     runs = f" ({number(min(values))} to {number(max(values))})" if len(set(values)) > 1 else ""
     return number(median(values)) + runs
@@ -347,7 +372,7 @@
 def missing(rows: list[Worked]) -> Iterator[str]:
     yield "## What is missing next\n"
     yield "By factor over the budget; \"must reach\" is the figure that the mechanism has to come under.\n"
-    rows = [each for each in rows if not each.row.option]
+    rows = [each for each in rows if not each.row.aside]
     over = sorted((each for each in rows if each.factor is not None and each.factor > 1),
                   key=lambda each: -each.factor)
     yield from table(MISSING_HEAD, [
@@ -357,7 +382,7 @@
     if unranked := [each for each in rows if each.factor is None and each.row.mechanism == NONE_YET]:
         yield "No mechanism yet, and no factor (no budget told, or not measured):\n"
         yield from (f"- {each.role.name}: {each.row.quantity}, {figure_words(each)}"
-                    + (f"; must reach {budget_words(each)}" if each.budget is not None else "")
+                    + (f"; must reach {budget_words(each)}" if each.row.budget else "")
                     for each in unranked)
         yield ""
     if unknown := [each for each in rows if each.known is None and each.row.mechanism != NONE_YET]:
--- a/limelatch/lab/scale/roles.py
+++ b/limelatch/lab/scale/roles.py
@@ -64,8 +64,8 @@
     """One figure of a role at the target's size. `budget_from`: whose it is, or how it was read.
 
     `grows_with` names the figure that is made larger to find where the budget breaks; `carried_by`: the
-    mechanism that is likely to carry it, for what is over its budget or has none yet; `option`: a way weighed
-    and not taken today, so that it is not ranked among what is missing."""
+    mechanism that is likely to carry it, for what is over its budget or has none yet; `aside`: why it is not
+    ranked among what is missing, as a way that was weighed and is not today's."""
 
     quantity: str
     aspect: Literal["state", "messages", "processor", "memory", "time"]
@@ -78,7 +78,7 @@
     grows_with: str = ""
     carried_by: str = ""
     note: str = ""
-    option: bool = False
+    aside: str = ""
 
 
 class Failures(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -109,7 +109,7 @@
 
 
 class Comparison(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Subjects side by side; the first file of `before` that is there is held against `after`."""
+    """Subjects side by side; the first file of `before` that has a series is held against `after`."""
 
     about: str
     before: list[str]
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -162,6 +162,15 @@
         assert found.taken.growth is growth, seed
 
 
+def test_a_slope_that_noise_could_give_is_none():
+    flat = [fit({x: [chance.uniform(0.8, 1.2) for _ in range(3)] for x in SIZES}).taken.slope == 0
+            for chance in map(random.Random, range(200))]
+    assert sum(flat) >= 190
+    for chance in map(random.Random, range(40)):
+        found = fit({x: [(1 + x / 180_000) * chance.uniform(0.8, 1.2) for _ in range(3)] for x in SIZES})
+        assert found.taken.slope > 0
+
+
 def test_a_curve_that_misses_hardly_less_than_the_line_is_not_taken():
     found = fit({x: [x ** 1.05] for x in SIZES})
     assert found.curves[1].residual < found.curves[0].residual
@@ -280,7 +289,7 @@
 aspect = "processor"
 unit = "ms"
 value = "time(destinations * 10)"
-option = true
+aside = "a way weighed"
 [[roles.rows]]
 quantity = "time at the figure of each"
 aspect = "processor"
@@ -346,7 +355,7 @@
     assert cells(text, "memory of all")[0][2:7] == ["not measured", "64 MB (target)", "", "",
                                                     "no points of `memory` yet"]
     assert cells(text, "rows of each")[0][2:7] == ["257 rows", "10 rows (aim)", "**25.7 times over**",
-                                                   "7,000 destinations", "arithmetic"]
+                                                   "7,000 `destinations`", "arithmetic"]
     assert cells(text, "a machine is restarted")[0][1] == "(not measured) MB"
     assert "Not ranked, since not measured:\n\n- Relay: memory of all" in text
 
@@ -354,13 +363,13 @@
 def test_a_measured_row_is_told_from_a_fitted_and_an_extrapolated_one(page):
     text = page(before=MEMORY + SQUARE)
     assert cells(text, "memory of all")[0][2:7] == ["580 MB", "64 MB (target)", "**9.06 times over**",
-                                                    "8,000 destinations", "measured"]
+                                                    "8,000 `destinations`", "measured"]
     assert cells(text, "time of a change")[0][2:7] == [
         "65 ms", "0.1 ms (aim)", "**650 times over**",
-        "1 destinations or fewer, **grows worse than linearly**", "arithmetic on measured"]
+        "under 2,000 `destinations`, **grows worse than linearly**", "arithmetic on measured"]
     ten = cells(text, "time of a fleet ten")[0]
     assert (ten[2], ten[6]) == ("3,240 ms", "extrapolated, 10 times past the last point of `time`")
-    assert ten[0].endswith("(a way weighed, not today's)")
+    assert ten[0].endswith("(a way weighed)")
     assert cells(text, "time at the figure of each")[0][2:7:4] == [
         "32.5 ms", "extrapolated, 10 times past the last point of `time`, taken to be the same there"]
     assert cells(text, "a machine is restarted")[0][1] == "580 MB"
@@ -374,8 +383,8 @@
 
 @pytest.mark.parametrize(("value", "unit", "words"), [
     (87.5, "1/s", "87.5/s"), (3000, "B/s", "3,000 B/s"), (1.3, "%", "1.3%"), (700, "", "700"),
-    (65_536, "", "65,500"), (0.000754, "1/s", "0.000754/s"), (1_242_857, "texts", "1.24 million texts"),
-    (0, "MB", "0 MB"), (-1234.5, "ms", "-1,230 ms")])
+    (65_536, "", "65,536"), (65_536.2, "", "65,500"), (0.000754, "1/s", "0.000754/s"),
+    (1_242_857, "texts", "1.24 million texts"), (0, "MB", "0 MB"), (-1234.5, "ms", "-1,230 ms")])
 def test_figures_have_three_digits_and_their_unit(value, unit, words):
     assert made.with_unit(value, unit) == words
 
@@ -385,10 +394,33 @@
     page(before=SQUARE)
     (tmp_path / made.ROLES).write_text(toml)
     text = made.page(tmp_path)  # 2 * (0.1 + 1e-9 x^2) = 2.2
-    assert cells(text, "time of a change")[0][5] == "31,600 destinations, **grows worse than linearly**"
+    assert cells(text, "time of a change")[0][5] == "31,600 `destinations`, **grows worse than linearly**"
     (tmp_path / made.ROLES).write_text(toml.replace('"2.2"', '"1e9"'))
     assert cells(made.page(tmp_path), "time of a change")[0][5] == (
-        "over 1.8 million destinations, **grows worse than linearly**")
+        "over 1.8 million `destinations`, **grows worse than linearly**")
+
+
+@pytest.mark.parametrize(("values", "words"), [
+    ((70, 71, 100, 200), "under 2,000"),  # whatever the fit says
+    ((60, 63, 100, 200), "20,000 to 60,000"),  # the fit says less
+    ((1, 63, 20, 200), "60,000 to 180,000"),
+    ((1, 2, 3, 60), "186,000"),  # past the last size: n² of about 0.9 + 1.82e-9 n²
+    ((1, 30, 63, 64), "over 180,000"),  # the fit says less, and no measured size is over
+    ((60, 30, 30, 63), "over 1.8 million")])
+def test_a_fit_is_not_believed_against_a_measured_size(page, values, words):
+    found = [Point("rest", "memory", "MB", "destinations", x, [float(value)])
+             for x, value in zip(SIZES, values, strict=True)]
+    row = cells(page(before=found), "memory of all")[0]
+    assert row[5].removesuffix(", **grows worse than linearly**") == f"{words} `destinations`"
+
+
+def test_a_flat_series_is_said_to_be_flat_and_stays_so_past_its_last_point(page):
+    chance = random.Random(3)
+    found = [Point("change", "processor", "ms", "destinations", x,
+                   [chance.uniform(0.9, 1.1) for _ in range(3)]) for x in SIZES]
+    text = page(before=found)
+    assert cells(section(text, "Slopes"), "`time`")[0][7].endswith(", flat")
+    assert 0.95 < float(cells(text, "time of a fleet ten")[0][2].split()[0]) < 1.05
 
 
 def test_slopes_tell_range_points_residuals_curve_spread_and_commit(page):
@@ -462,6 +494,18 @@
         "walls: delivered", "65,536 highest number", "1 texts", "of 2"]
 
 
+def test_a_budget_that_is_a_figure_of_results_is_said_to_be_measured_or_not(page, tmp_path):
+    toml = TOML.replace('budget = "limit"', 'budget = "memory(2000)"').replace("value = 64", "value = 1")
+    page()
+    (tmp_path / made.ROLES).write_text(toml)
+    row = cells(made.page(tmp_path), "memory of all")[0]
+    assert (row[3], row[6]) == ("not measured (target)",
+                                "no points of `memory` yet; budget: no points of `memory` yet")
+    page(before=MEMORY)
+    (tmp_path / made.ROLES).write_text(toml)
+    assert cells(made.page(tmp_path), "memory of all")[0][3:5] == ["46 MB (target)", "**12.6 times over**"]
+
+
 def test_the_first_file_that_has_a_series_holds_it(page):
     text = page(before=MEMORY, after=points("rest", "memory", "MB", lambda x: 30.0))
     assert cells(text, "memory of all")[0][2:5] == ["30 MB", "64 MB (target)", "0.469 of it"]
@@ -469,29 +513,33 @@
 
 
 def test_before_and_after_stand_side_by_side(page):
-    gone = Point("rest", "memory", "MB", "destinations", 2000, note="it refused")
+    gone = Point("rest", "served", "", "destinations", 2000, note="it refused")
     small = Point("rest", "memory", "MB", "destinations", 180_000, [58.0])
     text = section(page(before=MEMORY, after=[gone, small]), "Before and after")
     rows = cells(text, "memory at rest")
-    assert rows[0][1:6] == ["2,000 destinations", "46 (45.5 to 46.5)", "none: it refused", "MB", ""]
+    assert rows[0][1:6] == ["2,000 destinations", "46 (45.5 to 46.5)", "none, see the walls", "", ""]
     assert rows[1][3] == "not measured"
-    assert rows[-1][1:] == ["180,000 destinations", "580 (574 to 586)", "58", "MB", "0.1", "64 MB"]
-    assert "before (the before one, abc1234)" in text
+    assert rows[-1][1:] == ["180,000 destinations", "580 (574 to 586)", "58", "MB", "0.1", "before", "64 MB"]
+    assert "- before, before: the before one, abc1234\n- after, after: the after one, abc1234\n" in text
 
 
-def test_the_first_file_before_that_is_there_is_compared(page):
-    text = page(lifted=points("rest", "memory", "MB", lambda x: 50.0), before=MEMORY, after=MEMORY)
-    assert cells(section(text, "Before and after"), "memory at rest")[0][2] == "50 (49.5 to 50.5)"
-    assert "before (the lifted one, abc1234)" in text
+def test_a_series_is_compared_with_the_first_file_before_that_has_values_of_it(page):
+    lifted = points("rest", "memory", "MB", lambda x: 50.0)
+    text = page(lifted=lifted, before=MEMORY, after=MEMORY)
+    row = cells(section(text, "Before and after"), "memory at rest")[0]
+    assert (row[2], row[6]) == ("50 (49.5 to 50.5)", "lifted")
+    for other in SQUARE, [Point("rest", "served", "", "destinations", 2000, note="it refused")]:
+        text = page(lifted=other, before=MEMORY, after=MEMORY)
+        assert cells(section(text, "Before and after"), "memory at rest")[0][6] == "before"
 
 
 def test_a_side_that_is_not_there_is_said_so(page):
     text = section(page(before=MEMORY), "Before and after")
-    assert "Side by side once both are there; not measured: after." in text
     assert cells(text, "memory at rest")[0][2:4] == ["46 (45.5 to 46.5)", "not measured"]
+    assert cells(section(page(), "Before and after"), "what")[0][0] == "what"
 
 
-def test_what_is_missing_is_ranked_by_its_factor_and_options_are_not(page):
+def test_what_is_missing_is_ranked_by_its_factor_and_what_stands_aside_is_not(page):
     text = section(page(before=MEMORY + SQUARE), "What is missing next")
     rows = [line.split(" | ")[1:5] for line in text.splitlines() if re.match(r"\| \d", line)]
     assert rows == [["650", "Relay: time of a change", "65 ms", "0.1 ms (aim)"],
