--- a/limelatch/lab/scale/page.py
+++ b/limelatch/lab/scale/page.py
@@ -52,6 +52,9 @@
 misses less than half of that. Spread: largest less smallest of a size's runs, as a share of their median, at
 the size where it is widest. A slope needs four points over a factor of 20, else it says "too few points".
 """
+FIDELITY = """The same scenario with decision modules alone and with relay processes, at a size at which these
+fit. Medians of the runs, least and largest in brackets.
+"""
 EVENTS = (("machine", "a machine fails"), ("restart", "a machine is restarted or replaced"),
           ("rack", "a rack or switch goes"), ("zone", "a zone goes"),
           ("region_cut", "regions lose each other"))
@@ -88,7 +91,7 @@
     parts = [HEAD, *target(book)]
     for role in book.roles.roles:
         parts += role_section(book, role, [each for each in rows if each.role is role])
-    parts += [*slopes(book), *walls(book), *comparison(book), *missing(rows), *carried(book)]
+    parts += [*slopes(book), *walls(book), *fidelity(book), *comparison(book), *missing(rows), *carried(book)]
     return "\n".join(parts).rstrip() + "\n"
 
 
@@ -164,10 +167,11 @@
 
 
 def how_known(expression: str, known: Known) -> str:
-    """Arithmetic, measured, fitted or extrapolated, and how far past the last point."""
+    """Arithmetic, measured, fitted or extrapolated, how far past the last point, and from which results."""
     if not known.uses:
         return "arithmetic"
     farthest = max(known.uses, key=lambda use: (not use.measured, use.past))
+    files = ", ".join(f"`{name}`" for name in dict.fromkeys(use.file for use in known.uses))
     words = "measured"
     if not farthest.measured:
         words = "fitted" if farthest.past <= 1 else (
@@ -175,7 +179,7 @@
         words += ", taken to be the same there" if farthest.same else ""
     body = ast.parse(expression, mode="eval").body
     alone = isinstance(body, ast.Call) and body.func.id in (farthest.series.name, "same")
-    return words if alone else f"arithmetic on {words}"
+    return f"{words if alone else f'arithmetic on {words}'} ({files})"
 
 
 # Sections.
@@ -322,6 +326,24 @@
         for (where, measure, *rest), scenarios in rows.items()]) if rows else [f"{NOT_MEASURED}\n"]
 
 
+def fidelity(book: Book) -> Iterator[str]:
+    """Scenarios whose names end in "hollow" and "real", side by side."""
+    yield "## Hollow relays beside real ones\n"
+    yield FIDELITY
+    rows = []
+    for name, results in book.results.items():
+        places = {(point.scenario, point.measure, point.axis, point.x): point for point in results.points}
+        for (scenario, measure, axis, x), hollow in places.items():
+            base, _, kind = scenario.rpartition(" ")
+            if kind == "hollow" and (real := places.get((f"{base} real", measure, axis, x))):
+                rows.append((f"{base}: {measure}", f"{size(x)} {axis}", cell(hollow), cell(real), hollow.unit,
+                             name))
+    if not rows:
+        yield f"{NOT_MEASURED}\n"
+        return
+    yield from table(("what", "at", "hollow", "real", "unit", "results"), rows)
+
+
 def comparison(book: Book) -> Iterator[str]:
     told = book.roles.comparison
     yield "## Before and after\n"
--- a/limelatch/lab/scale/roles.py
+++ b/limelatch/lab/scale/roles.py
@@ -139,11 +139,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Use:
-    """A series read at a size: measured there, or worked out from its fit, so many times past its last point.
+    """A series of a file read at a size: measured there, or worked out from its fit, so many times past its
+    last point.
 
     `same`: not from the fit, but taken to be as at the last point."""
 
     series: Series
+    file: str
     x: float
     measured: bool
     past: float = 1.0
@@ -170,16 +172,17 @@
         self._check(x)
         point = self.points.get(round(x, 6))  # 1.7% of 180,000 is a little more than 3,060 in floating point
         if point is not None:
-            return median(point.values), Use(self.series, x, True)
+            return median(point.values), Use(self.series, self.file, x, True)
         if self.fit is None:
             raise NotMeasured(f"too few points of `{self.series.name}`: {self.why}")
-        return self.fit.taken.at(x), Use(self.series, x, False, self.fit.past(x))
+        return self.fit.taken.at(x), Use(self.series, self.file, x, False, self.fit.past(x))
 
     def last(self, x: float) -> tuple[float, Use]:
         """Its value at the last size that has one, taken as the same at `x`, for what is counted each."""
         self._check(x)
         at = max(self.points)
-        return median(self.points[at].values), Use(self.series, x, x == at, max(1.0, x / at), x != at)
+        use = Use(self.series, self.file, x, x == at, max(1.0, x / at), x != at)
+        return median(self.points[at].values), use
 
     def _check(self, x: float) -> None:
         """Guards against a figure worked out past a size at which the program no longer did it."""
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -363,22 +363,25 @@
 def test_a_measured_row_is_told_from_a_fitted_and_an_extrapolated_one(page):
     text = page(before=MEMORY + SQUARE)
     assert cells(text, "memory of all")[0][2:7] == ["580 MB", "64 MB (target)", "**9.06 times over**",
-                                                    "8,000 `destinations`", "measured"]
+                                                    "8,000 `destinations`", "measured (`before`)"]
     assert cells(text, "time of a change")[0][2:7] == [
         "65 ms", "0.1 ms (aim)", "**650 times over**",
-        "under 2,000 `destinations`, **grows worse than linearly**", "arithmetic on measured"]
+        "under 2,000 `destinations`, **grows worse than linearly**", "arithmetic on measured (`before`)"]
     ten = cells(text, "time of a fleet ten")[0]
-    assert (ten[2], ten[6]) == ("3,240 ms", "extrapolated, 10 times past the last point of `time`")
+    assert (ten[2], ten[6]) == ("3,240 ms",
+                                "extrapolated, 10 times past the last point of `time` (`before`)")
     assert ten[0].endswith("(a way weighed)")
     assert cells(text, "time at the figure of each")[0][2:7:4] == [
-        "32.5 ms", "extrapolated, 10 times past the last point of `time`, taken to be the same there"]
+        "32.5 ms",
+        "extrapolated, 10 times past the last point of `time`, taken to be the same there (`before`)"]
     assert cells(text, "a machine is restarted")[0][1] == "580 MB"
     fewer = page(before=[point for point in MEMORY if point.x < 180_000]
                  + points("rest", "memory", "MB", lambda x: 40 + 0.003 * x, [200.0]))
-    assert cells(fewer, "memory of all")[0][6] == "extrapolated, 3 times past the last point of `memory`"
+    assert cells(fewer, "memory of all")[0][6] == (
+        "extrapolated, 3 times past the last point of `memory` (`before`)")
     wider = page(before=[point for point in MEMORY if point.x < 180_000]
                  + points("rest", "memory", "MB", lambda x: 40 + 0.003 * x, [360_000.0]))
-    assert cells(wider, "memory of all")[0][2:7:4] == ["580 MB", "fitted"]
+    assert cells(wider, "memory of all")[0][2:7:4] == ["580 MB", "fitted (`before`)"]
 
 
 @pytest.mark.parametrize(("value", "unit", "words"), [
@@ -433,7 +436,7 @@
 def test_too_few_points_give_no_slope_but_what_was_measured(page):
     text = page(before=MEMORY[-1:] + SQUARE[:3])
     assert cells(text, "memory of all")[0][2:7] == ["580 MB", "64 MB (target)", "**9.06 times over**",
-                                                    "too few points", "measured"]
+                                                    "too few points", "measured (`before`)"]
     assert cells(text, "time of a change")[0][2] == "not measured"
     assert "too few points of `time`: 3 over a factor of 30; wanted are 4 over 20" in text
     assert cells(section(text, "Slopes"), "`time`")[0][7].startswith("too few points: 3 over")
@@ -474,18 +477,18 @@
 
 
 def test_the_farthest_reading_of_a_figure_is_told(page, tmp_path):
-    page(before=MEMORY + SQUARE)
+    page(before=SQUARE, after=MEMORY)
     (tmp_path / made.ROLES).write_text(TOML.replace("time(destinations) * 2\"",
                                                     "memory(destinations) + time(destinations * 3)\""))
     assert cells(made.page(tmp_path), "time of a change")[0][6] == (
-        "arithmetic on extrapolated, 3 times past the last point of `time`")
+        "arithmetic on extrapolated, 3 times past the last point of `time` (`after`, `before`)")
 
 
 def test_a_size_that_arithmetic_misses_by_a_rounding_error_is_the_measured_one(page, tmp_path):
     size = 0.1 + 0.2  # 0.30000000000000004
     page(before=[Point("rest", "memory", "MB", "destinations", x, [x]) for x in (0.3, 3.0, 30.0, 300.0)])
     (tmp_path / made.ROLES).write_text(TOML.replace("value = 180000", f"value = {size!r}"))
-    assert cells(made.page(tmp_path), "memory of all")[0][6] == "measured"
+    assert cells(made.page(tmp_path), "memory of all")[0][6] == "measured (`before`)"
 
 
 def test_points_of_a_search_for_a_wall_stand_among_the_walls(page):
@@ -539,6 +542,17 @@
     assert cells(section(page(), "Before and after"), "what")[0][0] == "what"
 
 
+def test_hollow_relays_stand_beside_real_ones_where_both_were_measured(page):
+    found = [Point(f"down {kind}", "trials", "1/s", "relays", 7, [value, value + 1.0])
+             for kind, value in (("hollow", 2.0), ("real", 3.0))]
+    alone = [Point("cold hollow", "trials", "1/s", "relays", 7, [1.0]),
+             Point("cold real", "trials", "1/s", "relays", 8, [1.0])]
+    text = section(page(hollow=found + alone), "Hollow relays beside real ones")
+    assert cells(text, "")[2:] == [
+        ["down: trials", "7 relays", "2.5 (2 to 3)", "3.5 (3 to 4)", "1/s", "hollow"]]
+    assert section(page(hollow=alone), "Hollow relays beside real ones").endswith("not measured\n")
+
+
 def test_what_is_missing_is_ranked_by_its_factor_and_what_stands_aside_is_not(page):
     text = section(page(before=MEMORY + SQUARE), "What is missing next")
     rows = [line.split(" | ")[1:5] for line in text.splitlines() if re.match(r"\| \d", line)]
