--- a/limelatch/lab/scale/page.py
+++ b/limelatch/lab/scale/page.py
@@ -46,6 +46,7 @@
 the last measured size, and what grows worse than linearly is marked. Memory and bytes are in powers of
 ten; processor time is time on a whole core.
 A + behind a commit: files of the program differed from it.
+To measure again: the commands beside the files of results, at the end of the slopes; then `make pages`.
 """
 SLOPES = """Least squares over every run's value. Residual: root mean square of what a curve misses, as a
 share of the values' mean; what runs of one size differ by is in it. The line is taken unless another curve
