--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -38,7 +38,7 @@
 PACE_STEP, FLOW_SPAN, SERVED_SPAN = 0.05, 5 * SECOND, 20 * SECOND  # growth by a delivery; spans of own rates
 REST, LESSON = SERVED_SPAN, 600 * SECOND  # own rates have faded; age of what only deliveries would undo
 PACE_FREE, PACE_LEARN, PACE_ROOM, PACE_SAVED = 4.0, 0.2, 0.02, 2.0  # no limit told; many relays: room
-ASK_PART, ASK_CAP = 4, 3  # of the time to ask within: the first call's spread; with failures, the last's
+ASK_PART, ASK_CAP, ASK_BY = 4, 3, 55 * SECOND // 10  # of the time to ask within; from the catalog's last word
 TRIAL_PART, SEEN_BEFORE, RATE_AT_FIRST = 0.7, 5 * SECOND, 2.0  # of what a cold one bears; age; unknown limit
 SCARCE, ROOM_LEFT = 0.9, 0.92  # share of the slots for shorter time-outs, of the room for nacks of held texts
 NEW = Past()  # of a text that no process had before
@@ -166,7 +166,7 @@
         self.rest = REST if terms.hosts_on_demand else NEVER  # of a destination, until it may be forgotten
         self.elsewhere: set[bytes] = set()  # keys with texts open in the process before, in an upgrade
         self.ask_at, self.asked = NEVER, 0  # when to ask for the list; calls for it that failed in a row
-        self.list_failed(now, 0)
+        self.list_failed(now, calls=0)
         self.keep = int(terms.conn_idle * KEEP_PART)  # how long connections may stand idle
         self.idle_most = [self.keep // 2 if terms.relays > KEEPERS else NEVER] * len(terms.kinds)  # by kind
         self.room_at = [now + terms.conn_idle] * len(terms.kinds)  # when no connect has failed until then
@@ -188,13 +188,13 @@
         for number in list(self.dests) if whole else dict.fromkeys(entry.destination for entry in entries):
             self._sort_hosts(self.dests[number])
 
-    def list_failed(self, now: int, calls: int = 1) -> None:
-        """A call for the list failed, or the watch that it had opened ended: the list held serves on.
+    def list_failed(self, now: int, heard_at: int = NEVER, calls: int = 1) -> None:
+        """A call for the list failed, or its watch ended, last heard then: the list held serves on.
         Guards against hundreds of relays that ask together, and against one that is taken as told."""
         if self.terms.list_asked:
             self.asked += calls
-            part = self.terms.ask_within // ASK_PART
-            self.ask_at = now + self.chance.below(part * min(self.asked + 1, ASK_CAP))
+            part = self.terms.ask_within // ASK_PART * min(self.asked + 1, ASK_CAP)
+            self.ask_at = now + self.chance.below(min(part, max(0, heard_at + ASK_BY - now)))
 
     def _sort_hosts(self, dest: Destination) -> None:
         for host in [each for each in dest.hosts if each.listing is Listing.GONE and not each.out]:
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -19,6 +19,7 @@
 
 INBOUND_MOST, PART_MOST = 1024 * 1024, 16 * 1024  # bytes that wait to be read; of a body, taken at once
 SWEEP_MOST = 1024  # rows that a whole list left out, cleared in one turn
+LONG_AGO = -1 << 62
 STATUSES = {"active": READY, "leaving": DRAINING}  # any other is gone
 LISTINGS = {READY: Listing.READY, DRAINING: Listing.DRAINING, GONE: Listing.GONE}
 
@@ -129,6 +130,7 @@
         self.held_down = HeldDown(log, deadlines.clock) if deadlines is not None else None
         self._watch: Watch | None = None
         self._deadline, self._connector = None, None
+        self.heard_at = LONG_AGO  # the last sign of life, or the call since
 
     def known(self, raw: dict) -> None:
         """The list as the configuration last had it; it may be old, so what has changed since is asked for.
@@ -161,12 +163,15 @@
         The list held serves until the new one has told its own."""
         if address != self.address:
             self.address, self.index, self.fresh = address, None, False
+            self.heard_at = LONG_AGO  # nothing has come from there: guards against a wait for the one before
             if self.copy is not None:
                 self.copy.abort()
             if self._watch is not None:
                 self._watch.close(Ending.MOVED)
             elif self._connector is not None and self._connector.state == "connecting":
                 self._connector.stopConnecting()
+            elif self.failed is not None:
+                self.failed()
 
     def connect(self) -> None:
         self._connector = self.reactor.connectTCP(self.address.host, self.address.port, self, timeout=None)
@@ -177,6 +182,7 @@
         if self._deadline is not None:
             self._deadline.cancel()
         self._deadline = self.deadlines.after(self.silence, self._silent)
+        self.heard_at = self._deadline.when - self.silence
 
     def _silent(self) -> None:
         if self._watch is not None:
