--- a/limelatch/lab/scale/roles.py
+++ b/limelatch/lab/scale/roles.py
@@ -64,8 +64,8 @@
     """One figure of a role at the target's size. `budget_from`: whose it is, or how it was read.
 
     `grows_with` names the figure that is made larger to find where the budget breaks; `carried_by`: the
-    mechanism that is likely to carry it, for what is over its budget or has none yet; `option`: a way weighed
-    and not taken today, so that it is not ranked among what is missing."""
+    mechanism that is likely to carry it, for what is over its budget or has none yet; `aside`: why it is not
+    ranked among what is missing, as a way that was weighed and is not today's."""
 
     quantity: str
     aspect: Literal["state", "messages", "processor", "memory", "time"]
@@ -78,7 +78,7 @@
     grows_with: str = ""
     carried_by: str = ""
     note: str = ""
-    option: bool = False
+    aside: str = ""
 
 
 class Failures(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -109,7 +109,7 @@
 
 
 class Comparison(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Subjects side by side; the first file of `before` that is there is held against `after`."""
+    """Subjects side by side; the first file of `before` that has a series is held against `after`."""
 
     about: str
     before: list[str]
@@ -139,11 +139,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Use:
-    """A series read at a size: measured there, or worked out from its fit, so many times past its last point.
+    """A series of a file read at a size: measured there, or worked out from its fit, so many times past its
+    last point.
 
     `same`: not from the fit, but taken to be as at the last point."""
 
     series: Series
+    file: str
     x: float
     measured: bool
     past: float = 1.0
@@ -170,16 +172,17 @@
         self._check(x)
         point = self.points.get(round(x, 6))  # 1.7% of 180,000 is a little more than 3,060 in floating point
         if point is not None:
-            return median(point.values), Use(self.series, x, True)
+            return median(point.values), Use(self.series, self.file, x, True)
         if self.fit is None:
             raise NotMeasured(f"too few points of `{self.series.name}`: {self.why}")
-        return self.fit.taken.at(x), Use(self.series, x, False, self.fit.past(x))
+        return self.fit.taken.at(x), Use(self.series, self.file, x, False, self.fit.past(x))
 
     def last(self, x: float) -> tuple[float, Use]:
         """Its value at the last size that has one, taken as the same at `x`, for what is counted each."""
         self._check(x)
         at = max(self.points)
-        return median(self.points[at].values), Use(self.series, x, x == at, max(1.0, x / at), x != at)
+        use = Use(self.series, self.file, x, x == at, max(1.0, x / at), x != at)
+        return median(self.points[at].values), use
 
     def _check(self, x: float) -> None:
         """Guards against a figure worked out past a size at which the program no longer did it."""
