lab scale relay: trials at destinations that are down, over spans of fixed length

Why: the first run of the scenario waited until the relay was calm, which at 1,000 and 3,000 destinations down was once their texts had had all their submits: none was held any more when texts beside them were measured.

What: trials are measured for 8 s from 2 s after the texts were handed in, then texts beside them; how many are still held is in the results. A SIGTERM to the measuring command ends its relays too.

--- a/limelatch/command/scale.py
+++ b/limelatch/command/scale.py
@@ -70,6 +70,8 @@
                                          else click.echo(line, err=True), keep, against and Path(against)))
     except one.OtherRun as error:
         raise BadUse(str(error)) from None
+    except asyncio.CancelledError:
+        raise click.Abort from None
     for each in points:
         values = " ".join(f"{value:g}" for value in each.values) or "-"
         click.echo(f"{each.scenario:8} {each.x:>8g} {each.axis:18} {each.measure:36} {values} {each.unit}"
--- a/limelatch/lab/scale/one.py
+++ b/limelatch/lab/scale/one.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import fcntl
+import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
@@ -343,23 +344,29 @@
             add("held", "texts", held - session.list.notices)
 
     async def down(self, down: int, run: int) -> None:
-        """Texts on 16 destinations beside `down` that refuse connections, get trials and hold a text each."""
+        """Texts on 16 destinations beside `down` that refuse connections, get trials and hold a text each.
+
+        Both spans are of fixed length. Guards against waiting for a calm that comes only when the texts held
+        have had all their submits."""
         self.progress(f"texts beside {down} destinations that refuse, run {run + 1}")
         first = BASE + 1
         async with Session(self.tree, range(1, first), down=range(first, first + down),
                            texts=2 * down + 2000) as session:
             await session.serve()
             said = await session.wake(session.down_ones, 0.0)
-            used, _ = await session.rest(REST)
-            spent: list[float] = []
-            async with session.cost(spent):
-                came = await session.steady(self._round(session), STEADY_RATE)
+            await asyncio.sleep(REST / 4)  # each has been tried and is known to be down
+            used, held = await session.over(asyncio.sleep(REST)), said[0]["+OK"] - session.list.notices
+            began, before = asyncio.get_running_loop().time(), session.delivered()
+            spent = await session.over(session.steady(self._round(session), STEADY_RATE))
+            spent -= used / REST * (asyncio.get_running_loop().time() - began)
+            came = session.delivered() - before
             add = self._adder("down", float(down), OUT)
-            add("processor at rest", "ms/s", used * 1e3, "trials among it")
-            add("processor a text", "us", spent[0] / STEADY * 1e6,
-                f"{STEADY_RATE:g} a second over {BASE}, above that at rest")
+            add("processor with no other text", "ms/s", used / REST * 1e3, f"trials, from {REST / 4:g} s on")
+            add("processor a text", "us", spent / STEADY * 1e6,
+                f"{STEADY_RATE:g} a second over {BASE}, above that")
             add("delivered", "texts", came, f"of {STEADY}")
-            add("held", "texts", said[0]["+OK"] - session.list.notices, "still, at the end")
+            add("held", "texts", held, f"still, after {REST * 5 / 4:g} s")
+            add("held at the end", "texts", said[0]["+OK"] - session.list.notices)
 
     async def pair(self, other: Path, run: int) -> None:
         """The same texts by turns to a relay of this tree and one of another, which stand side by side.
@@ -458,6 +465,8 @@
     """Measure a tree, in `pair` beside another one.
 
     `keep` is given all points so far after the walls and after each run."""
+    # Guards against relays that are left behind when the measuring process is ended.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     measurement = Measurement(tree, scenarios, progress)
     await measurement.warm_up()
     if "walls" in scenarios:
--- a/limelatch/lab/scale/session.py
+++ b/limelatch/lab/scale/session.py
@@ -9,6 +9,7 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -138,6 +139,12 @@
         self.idle = (self.relay.processor() - used) / span
         return self.idle, (self.control_bytes() - control) / span
 
+    async def over(self, step: Awaitable[object]) -> float:
+        """Seconds of processor while this step is awaited, all told."""
+        used = self.relay.processor()
+        await step
+        return self.relay.processor() - used
+
     @contextlib.asynccontextmanager
     async def cost(self, spent: list[float], seconds: float = 120.0):
         """Appends to `spent` the seconds of processor that the block causes, until the relay is calm again,
