Room for a new client costs one look, not one at each of the table; 32 are accepted a turn

At fault: Hall.make_room asked each connection of the table for unread bytes, a system call each, for every new one (min over waits(...)); Port.numberAccepts of Twisted grows by 20 a turn as long as connections wait, and what makes room is closed only after the turn; Client.end kept each closed client for 0.5 s after it had gone. Ruled out by reading: EMFILE (sockets are half for clients, a quarter for hosts; the port's accepts did not fail on loopback). Change: the connections stand in the order of their silence, those that come first are asked; where 16 have a request unread the port waits and looks again after 10 ms, where once the longest silent was closed under its request. 32 accepts a turn.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -4,9 +4,10 @@
 
 import re
 import socket
+from collections import OrderedDict
 from dataclasses import dataclass
 
-from twisted.internet import interfaces
+from twisted.internet import interfaces, tcp
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import ServerFactory
 from zope.interface import implementer
@@ -25,6 +26,9 @@
 LOOK_MOST = SECOND // 2  # between two looks at a connection's silence
 CROWD_PART = 4  # a crowded hall closes those between commands so many times sooner
 BACKLOG = 128  # connections that wait to be accepted
+ACCEPTS_MOST = 32  # in one turn of the reactor: calls, the list and due times have theirs in between
+UNREAD_MOST = 16  # connections found with a request unread, for one that needs room; then the port waits
+ROOM_LOOK = SECOND // 100  # between two looks for room while the port waits
 BAD_MOST = 8  # bad commands on one connection, then it is closed
 DESTINATION_MOST = 65535  # since the module remembers each destination
 ARGUMENTS_MOST, SKIP_MOST, REPLY_MOST = 16, 1024 * 1024, 256
@@ -93,6 +97,7 @@
         if self.number is None:
             self.end(Ending.CROWDED)
         else:
+            self.hall.heard(self)
             self.deadline = self.hall.driver.deadlines.after(LOOK_MOST, self._look)
             if self.hall.connections.full:
                 self.hall.make_room(self)
@@ -116,7 +121,10 @@
     def end(self, ending: Ending) -> None:
         if self.ending is None:
             self.close(ending, finish_writing=True)
-            self.hall.driver.deadlines.after(LINGER, self.transport.abortConnection)  # if it reads no more
+            if self.deadline is not None:
+                self.deadline.cancel()
+            self.deadline = self.hall.driver.deadlines.after(  # if it reads no more
+                LINGER, self.transport.abortConnection)
 
     def between_requests(self) -> bool:
         return not self.waiting and not self.missing and not self.inbound
@@ -129,6 +137,8 @@
 
     def dataReceived(self, data: bytes) -> None:
         self.heard_at = self.hall.driver.clock.now()
+        if self.number is not None:
+            self.hall.heard(self)
         if self.between_requests():
             self.begun_at = self.heard_at
         super().dataReceived(data)
@@ -238,12 +248,23 @@
         self.hall.held -= self.held
         self.held = 0
         if self.number is not None:
-            self.hall.connections.release(self.number)
+            self.hall.drop(self)
             self.hall.release()
         if self.waiting:
             self.hall.driver.client_gone(self)
 
 
+class Port(tcp.Port):
+    """A listening port that accepts a few connections in one turn of the reactor.
+
+    Guards against Twisted's own count, which grows by 20 a turn while connections wait: clients that come
+    again as soon as they are closed would hold the reactor for longer and longer."""
+
+    def doRead(self) -> None:
+        self.numberAccepts = min(self.numberAccepts, ACCEPTS_MOST)
+        super().doRead()
+
+
 class Hall(ServerFactory):
     """Where clients arrive: a table of connections; while it is full the port takes no more."""
 
@@ -251,9 +272,10 @@
 
     def __init__(self, driver, most: int, bytes_most: int) -> None:
         self.driver, self.connections, self.bytes_most = driver, Slots(most), bytes_most
+        self._by_silence: OrderedDict[Client, None] = OrderedDict()  # the one silent for longest first
         self.stopping, self.port, self._held = False, None, False
         self.paused = self.closing = False  # PING says no; connections close between requests
-        self._grace = None
+        self._grace = self._room_look = None
         self.held, self.held_down = 0, HeldDown(log, driver.clock)
 
     def buildProtocol(self, address) -> Client:
@@ -275,7 +297,8 @@
             shared.bind((host, port))
             shared.listen(BACKLOG)
             shared.setblocking(False)
-            self.port = reactor.adoptStreamPort(shared.fileno(), socket.AF_INET, self)
+            self.port = Port._fromListeningDescriptor(reactor, shared.fileno(), socket.AF_INET, self)
+            self.port.startListening()
         except OSError as error:
             raise CannotListenError(host, port, error) from None
         finally:
@@ -297,18 +320,56 @@
         """Half the table is taken: guards against clients that ask once, stay and take the room of others."""
         return len(self.connections) * 2 > self.connections.size
 
-    def make_room(self, newest: Client) -> None:
-        """The table is full: close the connection silent for longest; hold the port if all await answers."""
-        resting = [each for each in self.connections
-                   if each is not newest and not each.waiting and each.ending is None]
-        if resting:
-            silent = min(resting, key=lambda client: (waits(client.transport), client.heard_at))
+    def heard(self, client: Client) -> None:
+        """It is new, or has just said something."""
+        self._by_silence[client] = None
+        self._by_silence.move_to_end(client)
+
+    def drop(self, client: Client) -> None:
+        """Its place in the table is free."""
+        self.connections.release(client.number)
+        client.number = None
+        del self._by_silence[client]
+
+    def make_room(self, newest: Client | None = None) -> None:
+        """The table is full: close the connection silent for longest; hold the port if none is at rest."""
+        silent = self._longest_silent(newest)
+        if silent is not None:
             silent.end(Ending.CROWDED)
-            self.connections.release(silent.number)
-            silent.number = None
+            self.drop(silent)
+            self.release()
         elif self.port is not None:
-            self._held = True
-            self.port.stopReading()
+            if not self._held:
+                self._held = True
+                self.port.stopReading()
+            if self._room_look is None:
+                self._room_look = self.driver.deadlines.after(ROOM_LOOK, self._look_for_room)
+
+    def _longest_silent(self, newest: Client | None) -> Client | None:
+        """The connection at rest that was heard of longest ago.
+
+        Only those that come first are asked whether they have a request unread, which is a system call each:
+        guards against a crowd of idle clients that come again at once, for each of which the whole table was
+        asked, until nothing but that was done."""
+        unread, found = [], None
+        for each in self._by_silence:
+            if each is newest or each.waiting or each.ending is not None:
+                continue
+            if not waits(each.transport):
+                found = each
+                break
+            unread.append(each)
+            if len(unread) == UNREAD_MOST:
+                break
+        for each in unread:  # they have said something, and are read in the reactor's next turn
+            self._by_silence.move_to_end(each)
+        return found
+
+    def _look_for_room(self) -> None:
+        """What awaited an answer, or had a request unread, may be at rest by now."""
+        self._room_look = None
+        if self._held:
+            self.make_room()
 
     def release(self) -> None:
         if self._held:
