The first copy of the list follows the first news at once, the next a minute apart

Change: a copy is due at once where this process has written none, else a minute after the one before; news while one is written bring the next.

--- a/limelatch/relay/list_copy.py
+++ b/limelatch/relay/list_copy.py
@@ -60,7 +60,8 @@
     def __init__(self, folder: str, deadlines, ledger) -> None:
         self.path, self._new = os.path.join(folder, FILE), os.path.join(folder, NEW_FILE)
         self._deadlines, self._ledger = deadlines, ledger
-        self._due, self._file, self._slices = None, None, None
+        self._due, self._file, self._slices, self._again = None, None, None, None
+        self._begun_at = -COPY_EVERY
         self._crc = self._rows = 0
 
     def read(self) -> tuple[str, int, Directory] | None:
@@ -76,9 +77,12 @@
         return found
 
     def soon(self, source) -> None:
-        """The list has changed: a copy follows. `source` tells `catalog`, `index` and the directory then."""
-        if self._due is None and self._slices is None:
-            self._due = self._deadlines.after(COPY_EVERY, lambda: self._begin(source))
+        """The list has changed: a copy follows, the first at once. `source` tells address, index and rows."""
+        if self._slices is not None:
+            self._again = source
+        elif self._due is None:
+            wait = max(0, self._begun_at + COPY_EVERY - self._deadlines.clock.now())
+            self._due = self._deadlines.after(wait, lambda: self._begin(source))
 
     def abort(self) -> None:
         """What is being written means nothing any more: another list has begun."""
@@ -86,7 +90,7 @@
             self._end_writing()
 
     def _begin(self, source) -> None:
-        self._due, directory = None, source.directory
+        self._due, self._again, directory = None, None, source.directory
         if source.index is None or directory.reading or self._ledger.beside:
             return  # a whole list is on its way and will call again, or the folder is another process's
         if not self._ledger.leave_room(2 * (directory.size + HEAD_MOST)):
@@ -99,7 +103,7 @@
             say(log, "copy-not-written", why=error)
             return
         self._crc = self._rows = 0
-        self._slices = self._pieces(head, directory)
+        self._begun_at, self._slices = self._deadlines.clock.now(), self._pieces(head, directory)
         self._write()
 
     def _pieces(self, head: dict, directory: Directory) -> Iterator[bytes]:
@@ -118,6 +122,8 @@
             if piece is None:
                 os.replace(self._new, self.path)
                 self._end_writing(done=True)
+                if self._again is not None:
+                    self.soon(self._again)
                 return
             while piece:
                 piece = piece[os.write(self._file, piece):]
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -398,10 +398,10 @@
 
 
 class Turns:
-    """Deadlines of which a test makes the calls itself, one at a time."""
+    """Deadlines of which a test makes the calls itself, one at a time; no time passes."""
 
     def __init__(self):
-        self.calls = []
+        self.calls, self.clock = [], SimpleNamespace(now=lambda: 0)
 
     def after(self, wait, call):
         self.calls.append(call)
@@ -437,6 +437,18 @@
         assert (read_copy(copy.path)[1] if comes == "list" else os.listdir(tmp_path)) in (2, ["list"])
 
 
+def test_the_first_copy_follows_the_list_at_once_and_the_next_a_minute_later(make, copy, clock):
+    catalog = make(copy, "a:1")
+    say(watch := watch_of(catalog), page(4, ROWS, True))
+    clock.advance(0)
+    assert read_copy(copy.path)[1] == 4
+    say(watch, page(5, [told("s-9", 9)]))
+    clock.advance(COPY_EVERY / S - 1)
+    assert read_copy(copy.path)[1] == 4
+    clock.advance(1)
+    assert read_copy(copy.path)[1] == 5
+
+
 def test_in_the_seat_of_an_upgrade_no_copy_is_written(make, tmp_path):
     turns = Turns()
     copy = ListCopy(str(tmp_path), turns, SimpleNamespace(beside=True, leave_room=lambda size: True))
