A copy of the list that the ledger has no room for is taken away once it is read

Found by reading: at a start the copy's room was asked of the ledger and a refusal passed over, so that a full ledger and the copy could go over the disk's limit together by the copy's size. Test: fails without the removal (one of its two cases); in the seat of an upgrade the file is the other process's and stays.

--- a/limelatch/relay/list_copy.py
+++ b/limelatch/relay/list_copy.py
@@ -73,7 +73,8 @@
         except (OSError, BadCopy) as error:
             say(log, "copy-not-read", why=error)
             return None
-        self._ledger.leave_room(2 * os.path.getsize(self.path))
+        if not self._ledger.beside and not self._ledger.leave_room(2 * os.path.getsize(self.path)):
+            os.remove(self.path)  # guards against a disk over its limit once the ledger takes its whole room
         return found
 
     def soon(self, source) -> None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -397,6 +397,17 @@
     assert "list" in os.listdir(tmp_path) and ledger.live_most < most  # its room is the ledger's no more
 
 
+@pytest.mark.parametrize("beside", [False, True])
+def test_a_copy_for_which_the_ledger_has_no_room_left_is_read_and_taken_away(make, copy, clock, beside):
+    catalog = make(copy, "a:1")
+    say(watch_of(catalog), page(4, ROWS, True))
+    write(catalog, clock)
+    full = SimpleNamespace(beside=beside, leave_room=lambda size: False)
+    after = make(ListCopy(os.path.dirname(copy.path), Deadlines(clock, clock), full), "a:1")
+    after.recall()
+    assert len(after.directory) == 6 and os.path.exists(copy.path) == beside  # in an upgrade it is the other's
+
+
 class Turns:
     """Deadlines of which a test makes the calls itself, one at a time; no time passes."""
 
