--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -405,7 +405,8 @@
     full = SimpleNamespace(beside=beside, leave_room=lambda size: False)
     after = make(ListCopy(os.path.dirname(copy.path), Deadlines(clock, clock), full), "a:1")
     after.recall()
-    assert len(after.directory) == 6 and os.path.exists(copy.path) == beside  # in an upgrade it is the other's
+    assert len(after.directory) == 6
+    assert os.path.exists(copy.path) == beside  # in an upgrade it is the other's
 
 
 class Turns:
