The tests' catalog tells a watch what has changed since its index, as the protocol has it

Three tests of restarts failed since a relay begins from its copy of the list and asks for changes since: the stand-in kept silent on a new watch until a test wrote to it, where the protocol page has the first object hold what changed. The stand-in now does so; no test's demand changes. Also: news of destinations that are not at work cost no turn of the module (driver.listed).

--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -270,7 +270,8 @@
             for host in self.hosts.keys() - {entry.host for entry in entries}:
                 self._leave(host)
         self._tell(self.clock.now(), entries, whole)
-        self.soon()
+        if entries or whole:  # else nothing that is held has changed
+            self.soon()
         if self.catalog.fresh and not self.ready:
             self.deadlines.after(0, self.serve)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -212,7 +212,10 @@
         request.handler.send_response_only(200)
         request.handler.send_header("Transfer-Encoding", "chunked")
         request.handler.end_headers()
-        self.watches.put((request, int(request.path.rpartition("=")[2])))  # from here on the test writes
+        watch = request, int(request.path.rpartition("=")[2])
+        if watch[1] < self.index:  # as the protocol has it: the first object holds what changed since
+            self.tell(watch)
+        self.watches.put(watch)  # from here on the test writes
         request.hang()
         return None
 
