--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -93,6 +93,7 @@
             ledger_bytes=self.ledger.size)
         if self.plan.operator is not None:  # at once: STATUS says whether clients are served yet
             self.door.listen(self.reactor, self.plan.operator.host, self.plan.operator.port)
+        say(log, "waiting", on="list", most_ms=self.plan.list_wait // li.MS)
         self.deadlines.after(self.plan.list_wait, self.serve)
         if not self.plan.terms.list_asked:
             self.catalog.connect()
@@ -327,7 +328,7 @@
 
     def list_failed(self) -> None:
         """A watch that the module had asked for ended: it says when to ask again."""
-        self.policy.list_failed(self.clock.now())
+        self.policy.list_failed(self.clock.now(), self.catalog.heard_at)
         self.soon()
 
     def may_go(self, now: int, text: bytes, host: li.HostId) -> bool:
