The restarts' measuring gives each relay a loopback address of its own, and tells why one ended

A port drawn on 127.0.0.1 and given back may go to any other process of a busy machine before the relay listens. The tests' programs draw an address for that reason; now this command does too, and an end that comes too early tells the relay's last line.

--- a/limelatch/lab/scale/ready.py
+++ b/limelatch/lab/scale/ready.py
@@ -126,22 +126,24 @@
     def __init__(self, folder: Path, discovery: str, list_ms: int | None) -> None:
         self.state, self.file, self.process = folder / "state", folder / "relay.json", None
         self.state.mkdir(parents=True)
-        with socket.create_server(("127.0.0.1", 0)) as spare:
+        address = "127.{}.{}.{}".format(*(1 + byte % 254 for byte in os.urandom(3)))  # its own ports
+        with socket.create_server((address, 0)) as spare:
             port = spare.getsockname()[1]
-        plan = {"listen": f"127.0.0.1:{port}", "discovery": discovery, "seed": "7", "state": str(self.state),
+        plan = {"listen": f"{address}:{port}", "discovery": discovery, "seed": "7", "state": str(self.state),
                 "limits": {"disk_mb": DISK_MB, "memory_mb": 64}, "settings": SETTINGS}
         self.file.write_text(json.dumps(plan | ({} if list_ms is None else {"list_ms": list_ms})))
 
     async def start(self) -> Start:
-        """Until it serves; TimeoutError where it does not."""
-        start, began = Start(), time.monotonic()
+        """Until it serves; TimeoutError where it does not in time, RuntimeError where it ends."""
+        start, began, line = Start(), time.monotonic(), ""
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "limelatch.relay", stderr=asyncio.subprocess.PIPE, limit=1 << 20,
             env=os.environ | {"RELAY_CONFIG": str(self.file)}, cwd=Path(__file__).parents[3])
         async with asyncio.timeout(LONGEST):
-            while line := (await self.process.stderr.readline()).decode():
+            while raw := await self.process.stderr.readline():
+                line = raw.decode()
                 said = dict(re.findall(r"(\w+)=(\S+)", line))
-                at = datetime.fromisoformat(said["time"]).timestamp()
+                at = datetime.fromisoformat(said["time"]).timestamp() if "time" in said else 0.0
                 match said.get("event"):
                     case "started":
                         start.texts, read_at = int(said["owed"]), at
@@ -155,7 +157,7 @@
                         start.fresh_list = said["fresh_list"] == "true"
                         self._rest = asyncio.create_task(self._read_on())
                         return start
-        raise TimeoutError(f"the relay ended with {await self.process.wait()} before it served")
+        raise RuntimeError(f"the relay ended with {await self.process.wait()}: {line.strip()}")
 
     def _used(self) -> tuple[float, float]:
         """Seconds on a processor, and ready to run without one."""
