--- a/limelatch/lab/scale/one.py
+++ b/limelatch/lab/scale/one.py
@@ -38,6 +38,7 @@
 DESTINATIONS, SHUT, HELD, NUMBER = "destinations", "shut destinations", "held texts", "highest number"
 OUT = "destinations down"
 SIZED = ("start", "rest", "text", "change", "burst", "list", "wake", "folder")  # in one relay, in this order
+AFTER_TEXTS = ("change", "burst", "list", "wake")  # begin after texts, whose connections may be kept
 ALL = ("walls", *SIZED, "trickle", "beside", "down", "backlog", "pair")
 
 
@@ -153,7 +154,8 @@
         for name in chosen:
             if name in steps:
                 try:
-                    await session.calm()
+                    if name in AFTER_TEXTS:
+                        await session.calm()
                     await steps[name](session, x)
                 except (NotServing, OSError) as error:
                     self.book.none(name, DESTINATIONS, x, str(error), "failed")
