--- a/limelatch/lab/scale/hollow.py
+++ b/limelatch/lab/scale/hollow.py
@@ -93,7 +93,8 @@
 at = "{at}s"
 lasts = "{lasts}s"
 partners = ["struck-*"]
-{more}
+{more}"""
+LOWERED = """
 [[faults]]
 what = "limit"
 at = "{at}s"
@@ -129,20 +130,22 @@
     seconds: int
     settle: int
     count: int = 8  # destinations of each group
+    groups: tuple[str, ...] = GROUPS
 
     def scenario(self, relays: int) -> tuple[Scenario, str]:
         """The scenario for so many relays, and its text."""
-        text = TEXT.format(
+        text = (TEXT + (LOWERED if "lowered" in self.groups else "")).format(
             name=self.name, relays=relays, lasts=self.lasts, seconds=self.seconds, settle=self.settle,
-            valid=self.valid, rate=EACH * self.count * len(GROUPS), what=self.what, at=self.at,
+            valid=self.valid, rate=EACH * self.count * len(self.groups), what=self.what, at=self.at,
             more="share = 1.0\nruns = 0.0\n" if self.what == "errors" else "", lowered=self.lowered,
-            partners="".join(PARTNER.format(name=name, count=self.count) for name in GROUPS))
+            partners="".join(PARTNER.format(name=name, count=self.count) for name in self.groups))
         return parse(f"{self.name}.toml", text), text
 
 
 SHORT = Form("short", "down", valid=24, at=60, lasts=120, lowered=180, seconds=300, settle=40)
 # Texts that stay valid for longer than the outage: every relay comes to hold some, as in a backlog of days.
-LONG = Form("held", "down", valid=7200, at=60, lasts=1200, lowered=180, seconds=4260, settle=40, count=4)
+LONG = Form("held", "down", valid=7200, at=60, lasts=1200, lowered=0, seconds=4260, settle=40, count=4,
+            groups=("struck",))
 # A call that fails at once is seen at the stand-in, a refused connection is not.
 FIDELITY = Form("fidelity", "errors", valid=24, at=10, lasts=20, lowered=30, seconds=60, settle=30)
 
@@ -256,15 +259,15 @@
 
     def figures(self) -> dict[tuple[str, str, str], float]:
         """(scenario, measure, unit): figure; a destination's figures are the mean over its group."""
-        outage, limit = self.scenario.faults
-        down = self._down(outage.at, outage.at + outage.lasts)
-        cold = self._cold(outage.at + outage.lasts)
-        lowered = self._lowered(limit.at, limit.at + limit.lasts)
-        found = {}
-        for scenario, rows in (("down", down), ("cold", cold), ("lowered", lowered),
-                               ("steady", self._steady())):
-            found |= {(scenario, measure, unit): value for (measure, unit), value in rows.items()}
-        return found
+        outage, *limits = self.scenario.faults
+        parts = {"down": self._down(outage.at, outage.at + outage.lasts),
+                 "cold": self._cold(outage.at + outage.lasts)}
+        for limit in limits:
+            parts["lowered"] = self._lowered(limit.at, limit.at + limit.lasts)
+        if self.group("steady"):
+            parts["steady"] = self._steady()
+        return {(scenario, measure, unit): value for scenario, rows in parts.items()
+                for (measure, unit), value in rows.items()}
 
     def _down(self, begin: int, end: int) -> dict[tuple[str, str], float]:
         group, span = self.group("struck"), (end - begin) / SECOND
@@ -309,7 +312,7 @@
 
     def _lowered(self, begin: int, end: int) -> dict[tuple[str, str], float]:
         group, span = self.group("lowered"), (end - begin) / SECOND
-        limit = self.scenario.partners[GROUPS.index("lowered")]
+        limit = next(each for each in self.scenario.partners if each.name == "lowered")
         told = limit.capacity * limit.limit.of_capacity * self.scenario.faults[1].times
         calls = [[at for at in seen.calls if begin <= at < end] for _, seen in group]
         refused = [[at for at in seen.refused if begin <= at < end] for _, seen in group]
@@ -435,9 +438,8 @@
         for job, (figures, _) in zip(jobs, pool.map(one, jobs), strict=True):
             told(f"{form.name}: {job[2]} relays, seed {job[3]}")
             runs.setdefault(job[2], []).append(figures)
-    held = form is LONG
-    made = points(runs, " held" if held else "", f"texts valid for {form.valid} s, out for {form.lasts} s")
-    return [each for each in made if not held or each.scenario.startswith(("down", "cold"))]
+    return points(runs, " held" if form is LONG else "",
+                  f"texts valid for {form.valid} s, out for {form.lasts} s")
 
 
 def measure_fidelity(seeds: list[int], told: Callable[[str], None]) -> list[Point]:
--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -52,7 +52,7 @@
         for relays in (7, 700):
             scenario, _ = form.scenario(relays)
             arrivals = Counter(each.destination for each in Arrivals(scenario, 1))
-            seconds, count = form.seconds, form.count * len(hollow.GROUPS)
+            seconds, count = form.seconds, form.count * len(form.groups)
             assert len(arrivals) == count
             assert sum(arrivals.values()) / seconds / count == pytest.approx(hollow.EACH, rel=0.06)
             assert scenario.relays.count == relays
