--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -106,14 +106,14 @@
 
 
 def test_a_series_has_points_or_its_rows_say_not_measured(book, roles):
-    lines = made.page(FOLDER).splitlines()
-    for where, row in [(role.name, row) for role in roles.roles for row in role.rows]:
+    text = made.page(FOLDER)
+    for role, row in itertools.chain(*(zip(itertools.repeat(role), role.rows) for role in roles.roles)):
         called = [node.id for node in ast.walk(ast.parse(row.value)) if isinstance(node, ast.Name)
                   and node.id in book.series]
-        cells = [line.split(" | ") for line in lines if line.startswith(f"| {row.quantity}")]
-        assert cells, (where, row.quantity)
+        quantity = f"{row.quantity} ({row.aside})" if row.aside else row.quantity
+        line, = [each for each in cells(section(text, role.name), row.quantity) if each[0] == quantity]
         if any(not (held := book.held.get(name)) or not held.points for name in called):
-            assert all(cell[2] == made.NOT_MEASURED for cell in cells), row.quantity
+            assert line[2] == made.NOT_MEASURED, row.quantity
 
 
 def test_units_of_series_are_those_of_their_points(book):
