--- a/limelatch/command/text.py
+++ b/limelatch/command/text.py
@@ -58,7 +58,7 @@
 @text.command()
 @RELAY
 @click.option("--product", required=True, help="As the relay's configuration names it.")
-@click.option("--dest", type=click.IntRange(0, 65535), required=True, help="The destination's number.")
+@click.option("--dest", type=click.IntRange(0, 999_999_999), required=True, help="The destination's number.")
 @click.option("--customer", default="", help="As the relay's configuration names it.")
 @click.option("--key", default="0", help="Of the order, for products in order.")
 @click.option("--mark", help="By which a repeat is known; by default the id of each text.")
--- a/limelatch/relay/list_reader.py
+++ b/limelatch/relay/list_reader.py
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 PIECE_MOST = 64 * 1024  # characters of one row, or of one other value
+MANY = 4096  # characters of rows that are worth a try in one go
 EARLY_MOST = 4096  # rows before the index that says what they are
 NAMES_MOST = 64  # in one object
 CUT_MOST = 12  # characters of a literal or an escape, of which a part may have come
@@ -148,7 +149,8 @@
         return True
 
     def _rows(self) -> bool:
-        if self._early is None and (end := self._text.rfind("}") + 1) > self._at:
+        many = self._early is None and len(self._text) - self._at > MANY
+        if many and (end := self._text.rfind("}") + 1) > self._at:
             try:  # all that are whole, in one go; whatever is not as usual is read one by one
                 rows = DECODER.decode(f"[{self._text[self._at:end]}]")
             except (ValueError, RecursionError):
