Clients' connections leave catalog, hosts, platform and ledger their descriptors

With four threads that connect without end it reached 256 of 256. At fault: the shares were counted of the configured number alone, whatever the process may hold; `Hall.make_room` gives a slot free at once, but its connection is closed only after the reactor has gone round, while the port takes a hundred in a turn; so does the door's. Clients keep half in every case; hosts keep a quarter from 400 descriptors on, 6 of 64. Failed tries: closing unread all that came over the bound in a turn turned away up to 17 of 24 new clients; taking clients' share down to 12 of 64 broke two tests of the full table, which hold.

--- a/limelatch/configuration/model.py
+++ b/limelatch/configuration/model.py
@@ -170,7 +170,8 @@
                                   "texts of "
                                   "the ledger", "limits.memory_mb")] = 192_000_000
     sockets: Annotated[int, Meta(ge=64, le=1 << 20, extra={"unit": "count"}),
-                       about("descriptors; half for clients, a quarter for hosts", "limits.sockets")] = 1024
+                       about("descriptors; half for clients; a quarter for hosts, less of few",
+                             "limits.sockets")] = 1024
     disk: Annotated[Size, about("of the folder that lasts", "limits.disk_mb")] = 3_000_000
     slots: Annotated[Count, about("calls out at once", "settings.familyInfo.slots")] = 16
     texts: Annotated[Count, about("texts held at once", "settings.limits.maxOpen")] = 500
--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -11,6 +11,8 @@
 from limelatch.configuration.platform import read_platform
 
 SEED_BYTES = 8
+SOCKETS_LEAST = 64  # a relay of so few descriptors still has some for every party
+OWN = 20  # descriptors for output, pipes, ledger, ports, catalog, platform, and files that are passing
 
 
 @dataclass(frozen=True)
@@ -33,6 +35,28 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True)
+class Shares:
+    """Of the descriptors, what each party may hold. A connection that was told to end holds its own until the
+    reactor has gone round: `closing` is for those of hosts, and operators' count twice.
+
+    Guards against clients whose connections take the descriptors of catalog, hosts, platform and ledger."""
+
+    hosts: int
+    closing: int
+    operators: int
+    clients: int  # that are served
+    clients_most: int  # with those on their way out
+
+    @classmethod
+    def of(cls, sockets: int) -> Shares:
+        clients, operators = sockets // 2, max(1, min(16, sockets // 64))
+        left = sockets - clients - 2 * operators - OWN
+        hosts = min(sockets // 4, left * 6 // 10)
+        closing = min(sockets // 16, (left - hosts) // 2)
+        return cls(hosts, closing, operators, clients, clients + left - hosts - closing)
+
+
 @dataclass(frozen=True)
 class RelayPlan:
     """All that a relay on sockets is started with; spans are in tenths of a millisecond."""
@@ -48,8 +72,8 @@
     known: dict
     disk_bytes: int
     memory_bytes: int
-    client_connections: int
-    host_connections: int
+    sockets: int
+    shares: Shares
     client_bytes: int  # of commands that are not whole yet, of all clients together
     client_command: int  # for a client's first command, and for the rest of a begun one
     client_idle: int  # between a client's commands
@@ -121,7 +145,7 @@
         state=relay.state, log=installation.log, terms=terms_of(installation, seed),
         names=names_of(installation), known=installation.known,
         disk_bytes=limits.disk, memory_bytes=limits.memory,
-        client_connections=limits.sockets // 2, host_connections=limits.sockets // 4,
+        sockets=limits.sockets, shares=Shares.of(limits.sockets),
         client_bytes=limits.memory // 8,
         client_command=installation.clients.command_wait, client_idle=installation.clients.idle_wait,
         connect_wait=installation.hosts.connect_wait, probe_wait=installation.hosts.probe_wait,
--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -55,6 +55,9 @@
     "not-configured": Event("main", ERROR, "a new configuration was not taken; the one in force stays "
                                            "whole", {
         "why": "every fault, by key"}),
+    "descriptors-few": Event("main", WARNING, "the process may hold fewer descriptors than `limits.sockets`; "
+                                              "their shares are of these", {
+        "sockets": "as configured", "limit": "of the process"}),
     "not-started": Event("main", ERROR, "the relay can't start; it ends", {"trace": "where"}),
     "mode": Event("policy", INFO, "the module has changed its mind on a host", {
         "host": HOST, "change": "to what, with the figures that caused it"}),
--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+import errno
 import os
+import resource
 import signal
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 
 from twisted.internet import reactor
 from twisted.internet.protocol import Protocol
 
 from limelatch import logs
-from limelatch.configuration import ConfigurationError, Form, relay_plan, retuned_plan
+from limelatch.configuration import ConfigurationError, Form, RelayPlan, relay_plan, retuned_plan
 from limelatch.configuration.files import fault_lines, form_of
+from limelatch.configuration.plan import SOCKETS_LEAST, Shares
 from limelatch.relay.deadlines import Clock
 from limelatch.relay.driver import Driver
 
@@ -29,6 +33,18 @@
         self.ended()
 
 
+def within(plan: RelayPlan, most: int) -> RelayPlan:
+    """The plan within the descriptors that the process may hold.
+
+    Guards against clients that get half of a configured number, and with it all that there are."""
+    if most == resource.RLIM_INFINITY or most >= plan.sockets:
+        return plan
+    if most < SOCKETS_LEAST:
+        raise OSError(errno.EMFILE, f"{SOCKETS_LEAST} descriptors are needed, the process may hold {most}")
+    logs.say(logs.logger("main"), "descriptors-few", sockets=plan.sockets, limit=most)
+    return replace(plan, sockets=most, shares=Shares.of(most))
+
+
 def main(path: str | None = None, form: Form | None = None, tied: bool = False) -> int:
     """Serve until SIGTERM; SIGHUP reads the configuration again: `path`, else what $RELAY_CONFIG names.
 
@@ -40,6 +56,7 @@
         plan = relay_plan(os.environ, path, form)
         logs.take_twisteds()
         logs.start(plan.log)
+        plan = within(plan, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         driver = Driver(plan, reactor, Clock())
     except ConfigurationError as error:
         path = path or os.environ.get("RELAY_CONFIG") or "RELAY_CONFIG"
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -25,6 +25,7 @@
 LOOK_MOST = SECOND // 2  # between two looks at a connection's silence
 CROWD_PART = 4  # a crowded hall closes those between commands so many times sooner
 BACKLOG = 128  # connections that wait to be accepted
+OPEN_MOST = 1 << 20  # where nobody says how many there may be
 BAD_MOST = 8  # bad commands on one connection, then it is closed
 DESTINATION_MOST = 65535  # since the module remembers each destination
 ARGUMENTS_MOST, SKIP_MOST, REPLY_MOST = 16, 1024 * 1024, 256
@@ -89,6 +90,7 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
+        self.hall.count_open(1)
         self.number = self.hall.connections.take(self)
         if self.number is None:
             self.end(Ending.CROWDED)
@@ -230,6 +232,7 @@
         self.end(Ending.CLOSED_BY_PEER)
 
     def connectionLost(self, reason) -> None:
+        self.hall.count_open(-1)
         self.ending = self.ending or Ending.CLOSED_BY_PEER
         if self.ending in (Ending.GARBLED, Ending.CROWDED, Ending.SILENT):
             self.hall.held_down("client-ended", why=self.ending.value, peer=self.transport.getPeer().host)
@@ -239,7 +242,7 @@
         self.held = 0
         if self.number is not None:
             self.hall.connections.release(self.number)
-            self.hall.release()
+        self.hall.release()
         if self.waiting:
             self.hall.driver.client_gone(self)
 
@@ -249,16 +252,42 @@
 
     noisy = False
 
-    def __init__(self, driver, most: int, bytes_most: int) -> None:
+    def __init__(self, driver, most: int, bytes_most: int, open_most: int = OPEN_MOST) -> None:
         self.driver, self.connections, self.bytes_most = driver, Slots(most), bytes_most
+        self.open, self.open_most = 0, open_most  # connections, with those that were told to end
+        self._measured = False  # the port is to be told how many it may take
         self.stopping, self.port, self._held = False, None, False
         self.paused = self.closing = False  # PING says no; connections close between requests
         self._grace = None
         self.held, self.held_down = 0, HeldDown(log, driver.clock)
 
-    def buildProtocol(self, address) -> Client:
+    def buildProtocol(self, address) -> Client | None:
+        """None closes the connection at once, unread.
+
+        Guards against a burst in one turn of the reactor: those that make room are closed only after it, and
+        the descriptors of all others would be gone meanwhile."""
+        if self.open >= self.open_most:
+            self.held_down("client-ended", why=Ending.CROWDED.value, peer=address.host)
+            return None
         return Client(self)
 
+    def count_open(self, more: int) -> None:
+        """What the port takes in the reactor's next turn is measured anew; the others wait in the kernel's
+        queue, and are not turned away."""
+        self.open += more
+        if not self._measured:
+            self._measured = True
+            self.driver.deadlines.after(0, self._measure)
+
+    def _measure(self) -> None:
+        self._measured, free = False, self.open_most - self.open
+        if self.port is None:
+            return
+        self.port.numberAccepts = max(1, min(BACKLOG, free))
+        if free <= 0 and not self._held:
+            self._held = True
+            self.port.stopReading()
+
     def listen(self, reactor, host: str, port: int, beside: bool = False) -> None:
         """Shared with SO_REUSEPORT, so that a new version can serve beside this one during an upgrade.
 
@@ -276,6 +305,7 @@
             shared.listen(BACKLOG)
             shared.setblocking(False)
             self.port = reactor.adoptStreamPort(shared.fileno(), socket.AF_INET, self)
+            self._measure()
         except OSError as error:
             raise CannotListenError(host, port, error) from None
         finally:
@@ -311,7 +341,7 @@
             self.port.stopReading()
 
     def release(self) -> None:
-        if self._held:
+        if self._held and not self.connections.full and self.open < self.open_most:
             self._held = False
             self.port.startReading()
 
--- a/limelatch/relay/door.py
+++ b/limelatch/relay/door.py
@@ -19,7 +19,7 @@
 log = logger("door")
 
 LINE_MOST = 256  # bytes of a call; the longest has an id of a host
-CALLERS_MOST = 16  # connections at once; the one silent for longest gives way to a new one
+CALLERS_MOST = 16  # connections at once, fewer of few descriptors; the one silent for longest gives way
 SILENCE_MOST = 10 * SECOND  # of a caller that says nothing or half a call
 LOOK_EVERY = SECOND // 2
 FILE = "out"  # in the folder that lasts: the hosts out by hand
@@ -88,6 +88,7 @@
         self.deadline = None
 
     def connectionMade(self) -> None:
+        self.door.open += 1
         self.number = self.door.callers.take(self)
         if self.number is None:
             self.door.make_room()
@@ -125,6 +126,7 @@
         self.transport.write(line.encode() + b"\r\n")
 
     def connectionLost(self, reason) -> None:
+        self.door.open -= 1
         if self.deadline is not None:
             self.deadline.cancel()
         if self.number is not None:
@@ -136,12 +138,13 @@
 
     noisy = False
 
-    def __init__(self, driver) -> None:
-        self.driver, self.callers, self.port = driver, Slots(CALLERS_MOST), None
+    def __init__(self, driver, most: int = CALLERS_MOST) -> None:
+        self.driver, self.callers, self.port = driver, Slots(most), None
+        self.open = 0  # connections, with those that were told to end
         self.held_down = HeldDown(log, driver.clock)
 
-    def buildProtocol(self, address) -> Caller:
-        return Caller(self)
+    def buildProtocol(self, address) -> Caller | None:
+        return Caller(self) if self.open < 2 * self.callers.size else None  # else it is closed at once
 
     def listen(self, reactor, host: str, port: int) -> None:
         self.port = reactor.listenTCP(port, self, backlog=CALLERS_MOST, interface=host)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -63,15 +63,15 @@
         self.destinations: set[int] = set()  # that the catalog has told since the start
         self._turn_due, self.ready, self._stop_at, self._stop_least_at = False, False, None, 0
         self.failed, self._ended, self._port_until = False, False, None
-        self.yard = Yard(reactor, self.deadlines, clock, self, plan.host_connections, plan.connect_wait,
+        self.yard = Yard(reactor, self.deadlines, clock, self, plan.shares.hosts, plan.connect_wait,
                          plan.probe_wait)
         self.desk = Desk(reactor, self.deadlines, plan.discovery, plan.notice_wait, plan.reconnect_wait,
                          self.notice_heard)
         self.catalog = Catalog(reactor, self.deadlines, plan.discovery, plan.names, plan.silence,
                                plan.reconnect_wait, self.listed,
                                self.list_failed if plan.terms.list_asked else None)
-        self.hall = Hall(self, plan.client_connections, plan.client_bytes)
-        self.door = Door(self)
+        self.hall = Hall(self, plan.shares.clients, plan.client_bytes, plan.shares.clients_most)
+        self.door = Door(self, plan.shares.operators)
 
     def start(self) -> None:
         """Take up what the ledger holds, then wait for the first list before serving."""
