--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -7,7 +7,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from twisted.internet import interfaces, tcp
+from twisted.internet import interfaces
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import ServerFactory
 from zope.interface import implementer
@@ -29,6 +29,7 @@
 ACCEPTS_MOST = 32  # in one turn of the reactor: calls, the list and due times have theirs in between
 UNREAD_MOST = 16  # connections found with a request unread, for one that needs room; then the port waits
 ROOM_LOOK = SECOND // 100  # between two looks for room while the port waits
+OPEN_MOST = 1 << 20  # where nobody says how many there may be
 BAD_MOST = 8  # bad commands on one connection, then it is closed
 ARGUMENTS_MOST, SKIP_MOST, REPLY_MOST = 16, 1024 * 1024, 256
 COMMAND_MOST, SKIP_STEP = BODY_MOST + 4 * 1024, 8 * 1024  # of all arguments; of a skipped one at once
@@ -91,6 +92,7 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
+        self.hall.count_open(1)
         self.number = self.hall.connections.take(self)
         if self.number is None:
             self.end(Ending.CROWDED)
@@ -238,6 +240,7 @@
         self.end(Ending.CLOSED_BY_PEER)
 
     def connectionLost(self, reason) -> None:
+        self.hall.count_open(-1)
         self.ending = self.ending or Ending.CLOSED_BY_PEER
         if self.ending in (Ending.GARBLED, Ending.CROWDED, Ending.SILENT):
             self.hall.held_down("client-ended", why=self.ending.value, peer=self.transport.getPeer().host)
@@ -247,38 +250,56 @@
         self.held = 0
         if self.number is not None:
             self.hall.drop(self)
-            self.hall.release()
+        self.hall.release()
         if self.waiting:
             self.hall.driver.client_gone(self)
 
 
-class Port(tcp.Port):
-    """A listening port that accepts a few connections in one turn of the reactor.
-
-    Guards against Twisted's own count, which grows by 20 a turn while connections wait: clients that come
-    again as soon as they are closed would hold the reactor for longer and longer."""
-
-    def doRead(self) -> None:
-        self.numberAccepts = min(self.numberAccepts, ACCEPTS_MOST)
-        super().doRead()
-
-
 class Hall(ServerFactory):
     """Where clients arrive: a table of connections; while it is full the port takes no more."""
 
     noisy = False
 
-    def __init__(self, driver, most: int, bytes_most: int) -> None:
+    def __init__(self, driver, most: int, bytes_most: int, open_most: int = OPEN_MOST) -> None:
         self.driver, self.connections, self.bytes_most = driver, Slots(most), bytes_most
         self._by_silence: OrderedDict[Client, None] = OrderedDict()  # the one silent for longest first
+        self.open, self.open_most = 0, open_most  # connections, with those that were told to end
+        self._measured = False  # the port is to be told how many it may take
         self.stopping, self.port, self._held = False, None, False
         self.paused = self.closing = False  # PING says no; connections close between requests
         self._grace = self._room_look = None
         self.held, self.held_down = 0, HeldDown(log, driver.clock)
 
-    def buildProtocol(self, address) -> Client:
+    def buildProtocol(self, address) -> Client | None:
+        """None closes the connection at once, unread.
+
+        Guards against a burst in one turn of the reactor: those that make room are closed only after it, and
+        the descriptors of all others would be gone meanwhile."""
+        if self.open >= self.open_most:
+            self.held_down("client-ended", why=Ending.CROWDED.value, peer=address.host)
+            return None
         return Client(self)
 
+    def count_open(self, more: int) -> None:
+        """What the port takes in the reactor's next turn is measured anew; the others wait in the kernel's
+        queue, and are not turned away.
+
+        Guards against Twisted's own count, which grows by 20 a turn while connections wait: clients that come
+        again as soon as they are closed would hold the reactor for longer and longer."""
+        self.open += more
+        if not self._measured:
+            self._measured = True
+            self.driver.deadlines.after(0, self._measure)
+
+    def _measure(self) -> None:
+        self._measured, free = False, self.open_most - self.open
+        if self.port is None:
+            return
+        self.port.numberAccepts = max(1, min(ACCEPTS_MOST, free))
+        if free <= 0 and not self._held:
+            self._held = True
+            self.port.stopReading()
+
     def listen(self, reactor, host: str, port: int, beside: bool = False) -> None:
         """Shared with SO_REUSEPORT, so that a new version can serve beside this one during an upgrade.
 
@@ -295,8 +316,8 @@
             shared.bind((host, port))
             shared.listen(BACKLOG)
             shared.setblocking(False)
-            self.port = Port._fromListeningDescriptor(reactor, shared.fileno(), socket.AF_INET, self)
-            self.port.startListening()
+            self.port = reactor.adoptStreamPort(shared.fileno(), socket.AF_INET, self)
+            self._measure()
         except OSError as error:
             raise CannotListenError(host, port, error) from None
         finally:
@@ -370,7 +391,7 @@
             self.make_room()
 
     def release(self) -> None:
-        if self._held:
+        if self._held and not self.connections.full and self.open < self.open_most:
             self._held = False
             self.port.startReading()
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -104,10 +104,11 @@
     assert hall.port.reading and [each for each in made if each.ending] == [made[7]]
 
 
-def test_a_client_that_has_left_is_kept_by_nothing(hall):
+def test_a_client_that_has_left_is_kept_by_nothing(hall, clock):
     """What closes a client that reads no more once held each for half a second after it had gone."""
     for each in come(hall, 60):
         each.connectionLost(None)
+    clock.advance(0)  # the port is told what it may take in the next turn
     assert not len(hall.connections) and not hall._by_silence
     assert not any(deadline.call for _, _, deadline in hall.driver.deadlines._heap)
 
