HostPool, Listener and Notifier are called by the field's own terms

Yard hid a connection pool, Hall a listener with its table of clients, Desk what sends notices. Renamed by word in the relay and its tests, four lines wrapped; nothing else changes.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -24,7 +24,7 @@
 LINGER = SECOND // 2  # for a client that does not read its last answer
 PAUSE_GRACE = SECOND  # after PAUSE: a front stops sending new connections, and what is on its way comes
 LOOK_MOST = SECOND // 2  # between two looks at a connection's silence
-CROWD_PART = 4  # a crowded hall closes those between commands so many times sooner
+CROWD_PART = 4  # a crowded listener closes those between commands so many times sooner
 BACKLOG = 128  # connections that wait to be accepted
 ACCEPTS_MOST = 32  # in one turn of the reactor: calls, the list and due times have theirs in between
 UNREAD_MOST = 16  # connections found with a request unread, for one that needs room; then the port waits
@@ -80,42 +80,42 @@
 
     delimiter = b"\r\n"
 
-    def __init__(self, hall: Hall) -> None:
+    def __init__(self, listener: Listener) -> None:
         super().__init__(COMMAND_MOST + 2, 2 * REPLY_MOST)
-        self.hall, self.number = hall, None
+        self.listener, self.number = listener, None
         self.arguments: list[bytes] = []
         self.missing = self.size = 0  # arguments of the command still to come, bytes of those that came
         self.too_large, self.skip, self.waiting, self.all_said = False, 0, False, False
-        self.asked, self.bad, self.held = False, 0, 0  # held: bytes that the hall counts for it
-        self.heard_at = self.begun_at = hall.driver.clock.now()  # begun: the command that is coming
+        self.asked, self.bad, self.held = False, 0, 0  # held: bytes that the listener counts for it
+        self.heard_at = self.begun_at = listener.driver.clock.now()  # begun: the command that is coming
         self.deadline = None
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        self.hall.count_open(1)
-        self.number = self.hall.connections.take(self)
+        self.listener.count_open(1)
+        self.number = self.listener.connections.take(self)
         if self.number is None:
             self.end(Ending.CROWDED)
         else:
-            self.hall.heard(self)
-            self.deadline = self.hall.driver.deadlines.after(LOOK_MOST, self._look)
-            if self.hall.connections.full:
-                self.hall.make_room(self)
+            self.listener.heard(self)
+            self.deadline = self.listener.driver.deadlines.after(LOOK_MOST, self._look)
+            if self.listener.connections.full:
+                self.listener.make_room(self)
 
     def due(self) -> int:
         """Until when this connection may stay as it is: the first command and a begun one have to come."""
-        plan = self.hall.driver.plan
+        plan = self.listener.driver.plan
         if self.asked and self.between_requests():
-            return self.heard_at + plan.client_idle // (CROWD_PART if self.hall.crowded else 1)
+            return self.heard_at + plan.client_idle // (CROWD_PART if self.listener.crowded else 1)
         return self.begun_at + plan.client_command
 
     def _look(self) -> None:
         """Guards against connections that say nothing, or half a command, and hold a descriptor for good."""
-        now, due = self.hall.driver.clock.now(), self.due()
+        now, due = self.listener.driver.clock.now(), self.due()
         if now >= due and not self.waiting and not (self.between_requests() and waits(self.transport)):
             self.end(Ending.SILENT)
         else:
-            self.deadline = self.hall.driver.deadlines.at(
+            self.deadline = self.listener.driver.deadlines.at(
                 min(max(due, now + SECOND // 10), now + LOOK_MOST), self._look)
 
     def end(self, ending: Ending) -> None:
@@ -123,7 +123,7 @@
             self.close(ending, finish_writing=True)
             if self.deadline is not None:
                 self.deadline.cancel()
-            self.deadline = self.hall.driver.deadlines.after(  # if it reads no more
+            self.deadline = self.listener.driver.deadlines.after(  # if it reads no more
                 LINGER, self.transport.abortConnection)
 
     def between_requests(self) -> bool:
@@ -136,13 +136,13 @@
         return self.ending is None and self.between_requests() and not waits(self.transport)
 
     def dataReceived(self, data: bytes) -> None:
-        self.heard_at = self.hall.driver.clock.now()
+        self.heard_at = self.listener.driver.clock.now()
         if self.number is not None:
-            self.hall.heard(self)
+            self.listener.heard(self)
         if self.between_requests():
             self.begun_at = self.heard_at
         super().dataReceived(data)
-        self.hall.count(self)
+        self.listener.count(self)
 
     def held_back(self) -> bool:
         return self.waiting or self._outbound.free < REPLY_MOST
@@ -201,10 +201,10 @@
             if name == b"SUBMIT":
                 handed = read_submit(arguments)
                 self.waiting = True
-                self.hall.driver.handed_in(handed, self)
+                self.listener.driver.handed_in(handed, self)
             elif name == b"PING":
-                self.reply("-ERR stopping" if self.hall.stopping else "-ERR paused" if self.hall.paused
-                           else "+PONG")
+                self.reply("-ERR stopping" if self.listener.stopping
+                           else "-ERR paused" if self.listener.paused else "+PONG")
             elif name == b"QUIT":
                 self.reply("+OK")
                 self.end(Ending.CLOSED_BY_PEER)
@@ -212,7 +212,7 @@
                 raise BadCommand(f"unknown command {name[:20].decode(errors='replace')!r}")
         except BadCommand as error:
             self.waiting, self.bad = False, self.bad + 1
-            self.hall.held_down("command-bad", why=error, peer=self.transport.getPeer().host)
+            self.listener.held_down("command-bad", why=error, peer=self.transport.getPeer().host)
             self.reply(f"-ERR {error}")
             if self.bad >= BAD_MOST:
                 self.end(Ending.GARBLED)
@@ -225,7 +225,7 @@
         self.waiting = False
         self.reply(line)
         self.pump()
-        if (self.hall.stopping or self.hall.closing) and self.at_rest():
+        if (self.listener.stopping or self.listener.closing) and self.at_rest():
             self.end(Ending.STOPPING)
         elif self.all_said:
             self.readConnectionLost()
@@ -240,22 +240,22 @@
         self.end(Ending.CLOSED_BY_PEER)
 
     def connectionLost(self, reason) -> None:
-        self.hall.count_open(-1)
+        self.listener.count_open(-1)
         self.ending = self.ending or Ending.CLOSED_BY_PEER
         if self.ending in (Ending.GARBLED, Ending.CROWDED, Ending.SILENT):
-            self.hall.held_down("client-ended", why=self.ending.value, peer=self.transport.getPeer().host)
+            self.listener.held_down("client-ended", why=self.ending.value, peer=self.transport.getPeer().host)
         if self.deadline is not None:
             self.deadline.cancel()
-        self.hall.held -= self.held
+        self.listener.held -= self.held
         self.held = 0
         if self.number is not None:
-            self.hall.drop(self)
-        self.hall.release()
+            self.listener.drop(self)
+        self.listener.release()
         if self.waiting:
-            self.hall.driver.client_gone(self)
+            self.listener.driver.client_gone(self)
 
 
-class Hall(ServerFactory):
+class Listener(ServerFactory):
     """Where clients arrive: a table of connections; while it is full the port takes no more."""
 
     noisy = False
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -14,14 +14,14 @@
 from limelatch.logs import start as start_logs
 from limelatch.policy import Policy
 from limelatch.relay.catalog import BadList, Catalog
-from limelatch.relay.clients import Client, Hall, Handed
+from limelatch.relay.clients import Client, Listener, Handed
 from limelatch.relay.deadlines import Clock, Deadlines
 from limelatch.relay.door import Door, HostsOut
-from limelatch.relay.hosts import Call, Outcome, Parcel, Yard
+from limelatch.relay.hosts import Call, Outcome, Parcel, HostPool
 from limelatch.relay.ledger import Ledger
 from limelatch.relay.list_copy import ListCopy
 from limelatch.relay.records import Entry
-from limelatch.relay.platform import Desk
+from limelatch.relay.platform import Notifier
 from limelatch.relay.slots import Slots
 
 log, policy_log = logger("driver"), logger("policy")
@@ -62,16 +62,16 @@
         self.held_down = HeldDown(log, clock)
         self._turn_due, self.ready, self._stop_at, self._stop_least_at = False, False, None, 0
         self.failed, self._ended, self._port_until = False, False, None
-        self.yard = Yard(reactor, self.deadlines, clock, self, plan.shares.hosts, plan.connect_wait,
-                         plan.probe_wait)
-        self.desk = Desk(reactor, self.deadlines, plan.discovery, plan.notice_wait, plan.reconnect_wait,
-                         self.notice_heard)
+        self.pool = HostPool(reactor, self.deadlines, clock, self, plan.shares.hosts, plan.connect_wait,
+                             plan.probe_wait)
+        self.notifier = Notifier(reactor, self.deadlines, plan.discovery, plan.notice_wait,
+                                 plan.reconnect_wait, self.notice_heard)
         self.catalog = Catalog(reactor, self.deadlines, plan.discovery, plan.names, plan.silence,
                                plan.reconnect_wait, self.listed,
                                self.list_failed if plan.terms.list_asked else None,
                                ListCopy(plan.state, self.deadlines, self.ledger),
                                lambda destination: destination in self.policy.dests)
-        self.hall = Hall(self, plan.shares.clients, plan.client_bytes, plan.shares.clients_most)
+        self.listener = Listener(self, plan.shares.clients, plan.client_bytes, plan.shares.clients_most)
         self.door = Door(self, plan.shares.operators)
 
     def start(self) -> None:
@@ -136,7 +136,7 @@
         self._meet(now, text.destination)
         self.policy.text_taken(now, text, past)
         if entry.notice is not None:
-            self.desk.notice(entry.id, entry.notice)
+            self.notifier.notice(entry.id, entry.notice)
         elif not known:
             say(log, "product-unknown", product=pairs["product"])
             self._end_later(owed, {"result": "dead"})
@@ -146,7 +146,7 @@
         if not self.ready and self._stop_at is None and not self.failed:
             listen = self.plan.listen
             try:
-                self.hall.listen(self.reactor, listen.host, listen.port, self.ledger.beside)
+                self.listener.listen(self.reactor, listen.host, listen.port, self.ledger.beside)
             except CannotListenError as error:
                 self._port_taken(error)
                 return
@@ -177,7 +177,7 @@
                             names=replace(self.plan.names, products=plan.names.products))
         self.policy.terms = terms  # what it holds keeps the rows it came with
         self.catalog.move(plan.discovery)
-        self.desk.move(plan.discovery)
+        self.notifier.move(plan.discovery)
         start_logs(plan.log)
         say(log, "configured", catalog=plan.discovery, owed=len(self.owed), products=len(terms.products),
             submits=terms.max_submits, restart_for=",".join(later))
@@ -191,8 +191,8 @@
         self._stop_at, self._stop_least_at = now + self.plan.stop_wait, now + self.plan.stop_least
         handed_over = self.ready and self.ledger.successor()
         self.policy.stopping(self._stop_at)
-        self.hall.stop(handed_over)
-        say(log, "stopping", owed=len(self.owed), calls=self.yard.calls_out, handed_over=handed_over)
+        self.listener.stop(handed_over)
+        say(log, "stopping", owed=len(self.owed), calls=self.pool.calls_out, handed_over=handed_over)
         self.soon()
         if not self.ready:
             self._exit()
@@ -201,8 +201,8 @@
 
     def _exit_if_idle(self) -> None:
         """End early, once clients have stopped coming, when nothing is owed and no call is out."""
-        if self.clock.now() >= self._stop_least_at and not self.owed and not self.yard.calls_out:
-            if self.hall.comes():  # it gets its answer first: at the latest when the stop's time is over
+        if self.clock.now() >= self._stop_least_at and not self.owed and not self.pool.calls_out:
+            if self.listener.comes():  # it gets its answer first: at the latest when the stop's time is over
                 self.deadlines.after(LAST_LOOK, self._exit_if_idle)
             else:
                 self._exit()
@@ -214,8 +214,8 @@
         that was read has to be answered, one that was not is sent again by its client."""
         if not self._ended:
             self._ended = True
-            self.hall.last_words()
-            say(log, "stopped", owed=len(self.owed), calls=self.yard.calls_out)
+            self.listener.last_words()
+            say(log, "stopped", owed=len(self.owed), calls=self.pool.calls_out)
             self.deadlines.after(0, self.reactor.stop)
 
     # What the parties tell.
@@ -286,13 +286,13 @@
                 self._leave(entry.host)
             else:
                 self.hosts[entry.host] = entry
-                self.yard.reach(entry.host, self.catalog.reached(entry.host))
+                self.pool.reach(entry.host, self.catalog.reached(entry.host))
         self.policy.hosts_listed(now, [self.out.seen(entry) for entry in entries], whole, news)
 
     def _leave(self, host: li.HostId) -> None:
         """The host is off the list, or its destination at rest."""
         self.hosts.pop(host, None)
-        self.yard.reach(host, None)
+        self.pool.reach(host, None)
 
     # What the operators ask through the door; each answer is one line.
 
@@ -303,14 +303,14 @@
             return "-ERR starting"
         return (f"+OK serving owed={len(self.owed)} hosts={len(self.catalog.directory)} "
                 f"out={len(self.out.counts)}"
-                f" paused={'yes' if self.hall.paused else 'no'}")
+                f" paused={'yes' if self.listener.paused else 'no'}")
 
     def pause(self) -> str:
-        self.hall.pause()
+        self.listener.pause()
         return f"+OK paused owed={len(self.owed)}"
 
     def resume(self) -> str:
-        self.hall.resume()
+        self.listener.resume()
         return "+OK serving" if self.ready else "+OK starting"
 
     def suspend(self, host: li.HostId) -> str:
@@ -410,9 +410,9 @@
                 case li.Undeliverable(text) if text in self.owed:
                     self._end_later(self.owed[text], {"result": "dead"})
                 case li.Probe(host):
-                    self.yard.send(host, [])
+                    self.pool.send(host, [])
                 case li.CloseIdle(host):
-                    self.yard.close_idle(host)
+                    self.pool.close_idle(host)
                 case li.Forget(_, hosts):
                     for host in hosts:
                         self._leave(host)
@@ -423,7 +423,7 @@
                 case li.LogLine(line, host):
                     say(policy_log, "mode", host=host, change=line)
         for host, parcels in calls.items():
-            self.yard.send(host, parcels)
+            self.pool.send(host, parcels)
         if self._stop_at is not None:
             self._exit_if_idle()
 
@@ -457,10 +457,10 @@
         owed = self.owed[text]
         most = self.plan.terms.kinds[self.hosts[host].kind].texts_per_call if host in self.hosts else 1
         if len(calls.get(host, [])) >= most:
-            self.yard.send(host, calls.pop(host))
+            self.pool.send(host, calls.pop(host))
         calls.setdefault(host, []).append(Parcel(text, owed.mark, owed.body, due, keep))
 
     def _end_later(self, owed: Owed, notice: dict) -> None:
         """The final answer of a text that was taken on is a notice, owed until it is answered."""
         self.ledger.owed(owed.text.id, notice)
-        self.desk.notice(owed.text.id, notice)
+        self.notifier.notice(owed.text.id, notice)
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -139,9 +139,9 @@
 class Connection(HttpCaller):
     """One connection to a host."""
 
-    def __init__(self, yard: Yard, host: HostId, call: Call) -> None:
+    def __init__(self, pool: HostPool, host: HostId, call: Call) -> None:
         super().__init__(ANSWER_MOST, OUTBOUND)
-        self.yard, self.host, self.call = yard, host, call
+        self.pool, self.host, self.call = pool, host, call
         self.number, self.connector, self.deadline = None, None, None
         self.up, self.rested_at = False, 0
 
@@ -157,19 +157,19 @@
         super().connectionMade()
         self.up = True
         self.deadline.cancel()
-        self.yard.go(self)
+        self.pool.go(self)
 
     def begun(self) -> None:
         if self.call is not None:
-            self.call.begun = self.yard.clock.now()
+            self.call.begun = self.pool.clock.now()
 
     def answered(self, answer: Answer, body: bytes) -> None:
-        self.yard.answered(self, answer, body)
+        self.pool.answered(self, answer, body)
 
     def ended(self, ending: Ending) -> None:
         if ending is Ending.BROKEN and not self.outflow.empty:
             ending = self.ending = Ending.CUT_SHORT
-        self.yard.lost(self, ending)
+        self.pool.lost(self, ending)
 
     def give_up(self, ending: Ending) -> None:
         """Close it, whether it is up or still coming up."""
@@ -195,10 +195,10 @@
     def clientConnectionFailed(self, connector, reason) -> None:
         connection = self.connection
         connection.ending = connection.ending or Ending.REFUSED
-        connection.yard.lost(connection, connection.ending)
+        connection.pool.lost(connection, connection.ending)
 
 
-class Yard:
+class HostPool:
     """All connections to hosts, in numbered slots; the idle ones by host, the last used first."""
 
     def __init__(self, reactor, deadlines: Deadlines, clock: Clock, driver, most: int, connect_wait: int,
--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -20,24 +20,24 @@
 class Reporting(HttpCaller):
     """The connection to the platform."""
 
-    def __init__(self, desk: Desk) -> None:
+    def __init__(self, notifier: Notifier) -> None:
         super().__init__(BODY_MOST, 32 * 1024)
-        self.desk = desk
+        self.notifier = notifier
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        self.desk.send()
+        self.notifier.send()
 
     def answered(self, answer: Answer, body: bytes) -> None:
         if not answer.keeps or self.inbound:  # what came behind would pass for the next request's answer
             self.close(Ending.CLOSED_BY_PEER)
-        self.desk.answered(answer.status)
+        self.notifier.answered(answer.status)
 
     def ended(self, ending: Ending) -> None:
-        self.desk.lost(self, ending)
+        self.notifier.lost(self, ending)
 
 
-class Desk(ClientFactory):
+class Notifier(ClientFactory):
     """Keeps the notices that are owed; one request is out at a time."""
 
     noisy = False
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,13 +21,13 @@
 from limelatch.policy import Policy
 from limelatch.relay import __main__ as entry
 from limelatch.relay.catalog import Catalog
-from limelatch.relay.clients import Hall
+from limelatch.relay.clients import Listener
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.driver import Driver
 from limelatch.relay.ending import Ending
 from limelatch.relay.inspection import look
 from limelatch.relay.ledger import SEAT, Ledger, lock
-from limelatch.relay.platform import Desk
+from limelatch.relay.platform import Notifier
 
 
 def until(true):
@@ -177,19 +177,19 @@
 
 def test_a_second_answer_does_not_pass_for_the_next_notice_s(clock):
     heard = []
-    desk = Desk(clock, Deadlines(clock, clock), None, SECOND, SECOND, heard.append)
-    reporting = desk.buildProtocol(None)
-    desk.notice(b"a", {"result": "dead"})
+    notifier = Notifier(clock, Deadlines(clock, clock), None, SECOND, SECOND, heard.append)
+    reporting = notifier.buildProtocol(None)
+    notifier.notice(b"a", {"result": "dead"})
     reporting.makeConnection(Wire())
-    desk.notice(b"b", {"result": "dead"})  # while the request of the first is out
+    notifier.notice(b"b", {"result": "dead"})  # while the request of the first is out
     reporting.dataReceived(b"HTTP/1.1 204 No Content\r\n\r\n" * 2)
-    assert heard == [b"a"] and list(desk.owed) == [b"b"] and reporting.ending is Ending.CLOSED_BY_PEER
+    assert heard == [b"a"] and list(notifier.owed) == [b"b"] and reporting.ending is Ending.CLOSED_BY_PEER
 
 
 # Clients.
 
 class Doorstep:
-    """What a hall needs of its driver."""
+    """What a listener needs of its driver."""
 
     def __init__(self, clock):
         self.clock, self.deadlines = clock, Deadlines(clock, clock)
@@ -199,12 +199,12 @@
 @pytest.mark.parametrize("arrived", [b"", b"*5\r\n"])
 def test_a_connection_with_a_request_not_read_yet_is_not_closed(clock, arrived):
     """To close it would reset it; what it asked for, and its last answer, would be lost."""
-    hall = Hall(Doorstep(clock), 2, 10_000)
-    (client := hall.buildProtocol(None)).makeConnection(Wire())
+    listener = Listener(Doorstep(clock), 2, 10_000)
+    (client := listener.buildProtocol(None)).makeConnection(Wire())
     client.dataReceived(b"PING\r\n")
     client.transport.peer.send(arrived)
-    hall.stop()
-    assert (client.ending is None) == bool(arrived) == hall.comes()
+    listener.stop()
+    assert (client.ending is None) == bool(arrived) == listener.comes()
 
 
 @pytest.fixture
@@ -217,7 +217,7 @@
 
 
 def test_a_request_read_as_the_relay_ends_gets_its_answer(clock, driver):
-    (client := driver.hall.buildProtocol(None)).makeConnection(Wire())
+    (client := driver.listener.buildProtocol(None)).makeConnection(Wire())
     client.dataReceived(b"PING\r\n")
     client.transport.peer.send(b"x")  # it asks just then: it stays open
     driver.stop()
@@ -228,13 +228,13 @@
     assert not clock.stopped and driver._ended
     assert client.transport.value() == b"+PONG\r\n-BUSY\r\n"
     clock.advance(0)  # the reactor has gone round, and written
-    assert clock.stopped and driver.yard.calls_out == len(driver.owed) == 0
+    assert clock.stopped and driver.pool.calls_out == len(driver.owed) == 0
 
 
 def test_a_relay_that_ends_waits_for_what_a_connection_just_made_will_ask(clock, driver):
     driver.stop()
     clock.advance(0.49)
-    driver.hall.buildProtocol(None).makeConnection(Wire())
+    driver.listener.buildProtocol(None).makeConnection(Wire())
     clock.advance(0.02)
     assert driver.clock.now() > driver._stop_least_at and not clock.stopped
     clock.pump([0.02] * 9)
@@ -254,16 +254,16 @@
         def startReading(self):
             assert not self.closed
 
-    hall = Hall(Doorstep(clock), 2, 10_000)
-    hall.port = port = Port()
-    clients = [hall.buildProtocol(None) for _ in range(2)]
+    listener = Listener(Doorstep(clock), 2, 10_000)
+    listener.port = port = Port()
+    clients = [listener.buildProtocol(None) for _ in range(2)]
     for client in clients:
         client.waiting = True
         client.makeConnection(Wire())
-    hall.stop(handed_over=True)
+    listener.stop(handed_over=True)
     clients[0].waiting = False
     clients[0].connectionLost(None)
-    assert port.closed and hall.port is None and len(hall.connections) == 1
+    assert port.closed and listener.port is None and len(listener.connections) == 1
 
 
 # The ledger.
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -13,7 +13,7 @@
 from test_parts import Wire
 
 from limelatch.relay import clients
-from limelatch.relay.clients import ACCEPTS_MOST, ROOM_LOOK, UNREAD_MOST, Hall
+from limelatch.relay.clients import ACCEPTS_MOST, ROOM_LOOK, UNREAD_MOST, Listener
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.ending import Ending
 
@@ -47,70 +47,71 @@
 
 
 @pytest.fixture
-def hall(clock):
+def listener(clock):
     plan = SimpleNamespace(client_idle=20_000, client_command=20_000)
-    hall = Hall(SimpleNamespace(clock=clock, deadlines=Deadlines(clock, clock), plan=plan), 40, 10_000)
-    hall.port = Gate()
-    return hall
+    driver = SimpleNamespace(clock=clock, deadlines=Deadlines(clock, clock), plan=plan)
+    listener = Listener(driver, 40, 10_000)
+    listener.port = Gate()
+    return listener
 
 
-def come(hall, count=1):
+def come(listener, count=1):
     made = []
     for _ in range(count):
-        client = hall.buildProtocol(None)
+        client = listener.buildProtocol(None)
         client.makeConnection(Wire())
         made.append(client)
     return made
 
 
-def test_room_for_a_new_client_asks_few_of_the_others_whether_they_wait(hall, looks):
+def test_room_for_a_new_client_asks_few_of_the_others_whether_they_wait(listener, looks):
     """Each once asked the whole table: 1,200 idle ones were 363,000 system calls, and no text went on."""
-    come(hall, 40)
+    come(listener, 40)
     looks.clear()
-    come(hall, 400)
+    come(listener, 400)
     assert len(looks) <= 400
 
 
-def test_the_one_that_was_heard_of_longest_ago_makes_room(hall, clock):
-    made = come(hall, 39)
+def test_the_one_that_was_heard_of_longest_ago_makes_room(listener, clock):
+    made = come(listener, 39)
     clock.advance(0.1)
     made[0].dataReceived(b"PING")  # begun
-    come(hall)
+    come(listener)
     assert [each for each in made if each.ending is Ending.CROWDED] == [made[1]]
 
 
-def test_no_connection_with_a_request_unread_makes_room_while_another_rests(hall, looks):
-    made = come(hall, 39)
+def test_no_connection_with_a_request_unread_makes_room_while_another_rests(listener, looks):
+    made = come(listener, 39)
     for each in made[:5]:
         each.transport.peer.send(ASKED)
-    come(hall, 30)
+    come(listener, 30)
     assert not any(each.ending for each in made[:5])
     assert sum(each.ending is Ending.CROWDED for each in made) == 30
     assert len(looks) <= 30 + 5
 
 
-def test_where_all_have_a_request_unread_the_port_waits_until_they_are_answered(hall, clock, looks):
+def test_where_all_have_a_request_unread_the_port_waits_until_they_are_answered(listener, clock, looks):
     """The longest silent was once closed under its request."""
-    made = come(hall, 39)
+    made = come(listener, 39)
     for each in made:
         each.transport.peer.send(ASKED)
-    made += come(hall)
-    assert not hall.port.reading and not any(each.ending for each in made) and len(looks) == UNREAD_MOST
+    made += come(listener)
+    assert not listener.port.reading and not any(each.ending for each in made) and len(looks) == UNREAD_MOST
     made[-1].transport.peer.send(ASKED)
     clock.pump([ROOM_LOOK / 10_000] * 4)
-    assert not hall.port.reading and not any(each.ending for each in made)
+    assert not listener.port.reading and not any(each.ending for each in made)
     made[7].transport.socket.recv(99)  # read and answered
     clock.pump([ROOM_LOOK / 10_000] * 4)
-    assert hall.port.reading and [each for each in made if each.ending] == [made[7]]
+    assert listener.port.reading and [each for each in made if each.ending] == [made[7]]
 
 
-def test_a_client_that_has_left_is_kept_by_nothing(hall, clock):
+def test_a_client_that_has_left_is_kept_by_nothing(listener, clock):
     """What closes a client that reads no more once held each for half a second after it had gone."""
-    for each in come(hall, 60):
+    for each in come(listener, 60):
         each.connectionLost(None)
     clock.advance(0)  # the port is told what it may take in the next turn
-    assert not len(hall.connections) and not hall._by_silence
-    assert not any(deadline.call for _, _, deadline in hall.driver.deadlines._heap)
+    assert not len(listener.connections) and not listener._by_silence
+    assert not any(deadline.call for _, _, deadline in listener.driver.deadlines._heap)
 
 
 class Crowd:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -24,7 +24,7 @@
     Connection,
     Outcome,
     Parcel,
-    Yard,
+    HostPool,
     read_outcomes,
     told_wait,
     write_call,
@@ -379,35 +379,35 @@
 def call_out(deadlines, driver, *parcels):
     """A connection that has just come up for a call with these texts."""
     deadlines, reactor = deadlines
-    yard = Yard(reactor, deadlines, reactor, driver, 4, SECOND, SECOND)
-    yard.addresses[b"s-1"], yard.calls_out = "127.0.0.1:80", 1
+    pool = HostPool(reactor, deadlines, reactor, driver, 4, SECOND, SECOND)
+    pool.addresses[b"s-1"], pool.calls_out = "127.0.0.1:80", 1
     call = Call(b"s-1", list(parcels), 0)
-    call.deadline = deadlines.at(min(each.due for each in parcels), lambda: yard._out_of_time(call))
-    call.connection = Connection(yard, b"s-1", call)
-    call.connection.number = yard.connections.take(call.connection)
+    call.deadline = deadlines.at(min(each.due for each in parcels), lambda: pool._out_of_time(call))
+    call.connection = Connection(pool, b"s-1", call)
+    call.connection.number = pool.connections.take(call.connection)
     call.connection.deadline = deadlines.at(SECOND, None)
     call.connection.makeConnection(Wire())
-    return yard, call.connection
+    return pool, call.connection
 
 
 def test_a_text_held_back_as_the_connection_comes_up_writes_nothing(deadlines):
     driver = Ears(goes=False)
-    yard, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", 9 * SECOND, SECOND))
+    pool, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", 9 * SECOND, SECOND))
     assert driver.ends == [(b"a", Result.MOOT)] and connection.transport.value() == b""
-    assert yard.idle[b"s-1"] == [connection] and yard.calls_out == 0
+    assert pool.idle[b"s-1"] == [connection] and pool.calls_out == 0
     deadlines[1].advance(1)
     assert connection.ending is Ending.IDLE
 
 
 def test_a_batch_is_given_up_whole_when_the_time_of_one_text_is_over(deadlines):
     driver = Ears()
-    yard, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", SECOND, 0),
+    pool, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", SECOND, 0),
                                 Parcel(b"b", b"", b"y", 3 * SECOND, 0))
     assert connection.transport.value().startswith(b"POST /v1/messages:batch HTTP/1.1\r\n")
     deadlines[1].advance(1)
     assert connection.ending is Ending.SILENT and driver.ends == []  # no text ends while its submit is out
     connection.connectionLost(None)
-    assert driver.ends == [(b"a", Result.TIMEOUT), (b"b", Result.TIMEOUT)] and yard.calls_out == 0
+    assert driver.ends == [(b"a", Result.TIMEOUT), (b"b", Result.TIMEOUT)] and pool.calls_out == 0
 
 
 def test_a_first_line_of_200_delivers_though_the_connection_breaks(deadlines):
@@ -440,9 +440,9 @@
 @pytest.mark.parametrize("raw, later", [(b"no more", b""), (b"", b"HTTP/1.1 200 OK\r\n\r\n"), (b"", b"")])
 def test_a_connection_with_more_than_its_answer_is_never_used_again(deadlines, raw, later):
     driver = Ears()
-    yard, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", SECOND, SECOND))
+    pool, connection = call_out(deadlines, driver, Parcel(b"a", b"", b"x", SECOND, SECOND))
     connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" + raw)
-    assert driver.ends == [(b"a", Result.DELIVERED)] and (connection in yard.idle[b"s-1"]) != bool(raw)
+    assert driver.ends == [(b"a", Result.DELIVERED)] and (connection in pool.idle[b"s-1"]) != bool(raw)
     connection.transport.peer.sendall(later)  # not read yet
     assert connection.clean() != bool(raw or later)
 
--- a/tests/test_renewed.py
+++ b/tests/test_renewed.py
@@ -65,7 +65,7 @@
 
 def hand_in(driver, *texts, dest=1, product="report", d=1800):
     for text in texts:
-        (client := driver.hall.buildProtocol(None)).makeConnection(Wire())
+        (client := driver.listener.buildProtocol(None)).makeConnection(Wire())
         client.dataReceived(f"SUBMIT 0 {text} c={product},d={d},dest={dest} x\r\n".encode())
 
 
@@ -124,8 +124,8 @@
     settle(line, loop)
     loop.pass_to(end + 200 * MS)
     loop.turn()
-    assert len(loop.lines) == 1 and driver.yard.calls_out == 0  # and none is sent a second time
-    notices = {text: words["result"] for text, words in driver.desk.owed.items()}
+    assert len(loop.lines) == 1 and driver.pool.calls_out == 0  # and none is sent a second time
+    notices = {text: words["result"] for text, words in driver.notifier.owed.items()}
     if first == "answer in time":
         assert not driver.owed and not notices
     else:
@@ -149,7 +149,8 @@
         line.dataReceived(raw[17:])
     settle(line, loop)
     assert (not driver.owed) == delivered
-    assert driver.desk.owed == ({} if delivered else {text.encode(): {"result": "dead"} for text in texts})
+    dead = {} if delivered else {text.encode(): {"result": "dead"} for text in texts}
+    assert driver.notifier.owed == dead
 
 
 def test_an_interim_line_in_time_proves_no_delivery(driver, loop):
@@ -159,7 +160,7 @@
     loop.pass_to(call.deadline.when)
     line.dataReceived(answer("t1"))
     settle(line, loop)
-    assert driver.desk.owed == {b"t1": {"result": "dead"}}
+    assert driver.notifier.owed == {b"t1": {"result": "dead"}}
 
 
 @pytest.mark.parametrize("texts, dest", [ALONE, BATCH])
@@ -172,7 +173,7 @@
     assert call.deadline.when < min(driver.owed[text.encode()].text.valid_until for text in texts)
     line.dataReceived(answer(*texts))
     settle(line, loop)
-    assert set(driver.desk.owed) == (set() if again else {text.encode() for text in texts})
+    assert set(driver.notifier.owed) == (set() if again else {text.encode() for text in texts})
     assert set(driver.owed) == {text.encode() for text in texts}
     if again:
         assert {held.ran_at for held in driver.policy.texts.values()} == {call.sent}
@@ -195,7 +196,7 @@
     line.dataReceived(answer(*texts, state=word) if word == "over"
                       else b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n")
     settle(line, loop)
-    assert set(driver.desk.owed) == {text.encode() for text in texts}
+    assert set(driver.notifier.owed) == {text.encode() for text in texts}
 
 
 @pytest.mark.parametrize("texts, dest", [ALONE, BATCH])
--- a/tests/test_terms_descriptors.py
+++ b/tests/test_terms_descriptors.py
@@ -18,7 +18,7 @@
 from limelatch.configuration import plan_of
 from limelatch.configuration.plan import OWN, SOCKETS_LEAST, Shares
 from limelatch.configuration.platform import read_platform
-from limelatch.relay.clients import Hall
+from limelatch.relay.clients import Listener
 from limelatch.relay.door import Door
 
 TOLD_WITHIN = 6.0  # seconds after which a change counts as told
@@ -36,16 +36,16 @@
 
 def test_a_burst_in_one_turn_takes_no_more_descriptors_than_clients_may_have():
     """Those that make room are closed only once the reactor has gone round."""
-    hall, made = Hall(Doorstep(Running()), 10, 10_000, 14), []
+    listener, made = Listener(Doorstep(Running()), 10, 10_000, 14), []
     for _ in range(100):
-        if (client := hall.buildProtocol(Peer)) is not None:
+        if (client := listener.buildProtocol(Peer)) is not None:
             client.makeConnection(Wire())
             made.append(client)
-    assert len(made) == hall.open == 14 and sum(each.ending is None for each in made) == 9
+    assert len(made) == listener.open == 14 and sum(each.ending is None for each in made) == 9
     for each in made:
         if each.ending is not None:
             each.connectionLost(None)
-    assert hall.open == 9 and hall.buildProtocol(Peer) is not None
+    assert listener.open == 9 and listener.buildProtocol(Peer) is not None
 
 
 def test_a_burst_at_the_operators_door_takes_no_more_either():
--- a/tests/test_terms_restart.py
+++ b/tests/test_terms_restart.py
@@ -46,8 +46,8 @@
         plan = plan_of(read_platform(GOOD | {"settings": SHORT, "state": str(self.folder)})[0])
         self.driver = driver = Driver(plan, self.clock, self.clock)
         self.out, self.ended = [], {}
-        driver.yard.send = self.send
-        driver.desk.notice = lambda text, words: self.ended.setdefault(text, words["result"])
+        driver.pool.send = self.send
+        driver.notifier.notice = lambda text, words: self.ended.setdefault(text, words["result"])
         driver.start()
         driver.ready = True
         driver.catalog.known({"index": 1, "snapshot": True, "endpoints": [
