A connection in use while its host moves is not kept; text submit says long validities plainly

Both met by the measuring of one relay. HostPool._rest asked only whether the host is listed, so a connection in use when its host's address changed stayed, and went on to be used, for the old address (6 s watched). HandedText.command wrote 7,200,000 ms as 7.2e+06, which the relay refuses, and rounded from six digits on. Tests: three cases fail without the two lines; test_parts, test_crossings, test_renewed: 196 passed.

--- a/limelatch/client/wire.py
+++ b/limelatch/client/wire.py
@@ -55,7 +55,7 @@
 
     def command(self) -> bytes:
         """The bytes of its SUBMIT."""
-        names = f"c={self.product},t={self.customer},d={self.valid_for_ms:g},dest={self.destination}"
+        names = f"c={self.product},t={self.customer},d={self.valid_for_ms:.3f},dest={self.destination}"
         names += (f",k={self.mark}" if self.mark else "") + (",r=1" if self.again else "")
         return hiredis.pack_command(("SUBMIT", self.key, self.id, names, self.body))
 
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -143,7 +143,7 @@
         super().__init__(ANSWER_MOST, OUTBOUND)
         self.pool, self.host, self.call = pool, host, call
         self.number, self.connector, self.deadline = None, None, None
-        self.up, self.rested_at = False, 0
+        self.up, self.rested_at, self.address = False, 0, pool.addresses.get(host)
 
     def clean(self) -> bool:
         """Whether nothing is left of its last call, either way, and its peer has sent nothing since.
@@ -292,11 +292,14 @@
         self._rest(connection, keep if answer.keeps else 0)
 
     def _rest(self, connection: Connection, keep: int) -> None:
-        """The connection stands idle for as long as the module said."""
+        """The connection stands idle for as long as the module said.
+
+        Guards against one in use while its host moved: it would go on to the address that it has left."""
         connection.call = None
         if connection.ending is not None:
             return
-        if keep <= 0 or connection.host not in self.addresses or not connection.clean():
+        moved = connection.address is None or self.addresses.get(connection.host) != connection.address
+        if keep <= 0 or moved or not connection.clean():
             connection.give_up(Ending.IDLE)
             return
         connection.deadline = self.deadlines.after(keep, lambda: connection.give_up(Ending.IDLE))
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import Clock as Reactor
 from twisted.internet.testing import StringTransport
 
+from limelatch.client.wire import HandedText
 from limelatch.configuration import bench_terms, plan_of
 from limelatch.configuration.platform import read_platform
 from limelatch.interface import SECOND, Effect, Listing, Result
@@ -447,6 +448,20 @@
     assert connection.clean() != bool(raw or later)
 
 
+@pytest.mark.parametrize("address, kept", [("127.0.0.1:80", True), ("127.0.0.1:81", False), (None, False)])
+def test_a_connection_in_use_while_its_host_moves_is_not_kept_for_it(deadlines, address, kept):
+    pool, connection = call_out(deadlines, Ears(), Parcel(b"a", b"", b"x", 9 * SECOND, SECOND))
+    pool.reach(b"s-1", address)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert (pool.idle[b"s-1"] == [connection]) == kept and (connection.ending is None) == kept
+
+
+@pytest.mark.parametrize("valid_for", [7_200_000, 0.5, 24_000, 999_999.125])
+def test_a_client_s_command_says_any_validity_as_the_relay_reads_it(valid_for):
+    raw = HandedText("notice", 7, valid_for, b"x").command()
+    assert read_submit(raw.split(b"\r\n")[2::2][:5]).valid_for == int(valid_for * 10)
+
+
 def test_a_probe_asks_for_the_hosts_health():
     assert write_call(Call(b"s-1", [], 0), "127.0.0.1:80", 0) == [
         b"GET /ping HTTP/1.1\r\nHost: 127.0.0.1:80\r\n\r\n"]
