--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -253,11 +253,6 @@
         return [entry_of(row, self.names) for row in self.directory.rows(destination)
                 if row.kind in self.names.kinds]
 
-    def entry(self, host: HostId) -> HostEntry | None:
-        """The host as the catalog last told it, None where it is not on the list."""
-        row = self.directory.find(host)
-        return entry_of(row, self.names) if row is not None and row.kind in self.names.kinds else None
-
     def reached(self, host: HostId) -> Address | None:
         """Where the host is reached, None where it is not on the list."""
         row = self.directory.find(host)
