A call saved up at a growing pace is due when it is: cold returns met at one moment

A trace of one relay showed a call saved up before the text came, and unseen: Policy._opens_at took the next look from the pace as it was, Route.refill counted the span at the pace of its end, and the pace grows by half in 12 s.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -17,6 +17,7 @@
 
 import heapq
 from collections import defaultdict, deque
+from math import sqrt
 
 from limelatch.chance import Chance
 from limelatch.interface import (MS, SECOND, Action, CloseIdle, Effect, Forget, HostEntry, HostId, Listing,
@@ -34,7 +35,7 @@
 STALE_LEAST, KEEP_PART = 500 * MS, 0.9  # least idle time of connections; part of the hosts' own time
 STALE_STEP, STALE_FADE, STALE_SHARE, STALE_ONCE = 0.05, 0.02, 0.08, 0.02  # of kept connections reset
 LIMIT_USED_UP, TOLD_SHUT, REFUSED_OFTEN = 0.15, 3 * SECOND, 8  # share left; wait, cuts in a row of an outage
-PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST = 0.6, 0.4, 0.05, 300 * MS, 0.4
+PACE_CUT, PACE_LEAST, PACE_GROWTH, PACE_REST, PACE_BURST, PACE_APART = 0.6, 0.4, 0.05, 300 * MS, 0.4, 1.5
 PACE_STEP, FLOW_SPAN, SERVED_SPAN = 0.05, 5 * SECOND, 20 * SECOND  # growth by a delivery; spans of own rates
 REST, LESSON = SERVED_SPAN, 600 * SECOND  # own rates have faded; age of what only deliveries would undo
 PACE_FREE, PACE_LEARN, PACE_ROOM, PACE_SAVED = 4.0, 0.2, 0.02, 2.0  # no limit told; many relays: room
@@ -83,20 +84,26 @@
     def __init__(self, window: int) -> None:
         self.hosts, self.recent = [], []  # each a Host; how long the last calls took
         self.window, self.halved_at, self.calls, self.usual, self.seen = window, -1, 0, USUAL_AT_FIRST, 0
-        self.limit = self.pace = 0.0  # calls a second; 0 while nothing is known
+        self.limit = self.pace = self.growth = 0.0  # calls a second; 0 while nothing is known
         self.credit, self.credit_at, self.cut_at, self.cuts = PACE_SAVED, NEVER, 0, 0  # refilled: NEVER yet
         self.flow, self.flow_at, self.served, self.served_at = 0.0, 0, 0.0, 0  # own calls, deliveries; fading
         self.wait_until = self.down_at = self.tries = self.trial_at = self.tried_at = self.part = 0  # trials
 
     def refill(self, now: int, relays: int) -> None:
-        passed, self.credit_at = max(0, now - self.credit_at) / SECOND, now
+        before, passed, self.credit_at = self.pace, max(0, now - self.credit_at) / SECOND, now
         if self.limit:
-            growth = PACE_GROWTH * (self.pace + self.limit / relays) / (1 + self.cuts)
-            self.pace = min(self.limit, self.pace + growth * passed)
+            self.growth = PACE_GROWTH * (self.pace + self.limit / relays) / (1 + self.cuts)
+            self.pace = min(self.limit, self.pace + self.growth * passed)
         else:
             self.grow(PACE_GROWTH * passed)
         saved = max(PACE_SAVED if relays > KEEPERS and not self.cuts else 1.0, self.pace * PACE_BURST)
-        self.credit = min(saved, self.credit + self.pace * passed)
+        self.credit = min(saved, self.credit + (before + self.pace) / 2 * passed)
+
+    def saved_after(self) -> int:
+        """Until a call is saved up, as the pace grows: one saved up unseen would go with the next text."""
+        missing = max(0.0, 1.0 - self.credit) if self.pace else 0.0
+        speed = (self.pace + sqrt(self.pace ** 2 + 2 * self.growth * missing * (self.pace < self.limit))) / 2
+        return 1 + int(missing * SECOND / speed) if missing else 0
 
     def grow(self, share: float) -> None:
         """To the limit; learned from refusals alone, past what a relay has a use for it binds no longer."""
@@ -126,12 +133,11 @@
 
 class Host:
     def __init__(self, entry: HostEntry, dest: Destination, route: Route, keep: int) -> None:
-        self.id, self.zone, self.kind = entry.host, entry.zone, entry.kind
-        self.listing, self.dest, self.route = entry.listing, dest, route
-        self.out, self.failing, self.sick, self.back_at = [], 0.0, False, None  # out: calls
-        self.warm_credit, self.warm_at, self.last_ok, self.used_at = 0.0, 0, -GOOD_LATELY, 0
+        self.id, self.zone, self.kind, self.listing = entry.host, entry.zone, entry.kind, entry.listing
+        self.dest, self.route, self.out, self.failing, self.sick = dest, route, [], 0.0, False  # out: calls
+        self.warm_credit, self.warm_at, self.back_at, self.last_ok = 0.0, 0, None, -GOOD_LATELY
         self.gap = self.gap_most = keep  # time between calls, as far as hosts keep connections idle
-        self.kept, self.sour = False, {}  # an idle one there; products that fail: when
+        self.kept, self.sour, self.used_at = False, {}, 0  # an idle one there; products that fail: when
 
     def overdue(self, now: int) -> bool:
         """A call is out for too long with no success since: one more a span, lest a silent host fills up."""
@@ -188,8 +194,7 @@
             self._sort_hosts(self.dests[number])
 
     def list_failed(self, now: int, heard_at: int = NEVER, calls: int = 1) -> None:
-        """A call for the list failed, or its watch ended, last heard then: the list held serves on.
-        Guards against hundreds of relays that ask together, and against one that is taken as told."""
+        """A call for the list failed, or its watch ended, last heard then: ask again, apart and in time."""
         if self.terms.list_asked:
             self.asked += calls
             part = self.terms.ask_within // ASK_PART * min(self.asked + 1, ASK_CAP)
@@ -205,9 +210,7 @@
             host.route.hosts = [other for other in dest.hosts if other.route is host.route]
 
     def text_taken(self, now: int, text: Text, past: Past = NEW) -> None:
-        """A text from a client or, with its past, from this relay's time before a restart, in the same order.
-        Guards against a repeat of what may have run when the process ended: its key rests, once-only ends;
-        and against nacked texts that refill a destination's limit by way of relays that never met it."""
+        """A text from a client or, with its past, from this relay's time before a restart, in its order."""
         held = self.texts[text.id] = Held(text, self.terms.products[text.product], past)
         if held.key:
             line = self.lines.setdefault(held.key, deque())
@@ -346,8 +349,7 @@
                 self._failed(now, host, result.value, step / 2 if ok and result is Result.TIMEOUT else step)
 
     def _one_product(self, now: int, host: Host, product: int, result: Result) -> bool:
-        """Whether all that speaks against this host is one product, at no other host of its route.
-        Guards against holding all else for an endpoint that fails one product; few relays tell by shares."""
+        """Whether it fails one product alone, and no other host of its route does; few tell by shares."""
         several = self.terms.relays > KEEPERS and len(self.products[host.kind]) > 1
         if several and result not in (Result.CONNECT, Result.RESET):
             host.sour[product] = now
@@ -363,8 +365,7 @@
             route.window, route.halved_at = max(1, route.window // 2), now
 
     def _failed(self, now: int, host: Host, why: str, step: float) -> None:
-        """A host that fails often is sick, and with it those of its route that have not delivered lately.
-        Guards against each relay finding out host by host that a whole destination is down."""
+        """A host that fails often is sick, and with it those of its route that have not delivered lately."""
         route, dest, sound = host.route, host.dest, not host.sick
         host.failing += (1 - host.failing) * step
         if sound and host.failing > SICK_SHARE:
@@ -380,21 +381,23 @@
         """A refusal lowers the pace: from the relay's own rate, where a limit is known towards its even part.
         Guards against hundreds of relays, each far under the limit, that use it up by being refused."""
         route, even = host.route, (host.route.limit or RATE_AT_FIRST) / self.terms.relays
+        room = left is not None and left >= LIMIT_USED_UP  # not the limit, then: it is shut
         if now - route.cut_at > PACE_REST or not route.pace:
             route.refill(now, self.terms.relays)
             own, weight = route.flow * SECOND / FLOW_SPAN, 1 / (route.flow + (1 if left is None else 2))
             if route.limit:
-                room = left is not None and left >= LIMIT_USED_UP and now - host.last_ok > GOOD_LATELY
-                fair = min(route.pace, even if room else (2 * own) ** (1 - weight) * even ** weight)
+                mixed = (2 * own) ** (1 - weight) * even ** weight
+                fair = min(route.pace, even if room and now - host.last_ok > GOOD_LATELY else mixed)
                 deeper = route.cuts * weight if self.terms.relays > KEEPERS else 0.0  # few relays push less
                 route.pace = max(PACE_CUT * fair / (1 + deeper), PACE_LEAST * even)
             else:  # the first may be chance; few relays have texts for it at one time
                 route.pace = max(PACE_CUT / (1 + min(route.cuts, 1)) * min(route.pace or own, own), 2 * even)
             route.cut_at, route.cuts = now, route.cuts + 1
-        route.credit = min(route.credit, (0.5 if route.limit else 0.0) - self.chance.below(1000) / 1000)
+        apart = PACE_APART if route.limit and room else 1.0  # all relays met it shut at one moment
+        route.credit = min(route.credit, 0.5 * bool(route.limit) - apart * self.chance.below(1000) / 1000)
         if host.sick:
             self._next_trial(now, route)
-        elif (told > TOLD_SHUT or route.cuts >= REFUSED_OFTEN) and (left is None or left >= LIMIT_USED_UP):
+        elif (told > TOLD_SHUT or route.cuts >= REFUSED_OFTEN) and (left is None or room):
             self._failed(now, host, f"refused {route.cuts} times, told to wait {told // MS} ms", 1.0)
 
     def _next_trial(self, now: int, route: Route) -> None:
@@ -519,18 +522,15 @@
             return NEVER if any(each.sick and each.out for each in route.hosts) else self._trial_opens(route)
         if host.overdue(now):
             return max(route.wait_until, host.out[-1].sent + host.patience())
-        paced, cold = route.pace and route.credit < 1.0, host.back_at is not None and host.warm_credit < 1.0
-        opens = now + 1 + int((1.0 - route.credit) * SECOND / route.pace) if paced else now
-        return max(opens, route.wait_until, now + PERIOD if cold else now)
+        cold = host.back_at is not None and host.warm_credit < 1.0
+        return max(now + route.saved_after(), route.wait_until, now + PERIOD if cold else now)
 
     def _window_cap(self, host: Host) -> int:
-        """Three quarters of the slots for a healthy destination, half otherwise; one at the least."""
         unwell = any(each.sick or each.back_at is not None for each in host.dest.hosts)
         return max(1, self.terms.slots // 2 if unwell else self.terms.slots * 3 // 4)
 
     def _advance(self, now: int, host: Host) -> None:
-        """Bring a host's pace and warm-up to now: what it bears if all relays that know of its outage send.
-        Guards against pushing over a returning destination; ends after the cold time."""
+        """Bring a host's pace and warm-up to now: what it bears if all that know of its outage send."""
         terms, route = self.terms, host.route
         route.refill(now, terms.relays)  # also with no pace, so that the time without one fills no later one
         if host.back_at is None:
--- a/tests/test_terms_cold.py
+++ b/tests/test_terms_cold.py
@@ -30,7 +30,7 @@
     Text,
     Wake,
 )
-from limelatch.policy import CAP, Policy
+from limelatch.policy import CAP, Policy, Route
 
 NOW, OUTAGE, LATENCY, VALID = 100 * SECOND, 10 * SECOND, 40 * MS, 60 * SECOND
 SYMPTOMS = {"refused connections": (Result.CONNECT, 1 * MS), "hangs": (Result.TIMEOUT, 0),
@@ -216,6 +216,31 @@
         assert World(cold, 3, 60, seed, demand=in_bursts).run().worst() <= 0
 
 
+@EACH
+@pytest.mark.parametrize("allowed", [2, 3, 5, 8])
+def test_texts_of_one_moment_do_not_push_over_what_was_met_shut_with_room_told(cold, allowed):
+    """A destination that refuses, tells that its limit has room and names no wait: every relay has refused
+    texts queued, and a text comes to all of them within 200 ms. Up to 35 calls over the bound went then."""
+    for seed in range(5):
+        assert World(cold, allowed, 60, seed, demand=in_bursts, symptom="shut").run().worst() <= 0, seed
+
+
+def test_a_call_is_saved_up_at_the_same_time_however_often_it_is_looked_at():
+    """The pace grows meanwhile: one long look counted the whole span at the pace of its end, and the time of
+    the next look at the pace of its beginning."""
+    looked, once = (Route(8) for _ in range(2))
+    for route in (looked, once):
+        route.limit, route.pace, route.credit, route.cuts = 6.0, 0.06, -0.5, 1
+        route.refill(NOW, 60)
+    due = once.saved_after()
+    for at in range(NOW, NOW + due // 2, 10 * MS):
+        looked.refill(at, 60)
+    looked.refill(NOW + due // 2, 60), once.refill(NOW + due // 2, 60)
+    assert looked.credit == pytest.approx(once.credit, abs=0.03)
+    once.refill(NOW + due, 60)
+    assert once.credit == pytest.approx(1.0, abs=0.05) and 10 * SECOND < due < 1.2 / 0.06 * SECOND
+
+
 @EACH
 def test_with_fewer_relays_alive_than_listed_less_is_sent(cold):
     for seed in (0, 1):
