Checker: a text that is over before its client reads +OK holds no key

Cause of 'order kept: key ...: text t234.1.235 was sent while text t234 before it was not over' (flaky, sockets stage): the relay nacked t234 within the moment of its +OK; the id t234.1.235 shows it, since the load had counted no other text in between. The stage's process records the notice, the load's process the +OK, and the load was late: in the merged record the end came first, and Checker.answered then entered the text, which was over, into its key's line, where it stayed. Ruled out: a kill between notice and answer (the first text's relay was up), the relay's own order (the second went after the notice had been answered).

As strict as before: an end of its own (notice, delivery) ends it, and a text that was refused at once is never sent.

--- a/limelatch/lab/checker.py
+++ b/limelatch/lab/checker.py
@@ -206,6 +206,8 @@
         self._trail(text, event.at, f"answered {Answer(event.answer).name.lower()}")
         if event.answer == Answer.TAKEN:
             text.taken_at = event.at
+            if text.end:  # its client read the answer after another process had recorded its end
+                return
             handed = text.handed
             self._at(handed.valid_until + self.answer_slack + self.limit, event.text)
             if self.products[handed.product].in_order and handed.key:
@@ -214,7 +216,9 @@
         text.lost = event.answer in (Answer.SILENT, Answer.LOST)
         if event.answer == Answer.BUSY:
             self._nacked(text, event.at)
-        if text.taken_at is None:
+        if text.lost:  # the relay may have taken it on all the same: only an end of its own ends it
+            self.forget.append((text.handed.valid_until + FORGET, event.text))
+        elif text.taken_at is None:
             self._over(text, "answered at once", event.at)
 
     def called(self, event: rec.Called) -> None:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -286,3 +286,63 @@
     story.tell(rec.Responded(2 * S, 2 * S + 50, call, [Fate.DELIVERED], 0)).gives_up(2 * S + 40, call)
     story.ends(4 * S, story.called(3 * S, "t"))
     assert story.over() == {}
+
+
+# What one process records, and another one records later, in real time.
+
+
+def end_of(story, end, at, text):
+    """The text ends, as the stage records it."""
+    if end == "delivered":
+        story.ends(at, story.called(at, text))
+    else:
+        story.tell(rec.Noticed(at, 0, text, end == "nacked", 0))
+
+
+@pytest.mark.parametrize("end", ["delivered", "nacked", "undeliverable"])
+def test_a_text_whose_end_is_recorded_before_its_client_reads_ok_is_over(end):
+    """The relay ends it at once; its client, in another process, is late to read that it was taken on. The
+    next text of its key was said to have been sent while this one was not over."""
+    story = Story(sockets=True)
+    story.tell(rec.Handed(S, 0, "t", "t", CHARGE, 1, 0, 7, 13 * S, 0))
+    end_of(story, end, S + 10, "t")
+    story.tell(rec.Answered(S + 20, "t", Answer.TAKEN, 0))
+    story.taken(2 * S, "u", CHARGE, key=7)
+    story.ends(3 * S, story.called(2 * S + 10, "u"))
+    assert story.over() == {}
+
+
+def test_a_text_of_its_key_sent_before_its_end_breaks_the_order_still():
+    story = Story(sockets=True).taken(S, "t", CHARGE, key=7)
+    story.taken(2 * S, "u", CHARGE, key=7)
+    call = story.called(2 * S + 10, "u")
+    end_of(story, "nacked", 2 * S + 600, "t")
+    story.ends(3 * S, call)
+    assert story.over() == {Rule.ORDER: 1}
+
+
+def lost(story, answer=Answer.LOST):
+    story.tell(rec.Handed(S, 0, "t", "t", NOTICE, 1, 0, 0, 13 * S, 0))
+    return story.tell(rec.Answered(S + 20, "t", answer, 0))
+
+
+@pytest.mark.parametrize("answer", [Answer.LOST, Answer.SILENT])
+def test_a_relay_that_took_a_text_on_and_was_killed_before_its_client_heard_may_send_it(answer):
+    story = lost(Story(sockets=True), answer)
+    story.ends(4 * S, story.called(3 * S, "t"))
+    assert story.over() == {}
+
+
+@pytest.mark.parametrize("end", ["nacked", "undeliverable"])
+def test_such_a_text_is_not_sent_after_an_end_of_its_own(end):
+    story = lost(Story(sockets=True))
+    end_of(story, end, 3 * S, "t")
+    story.ends(5 * S, story.called(4 * S, "t"))
+    assert story.over() == {Rule.LOST: 1}
+
+
+@pytest.mark.parametrize("answer", [Answer.BUSY, Answer.ERROR])
+def test_a_text_that_was_refused_at_once_is_not_sent(answer):
+    story = lost(Story(sockets=True), answer)
+    story.ends(4 * S, story.called(3 * S, "t"))
+    assert story.over() == {Rule.LOST: 1}
