Each play on sockets has a loopback address of its own, and its texts bear its mark

Cause of 'address already in use', 'relay-2 did not start' and texts sent to another play's hosts: all plays listened at ports of 127.0.0.1 that the kernel chose. A port that a killed relay or a moved catalog had freed, or the one chosen for a relay before its start (sockets.py: probe.close()), went to any other party, and all plays use the same names of texts.

Change: stages/address.py gives a play 127.64.0.0/10's address of its process id and hands out each port once, under the range of outgoing connections; a text's body names its play, and a call of another one is refused with 400, counted and recorded (Foreign), never judged. Not taken: holding each port by a socket (the relay has to listen there itself), a lock file of ports. tests/test_lab.py keeps the record of a play that broke a rule under found/ and prints all its lines.

--- a/limelatch/lab/record.py
+++ b/limelatch/lab/record.py
@@ -221,9 +221,17 @@
     whole: bool
 
 
+class Foreign(Event, tag=19):
+    """A call that is none of this play's was refused at a host, and is not judged."""
+
+    at: int
+    host: int
+    why: str
+
+
 Any_ = (Handed | Answered | Called | Responded | GaveUp | Ran | Noticed | Host | Told | Relay | Fault
         | State | Fell
-        | Missed | Believes | Gauge | Late | Over)
+        | Missed | Believes | Gauge | Late | Over | Foreign)
 
 
 class Head(msgspec.Struct, frozen=True):
--- a/limelatch/lab/stages/load.py
+++ b/limelatch/lab/stages/load.py
@@ -36,6 +36,7 @@
     Order,
     Progressed,
     Ready,
+    TextMark,
     Wiped,
     body_of,
     line_of,
@@ -77,7 +78,7 @@
 
     def __init__(self, begin: Begin, say) -> None:
         self.scenario = msgspec.convert(begin.scenario, Scenario)
-        self.origin, self.say = math.inf, say
+        self.origin, self.say, self.play = math.inf, say, begin.play
         self.loop = asyncio.get_running_loop()
         head = rec.Head(rec.VERSION, STAGE, begin.seed, begin.scenario, "", allowances=ALLOWANCES)
         self.writer = rec.Writer(begin.target, head)
@@ -158,7 +159,8 @@
         self.key_free(coming)
 
     def text_of(self, coming: Coming, now: int) -> HandedText:
-        body = body_of(coming.product, coming.first, coming.relay, self.scenario.clients.body)
+        mark = TextMark(coming.product, coming.first, coming.relay, self.play)
+        body = body_of(mark, self.scenario.clients.body)
         customer = self.customers[coming.customer] if self.customers else ""
         return HandedText(self.names[coming.product], coming.destination, max(1, (coming.until - now) // MS),
                           body,
--- a/limelatch/lab/stages/real.py
+++ b/limelatch/lab/stages/real.py
@@ -51,25 +51,45 @@
         self.handle.cancel()
 
 
-def body_of(product: int, first: str, relay: int, size: int) -> bytes:
-    """A text's body: what an endpoint has to know of it, filled up to the size wanted."""
-    head = f"{product} {first} {relay}\n".encode()
+class TextMark(msgspec.Struct, frozen=True):
+    """What an endpoint has to know of a text. `play`: the address of the play that it belongs to."""
+
+    product: int
+    first: str
+    relay: int
+    play: str
+
+
+class NotOurs(ValueError):
+    """A text of another play, or of none."""
+
+
+def body_of(mark: TextMark, size: int) -> bytes:
+    """A text's body: its mark, filled up to the size wanted."""
+    head = f"{mark.product} {mark.first} {mark.relay} {mark.play}\n".encode()
     return head + b"." * max(0, size - len(head))
 
 
-def read_body(body: bytes) -> tuple[int, str, int]:
-    """Product, first try's id and relay of a body; ValueError if it is none of ours."""
-    product, first, relay = body.partition(b"\n")[0].split(b" ")
-    return int(product), first.decode(), int(relay)
+def read_body(body: bytes, play: str) -> TextMark:
+    """The mark in a body of this play. Raises NotOurs."""
+    try:
+        product, first, relay, found = body.partition(b"\n")[0].decode().split(" ")
+        mark = TextMark(int(product), first, int(relay), found)
+    except ValueError:
+        raise NotOurs("no body of a play") from None
+    if mark.play != play:
+        raise NotOurs(f"a text of the play at {mark.play[:15]}")
+    return mark
 
 
 class Begin(msgspec.Struct, frozen=True, tag="begin"):
-    """What the load is started with: where the relays listen, and where its part of the record goes."""
+    """What the load is started with: where the relays listen, where its part of the record goes, its play."""
 
     scenario: dict
     seed: int
     relays: list[str]
     target: str
+    play: str
 
 
 class Go(msgspec.Struct, frozen=True, tag="go"):
--- a/limelatch/lab/stages/sockets.py
+++ b/limelatch/lab/stages/sockets.py
@@ -48,6 +48,7 @@
 from limelatch.lab import record as rec
 from limelatch.lab.record import NEVER_RAN, Condition, Fate
 from limelatch.lab.scenario.model import FaultKeys, Scenario, What
+from limelatch.lab.stages.address import PlayAddress
 from limelatch.lab.stages.errors import StageError
 from limelatch.lab.stages.real import (
     Begin,
@@ -56,6 +57,7 @@
     Go,
     Heartbeat,
     Nacked,
+    NotOurs,
     Progressed,
     RealClock,
     Wiped,
@@ -68,13 +70,12 @@
 from limelatch.lab.world.world import World
 from limelatch.standin.agent import AgentFace, Notice, Row
 from limelatch.standin.host import Call, HostFace, State
-from limelatch.standin.http import Connection, Server
+from limelatch.standin.http import Connection, Face, Server
 
 READY_WAIT, STOP_WAIT, START_PAUSE = 15.0, 4.0, 0.6  # seconds
 GAUGE_EACH, SWEEP_EACH = 0.5, 0.5
 HEAD_START = 0.1  # for the load to hear of it
 OLD_ADDRESS = 1.5  # seconds for which a catalog that moved keeps its old connections
-LOOPBACK = "127.0.0.1"
 LISTENERS_MOST = 6000
 STATUS = {Listing.READY: "active", Listing.DRAINING: "leaving", Listing.GONE: "left"}
 LISTED = {Listing.READY: 0, Listing.DRAINING: 1, Listing.GONE: 2}
@@ -100,7 +101,7 @@
         for relay in range(self.stage.scenario.relays.count):
             face = HostFace(lambda call, relay=relay: self.called(relay, call), self.closed, self.came,
                             self.bad)
-            server = Server(face, LOOPBACK)
+            server = self.stage.server(face)
             self.servers.append(server)
             await server.start()
 
@@ -132,12 +133,12 @@
         texts = []
         for item in call.items:
             try:
-                product, first, _ = read_body(item.body)
-            except ValueError:
+                mark = read_body(item.body, stage.address.host)
+            except NotOurs as error:
                 connection.answer(400)
-                stage.oddities += 1
+                stage.foreign_call(endpoint, str(error))
                 return
-            texts.append(WorldText(item.id, first, product))
+            texts.append(WorldText(item.id, mark.first, mark.product))
         now = stage.clock.now()
         stage.calls += 1
         stage.writer.add(rec.Called(now, now, stage.calls, relay, endpoint.number, [each.id
@@ -216,7 +217,7 @@
         self.path, self.state = folder / f"{self.name}.json", folder / f"{self.name}-state"
         self.state.mkdir()
         self.agent = AgentFace(lambda notice: stage.noticed(number, notice))
-        self.server = Server(self.agent, LOOPBACK)
+        self.server = stage.server(self.agent)
         self.process: asyncio.subprocess.Process | None = None
         self.watch: psutil.Process | None = None
         self.busy = False  # being stopped or started again
@@ -317,7 +318,7 @@
         """Its catalog moves to another address; SIGHUP."""
         if self.busy or self.process.returncode is not None:
             return
-        old, self.server = self.server, Server(self.agent, LOOPBACK)
+        old, self.server = self.server, self.stage.server(self.agent)
         await self.server.start()
         self.write()
         self.stage.writer.add(rec.Relay(self.stage.clock.now(), self.number, "reloads"))
@@ -349,7 +350,8 @@
         self.relays: list[RelayProcess] = []
         self.numbers: dict[str, int] = {}
         self.cut: list[set[int]] = [set() for _ in range(scenario.relays.count)]
-        self.calls = self.oddities = 0
+        self.calls = self.oddities = self.foreign = 0
+        self.address = PlayAddress()
         self.remembers = any(fault.what is What.WIPE for fault in scenario.faults)
         self.ran_at: dict[str, int] = {}  # texts that may have run, and when they were called
         self.tasks: set[asyncio.Task] = set()
@@ -358,6 +360,15 @@
         self.failed: BaseException | None = None
         self.world = World(scenario, seed, self.clock, self)
 
+    def server(self, face: Face) -> Server:
+        """A server for a party of this play, at a port of its own that stays its own."""
+        return Server(face, self.address.host, self.address.port())
+
+    def foreign_call(self, endpoint: Endpoint, why: str) -> None:
+        """A call that is none of this play's: it is counted and told, and no rule is judged by it."""
+        self.foreign += 1
+        self.writer.add(rec.Foreign(self.clock.now(), endpoint.number, why))
+
     def spawn(self, work) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
@@ -389,10 +400,7 @@
     async def _start_relays(self) -> None:
         keys, generator = self.scenario.catalog, self.world.chance
         for number in range(self.scenario.relays.count):
-            probe = await asyncio.get_running_loop().create_server(asyncio.Protocol, LOOPBACK, 0)
-            listen = "{}:{}".format(*probe.sockets[0].getsockname())
-            probe.close()
-            relay = RelayProcess(number, self, self.folder, listen)
+            relay = RelayProcess(number, self, self.folder, f"{self.address.host}:{self.address.port()}")
             relay.lag = round(keys.lag * (1 + keys.spread * (2 * generator.uniform("lag") - 1)))
             await relay.server.start()
             relay.agent.put(*[self.row(each, number, Listing.READY) for each in self.world.endpoints])
@@ -405,7 +413,8 @@
             sys.executable, "-m", "limelatch.lab.stages.load", stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE, start_new_session=True, limit=1 << 24)
         self.load.stdin.write(line_of(Begin(msgspec.to_builtins(self.scenario), self.seed,
-                                            [relay.listen for relay in self.relays], str(self.part))))
+                                            [relay.listen for relay in self.relays], str(self.part),
+                                            self.address.host)))
         async with asyncio.timeout(READY_WAIT):
             await self.load.stdout.readline()  # it is ready
         self.clock.origin = time.monotonic() + HEAD_START
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import subprocess
 import sys
@@ -31,6 +32,7 @@
 from limelatch.lab.world.world import World
 
 ROOT = Path(__file__).parent.parent
+FOUND = ROOT / "found"  # records of plays that broke a rule; not committed
 SHORT = """
 [scenario]
 name = "short"
@@ -246,10 +248,18 @@
     assert 0.6 < figures.service < 1 and figures.whole and figures.ends["delivered"] > 300
 
 
+def told_and_kept(figures, plan):
+    """All lines of the breaches, and a copy of the record, which its play's folder does not outlast."""
+    FOUND.mkdir(exist_ok=True)
+    kept = shutil.copy(plan.target, FOUND / f"{plan.name}-{time.time_ns()}{rec.SUFFIX}")
+    return "\n".join([*figures.breach_lines, f"the record: {kept}"])
+
+
 @pytest.mark.parametrize("name", FAULTS)
 def test_the_same_scenario_on_sockets_keeps_them_too(tmp_path, name):
-    figures = run_one(Plan(name, SHORT + FAULTS[name], 1, "module", "sockets", str(tmp_path)))
-    assert figures.kept, figures.breach_lines
+    plan = Plan(name, SHORT + FAULTS[name], 1, "module", "sockets", str(tmp_path))
+    figures = run_one(plan)
+    assert figures.kept, told_and_kept(figures, plan)
     assert 0.6 < figures.service < 1 and figures.whole and figures.memory > 1e6
     assert any(each.what == "sick" for each in figures.beliefs)
 
