Membership: the failure detector, free of I/O, and fleets of it on a virtual clock

limelatch/membership: messages, codec, view, fact queue, suspicions, probes, registry, page exchange, outbox with its budget of bytes, member. limelatch/lab/membership: a network that loses, doubles, delays and cuts; fleets that kill, pause and start members and check at every step that nobody is dead before suspect and that an isolated member gives no verdict.

--- /dev/null
+++ b/limelatch/lab/membership/network.py
@@ -0,0 +1,50 @@
+"""What the network does to datagrams: loss, doubling, lateness and cuts, by a seeded source."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from limelatch.interface import MS, SECOND
+
+LATENCY = (1 * MS, 5 * MS)
+LATE_MOST = SECOND
+
+Cut = Callable[[int, int], bool]  # from, to: whether nothing comes through
+
+
+@dataclass(slots=True)
+class Conditions:
+    """Shares of all datagrams that are lost, doubled, or late by up to LATE_MOST (and so out of order)."""
+
+    lost: float = 0.0
+    doubled: float = 0.0
+    late: float = 0.0
+
+
+class Network:
+    """Says when a datagram arrives, if it does."""
+
+    def __init__(self, random: Random, conditions: Conditions | None = None) -> None:
+        self.random, self.conditions = random, conditions or Conditions()
+        self.cuts: list[Cut] = []
+
+    def is_cut(self, sender: int, receiver: int) -> bool:
+        return any(cut(sender, receiver) for cut in self.cuts)
+
+    def arrivals(self, now: int, sender: int, receiver: int) -> list[int]:
+        """The times at which copies of a datagram arrive."""
+        if self.cuts and self.is_cut(sender, receiver):
+            return []
+        random, conditions = self.random, self.conditions
+        copies = 2 if conditions.doubled and random.random() < conditions.doubled else 1
+        found = []
+        for _ in range(copies):
+            if conditions.lost and random.random() < conditions.lost:
+                continue
+            wait = random.randint(*LATENCY)
+            if conditions.late and random.random() < conditions.late:
+                wait += random.randrange(LATE_MOST)
+            found.append(now + wait)
+        return found
--- /dev/null
+++ b/limelatch/membership/detector.py
@@ -0,0 +1,130 @@
+"""Probes: whom to probe next, which probes are outstanding, and whether this member is answered at all."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from random import Random
+
+from limelatch.membership.messages import Isolation
+from limelatch.membership.timing import Timing
+from limelatch.membership.view import View
+
+SEQUENCE_MOST = (1 << 32) - 1
+HISTORY, HURRY_SHARE = 8, 0.25  # last probes, and the share of failed ones above which more are sent
+ISOLATED_PROBES, ISOLATED_KNOWN = 4, 2  # without an answer; others known
+
+
+@dataclass(slots=True)
+class Probe:
+    """A ping that waits for its answer."""
+
+    target: int
+    sent: int
+    counts: bool  # of the round: without an answer the target is suspect
+    asked_others: bool = False
+
+
+class Rounds:
+    """Shuffled rounds over all members but this one: each present one is probed once a round."""
+
+    def __init__(self, me: int, view: View, random: Random) -> None:
+        self.view, self.random = view, random
+        self._order = [member for member in range(len(view.words)) if member != me]
+        self._at = len(self._order)
+        self._absent_at = random.randrange(max(1, len(self._order)))
+
+    def next_present(self) -> int | None:
+        """The next one that is alive or suspect; None where there is none."""
+        for _ in range(2 * len(self._order)):
+            if self._at >= len(self._order):
+                self.random.shuffle(self._order)
+                self._at = 0
+            member = self._order[self._at]
+            self._at += 1
+            if self.view.is_present(member):
+                return member
+        return None
+
+    def next_absent(self) -> int | None:
+        """The next one that is dead or unknown."""
+        if not self.view.absent:
+            return None
+        for _ in range(len(self._order)):
+            self._absent_at = (self._absent_at + 1) % len(self._order)
+            member = self._order[self._absent_at]
+            if not self.view.is_present(member) and not self.view.has_left(member):
+                return member
+        return None
+
+    def some_alive(self, count: int, *without: int) -> list[int]:
+        """Up to so many different members that nobody suspects, at random."""
+        found: list[int] = []
+        for _ in range(4 * count):
+            if len(found) == count or not self._order:
+                break
+            member = self._order[self.random.randrange(len(self._order))]
+            if member not in without and member not in found and self.view.is_alive(member):
+                found.append(member)
+        return found
+
+
+class Probes:
+    """The probes that are outstanding, and how the last ones ended."""
+
+    def __init__(self, random: Random) -> None:
+        self.outstanding: dict[int, Probe] = {}
+        self.failed: deque[bool] = deque(maxlen=HISTORY)
+        self._sequence = random.randrange(SEQUENCE_MOST)
+
+    def begin(self, now: int, target: int, counts: bool) -> int:
+        """A new probe's sequence number."""
+        self._sequence = (self._sequence + 1) & SEQUENCE_MOST
+        self.outstanding[self._sequence] = Probe(target, now, counts)
+        return self._sequence
+
+    def answered(self, sequence: int, target: int) -> Probe | None:
+        """The probe that this answer ends; None where it answers none that is outstanding."""
+        probe = self.outstanding.get(sequence)
+        if probe is None or probe.target != target:
+            return None
+        del self.outstanding[sequence]
+        if probe.counts:
+            self.failed.append(False)
+        return probe
+
+    def take_expired(self, now: int, timing: Timing) -> list[Probe]:
+        """Those without an answer in their time; they are outstanding no longer."""
+        sent_by = now - timing.probe_wait
+        expired = [number for number, probe in self.outstanding.items() if probe.sent <= sent_by]
+        found = [self.outstanding.pop(number) for number in expired]
+        self.failed.extend(True for probe in found if probe.counts)
+        return found
+
+    def void(self) -> None:
+        """Answers may have been missed by this process: nobody is judged by them."""
+        self.outstanding.clear()
+
+    @property
+    def hurried(self) -> bool:
+        """Many probes fail: whoever else is gone is to be found soon."""
+        return sum(self.failed) > HURRY_SHARE * HISTORY
+
+
+class Hearing:
+    """Whether this member is answered, and whether it hears anything."""
+
+    def __init__(self, now: int) -> None:
+        self.answered_at, self.heard_at, self.unanswered = now, now, 0
+        self.isolation: Isolation | None = None
+
+    def answered(self, now: int) -> None:
+        self.answered_at, self.unanswered = now, 0
+
+    def judge(self, now: int, known: int, timing: Timing) -> Isolation | None:
+        """Why it is isolated, None if it is not."""
+        if self.unanswered < ISOLATED_PROBES or known < ISOLATED_KNOWN:
+            return None
+        if now - self.answered_at < timing.isolated:
+            return None
+        return Isolation.DEAF if now - self.heard_at >= timing.isolated else Isolation.UNANSWERED
--- /dev/null
+++ b/limelatch/membership/dissemination.py
@@ -0,0 +1,52 @@
+"""The facts that a member still passes on, each a bounded number of times, the newest first."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from limelatch.membership.codec import FACTS_MOST, fact_bytes_most
+from limelatch.membership.messages import Fact
+
+
+class FactQueue:
+    """Members with news and how often each is still to be told; the news itself is read as it is sent."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self._left: dict[int, int] = {}
+        self._order: deque[int] = deque()
+
+    def __len__(self) -> int:
+        return len(self._left)
+
+    def add(self, member: int) -> None:
+        """There is news of the member."""
+        if member not in self._left:
+            self._order.appendleft(member)
+        self._left[member] = self.limit
+
+    def take(self, room: int, fact_of: Callable[[int], Fact], first: Fact | None = None) -> tuple[Fact, ...]:
+        """Facts of `room` bytes at most, `first` before the queue's; each counts as sent once."""
+        taken = []
+        if first is not None and fact_bytes_most(first) <= room:
+            room -= fact_bytes_most(first)
+            taken.append(first)
+        for _ in range(min(len(self._order), FACTS_MOST - len(taken))):
+            member = self._order[0]
+            fact = fact_of(member)
+            if fact_bytes_most(fact) > room:
+                break
+            self._order.popleft()
+            self._count(member)
+            if first is None or member != first.member:
+                room -= fact_bytes_most(fact)
+                taken.append(fact)
+        return tuple(taken)
+
+    def _count(self, member: int) -> None:
+        self._left[member] -= 1
+        if self._left[member]:
+            self._order.append(member)
+        else:
+            del self._left[member]
--- /dev/null
+++ b/limelatch/membership/exchange.py
@@ -0,0 +1,81 @@
+"""Views that differ after the news is told: page digests are compared, and pages that differ are sent."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from limelatch.membership.codec import DATAGRAM_MOST, HEADER, fact_bytes_most
+from limelatch.membership.messages import Fact, Header, Page, PageDigests, State
+from limelatch.membership.outbox import Outbox
+from limelatch.membership.registry import Registry
+from limelatch.membership.view import PAGE_MEMBERS
+
+PAGES_AT_ONCE = 2  # sent for one PageDigests
+PAGE_TAIL = 5  # first, end and the count of facts
+NEWS_FEW = 8  # queued facts up to which differences are not put down to news on its way
+
+
+class Exchange:
+    """Compares this member's view with that of another one whose digest differed."""
+
+    def __init__(self, registry: Registry, outbox: Outbox, header: Callable[[int], Header]) -> None:
+        self.registry, self.view, self.outbox, self.header = registry, registry.view, outbox, header
+        self._other: int | None = None
+        self._next_page = 0
+
+    def differs(self, member: int) -> None:
+        self._other = member
+
+    def ask(self, queued: int) -> bool:
+        """Send the digests to the last member whose view differed; False where there is nothing to ask."""
+        other, self._other = self._other, None
+        size = HEADER.size + 4 * len(self.view.page_digests)
+        if other is None or queued > NEWS_FEW or not self.outbox.affords(size):
+            return False
+        digests = tuple(self.view.page_digests)
+        self.outbox.send_whole(other, PageDigests(self.header(other), digests))
+        return True
+
+    def answer(self, now: int, asked: PageDigests) -> None:
+        """Send some of the pages that differ, another part of them each time."""
+        pages = len(self.view.page_digests)
+        order = [(self._next_page + number) % pages for number in range(pages)]
+        differing = [page for page in order if asked.digests[page] != self.view.page_digests[page]]
+        for page in differing[:PAGES_AT_ONCE]:
+            self._next_page = (page + 1) % pages
+            self.send(now, asked.header.sender, page)
+
+    def send(self, now: int, to: int, page: int) -> None:
+        """A page, in as many datagrams as its facts need."""
+        first = page * PAGE_MEMBERS
+        last = min(first + PAGE_MEMBERS, len(self.view.words))
+        facts, room = [], DATAGRAM_MOST - HEADER.size - PAGE_TAIL
+        for member in range(first, last):
+            if not self.view.known(member):
+                continue
+            fact = self.registry.fact(now, member)
+            if fact_bytes_most(fact) > room:
+                self._put(to, first, member, facts)
+                first, facts, room = member, [], DATAGRAM_MOST - HEADER.size - PAGE_TAIL
+            facts.append(fact)
+            room -= fact_bytes_most(fact)
+        self._put(to, first, last, facts)
+
+    def _put(self, to: int, first: int, end: int, facts: list[Fact]) -> None:
+        if self.outbox.affords(DATAGRAM_MOST):
+            self.outbox.send_whole(to, Page(self.header(to), first, end, tuple(facts)))
+
+    def compare(self, now: int, page: Page) -> None:
+        """Its facts are learned already; tell its sender of those that are newer here."""
+        told = {fact.member: fact for fact in page.facts}
+        newer = []
+        for member in range(page.first, page.end):
+            fact = told.get(member)
+            if self.view.known(member) and (fact is None or self._newer_here(fact)):
+                newer.append(member)
+        for member in newer:
+            self.outbox.queue.add(member)
+
+    def _newer_here(self, fact: Fact) -> bool:
+        incarnation, state = self.view.incarnations[fact.member], self.view.states[fact.member]
+        return state is not State.SUSPECT and (incarnation, state) > (fact.incarnation, fact.state)
--- /dev/null
+++ b/limelatch/membership/outbox.py
@@ -0,0 +1,53 @@
+"""What a member sends: datagrams filled with facts, within its budget of bytes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from limelatch.interface import SECOND
+from limelatch.membership.codec import DATAGRAM_MOST, HEADER, Codec
+from limelatch.membership.dissemination import FactQueue
+from limelatch.membership.messages import Datagram, Fact, Header, Message
+
+RESERVE = 700  # bytes
+PACKET_HEADERS = 28  # of IPv4 and UDP
+BYTES_A_SECOND, BYTES_SAVED = 1250, 1400  # sent; as many come in, and both stay under 3 KB/s
+
+
+class Outbox:
+    """Datagrams of this turn. A budget keeps their bytes down: facts give way first, answers last."""
+
+    def __init__(self, now: int, codec: Codec, queue: FactQueue, fact_of: Callable[[int], Fact]) -> None:
+        self.codec, self.queue, self.fact_of = codec, queue, fact_of
+        self.datagrams: list[Datagram] = []
+        self.allowance, self.refilled_at = BYTES_SAVED, now
+
+    def refill(self, now: int) -> None:
+        earned = (now - self.refilled_at) * BYTES_A_SECOND // SECOND
+        if earned > 0:
+            self.allowance = min(BYTES_SAVED, self.allowance + earned)
+            self.refilled_at = now
+
+    def affords(self, size: int) -> bool:
+        """Whether a datagram that may be left out leaves the reserve, from which pings and answers go."""
+        return self.allowance >= RESERVE + size + PACKET_HEADERS
+
+    def send(self, to: int, form: Callable[..., Message], header: Header, *parts: object, tail: int = 1,
+             first: Fact | None = None) -> None:
+        """Send a message with as many facts as fit; `tail`: its bytes behind the header without them.
+
+        Guards against answers to a flood of pings: with the saved bytes overdrawn nothing is sent."""
+        size = HEADER.size + tail
+        if self.allowance + BYTES_SAVED < size + PACKET_HEADERS:
+            return
+        room = min(DATAGRAM_MOST - size, max(0, self.allowance - RESERVE - size - PACKET_HEADERS))
+        self._put(to, form(header, *parts, self.queue.take(room, self.fact_of, first)))
+
+    def send_whole(self, to: int, message: Message) -> None:
+        """Send a message that is filled already."""
+        self._put(to, message)
+
+    def _put(self, to: int, message: Message) -> None:
+        data = self.codec.write(message)
+        self.allowance -= len(data) + PACKET_HEADERS
+        self.datagrams.append(Datagram(to, data))
--- /dev/null
+++ b/limelatch/membership/registry.py
@@ -0,0 +1,130 @@
+"""What a member believes of the others: facts taken in by their precedence, suspicions and verdicts."""
+
+from __future__ import annotations
+
+from limelatch.interface import SECOND
+from limelatch.membership.codec import AGE_MOST
+from limelatch.membership.messages import Event, Fact, MemberChanged, State
+from limelatch.membership.suspicion import Suspicion
+from limelatch.membership.timing import Timing
+from limelatch.membership.view import View
+
+AGE_UNIT = SECOND // 10
+FORETOLD_LEAST = 2 * SECOND  # that is left of a suspicion heard of, however old it is said to be
+
+
+class Registry:
+    """The view of one member, its suspicions, and the news and events that come of them."""
+
+    def __init__(self, members: int, me: int, timing: Timing) -> None:
+        self.me, self.timing = me, timing
+        self.view = View(members)
+        self.suspicions: dict[int, Suspicion] = {}
+        self.held_of_self = 0  # the highest incarnation that others hold of this member
+        self._news: list[int] = []
+        self._events: list[Event] = []
+
+    def take_news(self) -> list[int]:
+        """Members of which something new is to be told."""
+        news, self._news = self._news, []
+        return news
+
+    def take_events(self) -> list[Event]:
+        events, self._events = self._events, []
+        return events
+
+    def fact(self, now: int, member: int) -> Fact:
+        """What is to be told of a member now."""
+        state, incarnation = self.view.states[member], self.view.incarnations[member]
+        if (suspicion := self.suspicions.get(member)) is None:
+            return Fact(member, incarnation, state)
+        age = max(0, now - suspicion.since) // AGE_UNIT
+        return Fact(member, incarnation, state, min(AGE_MOST, age), suspicion.own)
+
+    def bad_news(self, now: int, member: int) -> Fact | None:
+        """What a member should hear of itself at once."""
+        bad = self.view.known(member) and self.view.states[member] is not State.ALIVE
+        return self.fact(now, member) if bad else None
+
+    def learn(self, now: int, fact: Fact, teller: int) -> None:
+        """Take a fact on another member that `teller` told."""
+        member = fact.member
+        if self.view.newer(fact):
+            self._change(now, fact, f"told by member {teller}")
+        same = fact.incarnation == self.view.incarnations[member] and fact.state is State.SUSPECT
+        if same and fact.witness and (suspicion := self.suspicions.get(member)) is not None:
+            suspicion.confirm(teller)
+
+    def _change(self, now: int, fact: Fact, why: str) -> None:
+        member, view = fact.member, self.view
+        known, before = view.known(member), view.states[member]
+        after, suspicion = 0, self.suspicions.pop(member, None)
+        if suspicion is not None:
+            after = now - suspicion.since
+        view.put(member, fact.incarnation, fact.state)
+        self._news.append(member)
+        if fact.state is State.SUSPECT:
+            most = self.timing.hearsay - FORETOLD_LEAST
+            since = now - min(fact.age * AGE_UNIT, most)
+            self.suspicions[member] = Suspicion(since, own=False, next_probe=now)
+        if not known or before is not fact.state:
+            self._events.append(MemberChanged(member, fact.state, fact.incarnation, why, after))
+
+    def suspect(self, now: int, member: int, since: int) -> None:
+        """Own probes, the first sent at `since`, had no answer."""
+        if not self.view.is_present(member):
+            return
+        suspicion = self.suspicions.get(member)
+        if suspicion is None:
+            incarnation = self.view.incarnations[member]
+            self._change(now, Fact(member, incarnation, State.SUSPECT), "unanswered")
+            suspicion = self.suspicions[member]
+            suspicion.since = since
+        if not suspicion.own:
+            suspicion.own, suspicion.next_probe = True, now
+            suspicion.since = max(suspicion.since, since)  # what was heard of does not shorten the own wait
+            self._news.append(member)
+
+    def refused(self, now: int, member: int) -> None:
+        """A datagram to it came to a closed port."""
+        self.suspect(now, member, now)
+        if (suspicion := self.suspicions.get(member)) is not None:
+            suspicion.refuse(now, self.timing)
+
+    def answered(self, now: int, member: int, incarnation: int) -> None:
+        """It has answered a probe: what is suspected here is over, whatever others still tell."""
+        view = self.view
+        if incarnation > view.incarnations[member]:
+            self._change(now, Fact(member, incarnation, State.ALIVE), "answered")
+        elif incarnation == view.incarnations[member] and member in self.suspicions:
+            after = now - self.suspicions.pop(member).since
+            view.put(member, incarnation, State.ALIVE)
+            self._events.append(MemberChanged(member, State.ALIVE, incarnation, "answered", after))
+
+    def next_own_probe(self, now: int) -> int | None:
+        """The suspect that has waited longest for another probe of this member, if one is due."""
+        due = [(each.next_probe, member) for member, each in self.suspicions.items()
+               if each.own and each.next_probe <= now]
+        if not due:
+            return None
+        _, member = min(due)
+        self.suspicions[member].next_probe = now + self.timing.own_probe
+        return member
+
+    def judge(self, now: int) -> None:
+        """Suspicions whose time is over become verdicts."""
+        for member, suspicion in list(self.suspicions.items()):
+            if suspicion.ends_at(self.timing) <= now:
+                fact = Fact(member, self.view.incarnations[member], State.DEAD)
+                self._change(now, fact, suspicion.why())
+
+    def postpone(self, now: int, span: int) -> None:
+        """This process did not run: each suspicion lasts so much longer."""
+        for suspicion in self.suspicions.values():
+            suspicion.since = min(now, suspicion.since + span)
+            suspicion.next_probe = now
+
+    def start_anew(self, now: int) -> None:
+        """This member was isolated: what it suspected meanwhile says nothing of the others."""
+        for suspicion in self.suspicions.values():
+            suspicion.since, suspicion.next_probe, suspicion.refusals = now, now, 0
