Membership in the relay: socket, timer, log events, [membership], MEMBERS; processes under faults

relay/peers.py is the one file between the failure detector and the reactor, one hook each at the driver's start and end; a relay without `[membership] on = true` loads nothing of it. The platform's peer_listen and peers are read and turn nothing on; a value of theirs that can't be read is passed over while it is off. The incarnation is kept in the folder. `relays`, by which the module divides limits, stays as configured.

Now news goes first, pings to suspects carry their own fact alone, a verdict by hearsay is not told on, and the budget counts what comes in as well.

--- a/limelatch/configuration/checks.py
+++ b/limelatch/configuration/checks.py
@@ -7,9 +7,13 @@
 from collections.abc import Iterable
 
 from limelatch.configuration.faults import Fault
-from limelatch.configuration.model import Installation, News
+from limelatch.configuration.model import Installation, Membership, News
+from limelatch.configuration.reading import read_address
+from limelatch.configuration.units import write_span
 from limelatch.events import PARTS
 from limelatch.interface import SECOND, Effect
+from limelatch.membership.timing import PAUSE_LEAST, PAUSE_MOST, PERIOD_LEAST, PERIOD_MOST
+from limelatch.membership.view import MEMBERS_MOST
 
 WIRE_WORD = re.compile(r"[^\s,=]{1,64}")
 ASK_LEAST = SECOND
@@ -21,12 +25,47 @@
             for name, count in Counter(names).items() if name and count > 1]
 
 
+def membership_faults(membership: Membership) -> list[Fault]:
+    """What keeps a relay from taking part with the others: refused at the start where it is to."""
+    if not membership.on:
+        return []
+    faults, peers = [], membership.peers
+    own, spans = membership.address or membership.listen, (
+        ("probe_period", membership.probe_period, PERIOD_LEAST, PERIOD_MOST),
+        ("pause", membership.pause, PAUSE_LEAST, PAUSE_MOST))
+    if not membership.listen:
+        faults.append(Fault("membership.listen", "an address is wanted where `on` is true"))
+    if not 2 <= len(peers) <= MEMBERS_MOST:
+        wanted = f"2 to {MEMBERS_MOST} addresses are wanted, {len(peers)} found"
+        faults.append(Fault("membership.peers", wanted))
+    faults += [Fault("membership.peers", f"{peer!r} is no address such as 10.0.0.1:7946")
+               for peer in peers if not is_address(peer)]
+    faults += [Fault("membership.peers", f"{peer!r} stands {count} times")
+               for peer, count in Counter(peers).items() if count > 1]
+    if own and peers and own not in peers:
+        faults.append(Fault("membership.peers", f"this relay's own address {own} is not among them"))
+    if membership.zones and len(membership.zones) != len(peers):
+        faults.append(Fault("membership.zones", f"{len(peers)} zones are wanted, one for each of `peers`"))
+    faults += [Fault(f"membership.{name}", f"a span from {write_span(least)} to {write_span(most)} is wanted")
+               for name, span, least, most in spans if not least <= span <= most]
+    return faults
+
+
+def is_address(word: str) -> bool:
+    try:
+        return read_address(word) == word
+    except ValueError:
+        return False
+
+
 def mixed(installation: Installation, own: bool) -> list[Fault]:
     """Keys of a list that is pushed and of one that is asked for, together: refused at the start.
 
     Guards against a relay that never asks, or asks all the time, and is taken as told of drains. The
     platform tells `ask_within` in every case; in people's own form it stands with an asked list alone."""
     catalog = installation.catalog
+    if faults := membership_faults(installation.membership):
+        return faults
     if catalog.news is News.ASKED and catalog.ask_within < ASK_LEAST:
         return [Fault("catalog.ask_within", "a list that is asked for needs 1 s at the least here")]
     if own and catalog.news is News.PUSHED and catalog.ask_within:
--- a/limelatch/configuration/model.py
+++ b/limelatch/configuration/model.py
@@ -112,6 +112,22 @@
                                              "log_parts", Reload.AT_ONCE)] = {}
 
 
+class Membership(Table):
+    """The other relays: who of them is there, by datagrams among them. Off unless `on` is true."""
+
+    on: Annotated[bool, about("whether this relay takes part", "membership.on")] = False
+    listen: Annotated[Address, about("where datagrams of the others come, over UDP", "peer_listen")] = ""
+    peers: Annotated[list[str], about("addresses of all relays, this one too, in the order of their numbers; "
+                                      "the same at all of them", "peers")] = []
+    address: Annotated[Address, about("this relay's own one in `peers`; none: `listen`",
+                                      "membership.address")] = ""
+    zones: Annotated[list[str], about("the zone of each of `peers`; none: not told", "membership.zones")] = []
+    probe_period: Annotated[Span, about("between probes: a shorter one finds out sooner and costs more bytes",
+                                        "membership.probe_period_ms")] = 500 * MS
+    pause: Annotated[Span, about("for which a relay may stand still without being taken for dead: a longer "
+                                 "one bears more and finds out later", "membership.pause_ms")] = 5 * SECOND
+
+
 class Catalog(Table):
     """The catalog, which tells the list of hosts, and the platform, which takes notices."""
 
@@ -267,5 +283,6 @@
                          about("none: any customer is taken", "settings.projects")] = []
     kinds: Annotated[list[Kind], Meta(max_length=1000), about("")] = []
     floors: Annotated[list[Floor], Meta(max_length=1000), about("")] = []
+    membership: Annotated[Membership, about("")] = Membership()
     known: Annotated[dict, about("the list of hosts as this relay last had it, in the catalog's form; the "
                                  "platform's JSON alone has it", "known", Reload.AT_ONCE, own=False)] = {}
--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -7,8 +7,18 @@
 
 from limelatch import interface as li
 from limelatch.configuration.faults import ConfigurationError
-from limelatch.configuration.model import Falls, Installation, Known, Log, News, Product, Rates
+from limelatch.configuration.model import (
+    Falls,
+    Installation,
+    Known,
+    Log,
+    Membership,
+    News,
+    Product,
+    Rates,
+)
 from limelatch.configuration.platform import read_platform
+from limelatch.membership.timing import Timing
 
 SEED_BYTES = 8
 SOCKETS_LEAST = 64  # a relay of so few descriptors still has some for every party
@@ -57,6 +67,17 @@
         return cls(hosts, closing, operators, clients, clients + left - hosts - closing)
 
 
+@dataclass(frozen=True)
+class MembershipPlan:
+    """What a relay needs to take part among the others."""
+
+    listen: Address
+    peers: list[Address]
+    number: int  # its own place among them
+    zones: list[int]
+    timing: Timing
+
+
 @dataclass(frozen=True)
 class RelayPlan:
     """All that a relay on sockets is started with; spans are in tenths of a millisecond."""
@@ -86,6 +107,7 @@
     silence: int  # of the watch, then it is opened anew
     reconnect_wait: int
     told: Installation  # what it was made from
+    membership: MembershipPlan | None = None
 
 
 def address_of(word: str) -> Address:
@@ -134,6 +156,18 @@
                  fields=installation.hosts.report_fields)
 
 
+def membership_of(membership: Membership) -> MembershipPlan | None:
+    """None where it is off."""
+    if not membership.on:
+        return None
+    names = sorted(set(membership.zones))
+    return MembershipPlan(
+        listen=address_of(membership.listen), peers=[address_of(peer) for peer in membership.peers],
+        number=membership.peers.index(membership.address or membership.listen),
+        zones=[names.index(zone) for zone in membership.zones],
+        timing=Timing(period=membership.probe_period, pause=membership.pause))
+
+
 def plan_of(installation: Installation) -> RelayPlan:
     """All that a relay on sockets needs, from its configuration."""
     relay, catalog, limits = installation.relay, installation.catalog, installation.limits
@@ -152,4 +186,5 @@
         connect_wait=installation.hosts.connect_wait, probe_wait=installation.hosts.probe_wait,
         stop_least=installation.stop.least, stop_wait=installation.stop.most,
         notice_wait=catalog.notice_wait, list_wait=catalog.list_wait, silence=catalog.silence,
-        reconnect_wait=catalog.reconnect_wait, told=installation)
+        reconnect_wait=catalog.reconnect_wait, told=installation,
+        membership=membership_of(installation.membership))
--- a/limelatch/configuration/platform.py
+++ b/limelatch/configuration/platform.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 
+import msgspec
 from msgspec import inspect
 
 from limelatch.configuration.checks import mixed
@@ -51,6 +52,15 @@
 }
 
 
+def readable(key: Key, value: object) -> bool:
+    """Whether a value of the platform's can be a key's."""
+    try:
+        msgspec.convert(UNITS[key.unit].read(value) if key.unit in UNITS else value, key.told)
+    except (ValueError, TypeError, OverflowError, msgspec.ValidationError):
+        return False
+    return True
+
+
 class Translation:
     """The platform's object in the model's shape; `place` tells where a key of the model stands in it."""
 
@@ -112,6 +122,10 @@
             self._advice(found)
         elif table == "relay" and found.get("relays") == 0:
             del found["relays"]  # it counts itself
+        elif table == "membership" and found.get("on") is not True:
+            # The platform names every relay's peers: that alone turns nothing on, and keeps no relay down.
+            keys = keys_of(key.type.cls)
+            found = {name: value for name, value in found.items() if readable(keys[name], value)}
         elif table == "log" and isinstance(found.get("level"), str):
             found["level"] = found["level"].lower()
         return found
--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -19,6 +19,8 @@
 HOST, OWED, CALLS = "the host, as the catalog names it", "texts whose end is still owed", "calls that are out"
 WHY, PEER = "the reason", "the client's address"
 HELD_DOWN = "so many more were left out in the second before"  # of events that anybody outside can cause
+MEMBER = {"member": "its address in `membership.peers`", "incarnation": "of its process", "why": WHY,
+          "after_ms": "since the first sign of it", "left_out": HELD_DOWN}
 
 EVENTS = {
     "started": Event("driver", INFO, "the folder that lasts has been read", {
@@ -103,6 +105,28 @@
     "paused": Event("clients", INFO, "PAUSE: PING says no; connections close between requests", {
         "owed": OWED}),
     "resumed": Event("clients", INFO, "RESUME: PING says yes again", {"owed": OWED}),
+    "membership-joined": Event("membership", INFO, "this relay takes part among the others", {
+        "member": "its own address", "incarnation": "of this process"}),
+    "member-alive": Event("membership", INFO, "another relay is there", MEMBER),
+    "member-suspect": Event("membership", WARNING, "another relay does not answer", MEMBER),
+    "member-dead": Event("membership", WARNING, "another relay is taken for dead", MEMBER),
+    "member-left": Event("membership", INFO, "another relay has ended in order", MEMBER),
+    "membership-isolated": Event("membership", WARNING, "no relay answers this one, which judges none while "
+                                                        "it is so; or it is answered again", {
+        "why": "deaf: nothing is heard; unanswered: others are heard; answered: it is over",
+        "after_ms": "since the last answer", "left_out": HELD_DOWN}),
+    "membership-not-listening": Event("membership", ERROR, "the socket for the other relays can't be bound; "
+                                                           "it is tried again", {
+        "listen": "the address", "why": WHY, "left_out": HELD_DOWN}),
+    "datagram-dropped": Event("membership", WARNING, "a datagram was dropped whole", {
+        "why": "length, version, kind, checksum, sender, value or stale",
+        "peer": "whose address it came from", "left_out": HELD_DOWN}),
+    "datagram-not-sent": Event("membership", WARNING, "a datagram could not be sent", {
+        "why": WHY, "member": "to whom", "left_out": HELD_DOWN}),
+    "incarnation-not-read": Event("membership", WARNING, "the folder's incarnation is passed over; the other "
+                                                         "relays are asked", {"why": WHY}),
+    "incarnation-not-written": Event("membership", WARNING, "the folder does not keep the incarnation", {
+        "why": WHY}),
     "fault": Event("deadlines", ERROR, "a fault in the program itself; please report it", {"trace": "where"}),
     "note": Event("twisted", WARNING, "a line of a library", {"text": "the line"}),
 }
--- /dev/null
+++ b/limelatch/lab/membership/forwarder.py
@@ -0,0 +1,119 @@
+"""A network of datagrams between real processes, which loses, doubles, delays and cuts by directed pair.
+
+Each member's address in `peers` is a socket of this network. What member A sends to B's comes out at the
+address on which B listens, from A's.
+"""
+
+from __future__ import annotations
+
+import heapq
+import selectors
+import socket
+import threading
+import time
+from collections import Counter
+from random import Random
+
+from limelatch.interface import SECOND
+from limelatch.lab.membership.network import Conditions, Network
+
+PACKET_MOST = 2048
+LOOK_EACH = 0.05  # seconds, at the most, between two looks whether it is to end
+BUFFER_BYTES = 1 << 20
+
+Address = tuple[str, int]
+
+
+class DatagramNetwork:
+    """`fronts`: addresses that are bound here; `listens`: where the members themselves listen."""
+
+    def __init__(self, fronts: list[Address], listens: list[Address], seed: int = 1) -> None:
+        self.network = Network(Random(seed))
+        self.listens, self.numbers = listens, {address: number for number, address in enumerate(listens)}
+        self.sockets = [self._bound(front) for front in fronts]
+        self.fronts = [each.getsockname() for each in self.sockets]
+        self.passed: Counter[tuple[int, int]] = Counter()  # datagrams by sender and receiver
+        self.strangers = 0
+        self._waiting: list[tuple[int, int, int, int, bytes]] = []
+        self._count, self._ended = 0, False
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    @staticmethod
+    def _bound(front: Address) -> socket.socket:
+        one = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        one.bind(front)
+        one.setblocking(False)
+        return one
+
+    def __enter__(self) -> DatagramNetwork:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *ended: object) -> None:
+        self._ended = True
+        self._thread.join()
+        for each in self.sockets:
+            each.close()
+
+    # Faults; each takes effect with the next datagram.
+
+    def conditions(self, **shares: float) -> None:
+        """Shares of all datagrams: `lost`, `doubled`, `late`."""
+        self.network.conditions = Conditions(**shares)
+
+    def cut(self, senders: set[int], receivers: set[int]) -> None:
+        """Nothing comes from any of these to any of those from now on, beside earlier cuts."""
+        self.network.cuts.append(lambda sender, receiver: sender in senders and receiver in receivers)
+
+    def part(self, one_side: set[int]) -> None:
+        """These and all others hear nothing of each other."""
+        self.network.cuts.append(lambda sender, receiver: (sender in one_side) != (receiver in one_side))
+
+    def heal(self) -> None:
+        """All cuts end."""
+        self.network.cuts.clear()
+
+    # The thread.
+
+    def _run(self) -> None:
+        with selectors.DefaultSelector() as selector:
+            for number, each in enumerate(self.sockets):
+                selector.register(each, selectors.EVENT_READ, number)
+            while not self._ended:
+                for key, _ in selector.select(self._wait()):
+                    self._read(key.data)
+                self._pass_on()
+
+    def _now(self) -> int:
+        return int(time.monotonic() * SECOND)
+
+    def _wait(self) -> float:
+        if not self._waiting:
+            return LOOK_EACH
+        return min(LOOK_EACH, max(0.0, (self._waiting[0][0] - self._now()) / SECOND))
+
+    def _read(self, receiver: int) -> None:
+        while True:
+            try:
+                data, address = self.sockets[receiver].recvfrom(PACKET_MOST)
+            except BlockingIOError:
+                return
+            except OSError:  # the port of a member that has ended refused an earlier one
+                continue
+            sender = self.numbers.get(address)
+            if sender is None:
+                self.strangers += 1
+                continue
+            for when in self.network.arrivals(self._now(), sender, receiver):
+                self._count += 1
+                heapq.heappush(self._waiting, (when, self._count, sender, receiver, data))
+
+    def _pass_on(self) -> None:
+        while self._waiting and self._waiting[0][0] <= self._now():
+            _, _, sender, receiver, data = heapq.heappop(self._waiting)
+            self.passed[sender, receiver] += 1
+            try:
+                self.sockets[sender].sendto(data, self.listens[receiver])
+            except OSError:  # nobody listens there now
+                pass
--- a/limelatch/membership/detector.py
+++ b/limelatch/membership/detector.py
@@ -34,15 +34,16 @@
         self._at = len(self._order)
         self._absent_at = random.randrange(max(1, len(self._order)))
 
-    def next_present(self) -> int | None:
-        """The next one that is alive or suspect; None where there is none."""
+    def next_present(self, unsuspected: bool = False) -> int | None:
+        """The next one that is alive or suspect, or that nobody suspects; None where there is none."""
+        wanted = self.view.is_alive if unsuspected else self.view.is_present
         for _ in range(2 * len(self._order)):
             if self._at >= len(self._order):
                 self.random.shuffle(self._order)
                 self._at = 0
             member = self._order[self._at]
             self._at += 1
-            if self.view.is_present(member):
+            if wanted(member):
                 return member
         return None
 
--- a/limelatch/membership/dissemination.py
+++ b/limelatch/membership/dissemination.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict
 from collections.abc import Callable
 
 from limelatch.membership.codec import FACTS_MOST, fact_bytes_most
@@ -14,17 +14,15 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self._left: dict[int, int] = {}
-        self._order: deque[int] = deque()
+        self._left: OrderedDict[int, int] = OrderedDict()
 
     def __len__(self) -> int:
         return len(self._left)
 
     def add(self, member: int) -> None:
-        """There is news of the member."""
-        if member not in self._left:
-            self._order.appendleft(member)
+        """There is news of the member: it goes before all else, a refutation before older suspicions too."""
         self._left[member] = self.limit
+        self._left.move_to_end(member, last=False)
 
     def take(self, room: int, fact_of: Callable[[int], Fact], first: Fact | None = None) -> tuple[Fact, ...]:
         """Facts of `room` bytes at most, `first` before the queue's; each counts as sent once."""
@@ -32,12 +30,11 @@
         if first is not None and fact_bytes_most(first) <= room:
             room -= fact_bytes_most(first)
             taken.append(first)
-        for _ in range(min(len(self._order), FACTS_MOST - len(taken))):
-            member = self._order[0]
+        for _ in range(min(len(self._left), FACTS_MOST - len(taken))):
+            member = next(iter(self._left))
             fact = fact_of(member)
             if fact_bytes_most(fact) > room:
                 break
-            self._order.popleft()
             self._count(member)
             if first is None or member != first.member:
                 room -= fact_bytes_most(fact)
@@ -45,8 +42,9 @@
         return tuple(taken)
 
     def _count(self, member: int) -> None:
+        """It has been sent once more: behind the others, or out."""
         self._left[member] -= 1
         if self._left[member]:
-            self._order.append(member)
+            self._left.move_to_end(member)
         else:
             del self._left[member]
--- a/limelatch/membership/member.py
+++ b/limelatch/membership/member.py
@@ -196,7 +196,7 @@
             hurried = self.probes.hurried and self.hearing.isolation is None
             period = self.timing.hurried_period if hurried else self.timing.period
             self._probe_at = max(self._probe_at + period, self.now + period // 2)
-            target, counts = self.rounds.next_present(), True
+            target, counts = self.rounds.next_present(unsuspected=hurried), True
             if target is None:  # nobody is known yet
                 target, counts = self.rounds.next_absent(), False
             if target is not None:
@@ -215,7 +215,8 @@
     def _ping(self, target: int, sequence: int) -> None:
         """The target hears first what is held of it, where that is not that it is alive."""
         first = self.registry.bad_news(self.now, target)
-        self.outbox.send(target, Ping, self._header(target, sequence), first=first)
+        alone = self.probes.hurried or not self.view.is_alive(target)  # it may not hear what is told
+        self.outbox.send(target, Ping, self._header(target, sequence), first=first, alone=alone)
 
     def _judge_hearing(self) -> None:
         """Whether this member is isolated; what it suspected is begun anew once it is no longer."""
@@ -265,6 +266,7 @@
         header = message.header
         if header.sender != sender:
             return Drop.SENDER
+        self.outbox.received(len(data))
         if self.has_left:
             return None
         self.hearing.heard_at = self.now
--- a/limelatch/membership/outbox.py
+++ b/limelatch/membership/outbox.py
@@ -11,7 +11,7 @@
 
 RESERVE = 700  # bytes
 PACKET_HEADERS = 28  # of IPv4 and UDP
-BYTES_A_SECOND, BYTES_SAVED = 1250, 1400  # sent; as many come in, and both stay under 3 KB/s
+BYTES_A_SECOND, BYTES_SAVED = 2700, 1400  # sent and received, packet headers counted: under 3 KB/s
 
 
 class Outbox:
@@ -21,27 +21,42 @@
         self.codec, self.queue, self.fact_of = codec, queue, fact_of
         self.datagrams: list[Datagram] = []
         self.allowance, self.refilled_at = BYTES_SAVED, now
+        self._chargeable = BYTES_SAVED
 
     def refill(self, now: int) -> None:
         earned = (now - self.refilled_at) * BYTES_A_SECOND // SECOND
         if earned > 0:
             self.allowance = min(BYTES_SAVED, self.allowance + earned)
+            self._chargeable = min(BYTES_SAVED, self._chargeable + earned // 2)
             self.refilled_at = now
 
+    def received(self, size: int) -> None:
+        """A datagram of another member: it is paid for from the same budget.
+
+        Guards against a member that sends so much that this one can't answer: at most half is charged."""
+        charged = min(size + PACKET_HEADERS, self._chargeable)
+        self._chargeable -= charged
+        self.allowance -= charged
+
     def affords(self, size: int) -> bool:
         """Whether a datagram that may be left out leaves the reserve, from which pings and answers go."""
         return self.allowance >= RESERVE + size + PACKET_HEADERS
 
     def send(self, to: int, form: Callable[..., Message], header: Header, *parts: object, tail: int = 1,
-             first: Fact | None = None) -> None:
-        """Send a message with as many facts as fit; `tail`: its bytes behind the header without them.
+             first: Fact | None = None, alone: bool = False) -> None:
+        """Send a message with `first` and, unless that is to go alone, as many queued facts as fit.
+        `tail`: the message's bytes behind the header without facts.
 
         Guards against answers to a flood of pings: with the saved bytes overdrawn nothing is sent."""
         size = HEADER.size + tail
         if self.allowance + BYTES_SAVED < size + PACKET_HEADERS:
             return
         room = min(DATAGRAM_MOST - size, max(0, self.allowance - RESERVE - size - PACKET_HEADERS))
-        self._put(to, form(header, *parts, self.queue.take(room, self.fact_of, first)))
+        if alone:
+            facts = () if first is None else (first,)
+        else:
+            facts = self.queue.take(room, self.fact_of, first)
+        self._put(to, form(header, *parts, facts))
 
     def send_whole(self, to: int, message: Message) -> None:
         """Send a message that is filled already."""
--- a/limelatch/membership/registry.py
+++ b/limelatch/membership/registry.py
@@ -55,14 +55,15 @@
         if same and fact.witness and (suspicion := self.suspicions.get(member)) is not None:
             suspicion.confirm(teller)
 
-    def _change(self, now: int, fact: Fact, why: str) -> None:
+    def _change(self, now: int, fact: Fact, why: str, news: bool = True) -> None:
         member, view = fact.member, self.view
         known, before = view.known(member), view.states[member]
         after, suspicion = 0, self.suspicions.pop(member, None)
         if suspicion is not None:
             after = now - suspicion.since
         view.put(member, fact.incarnation, fact.state)
-        self._news.append(member)
+        if news:
+            self._news.append(member)
         if fact.state is State.SUSPECT:
             most = self.timing.hearsay - FORETOLD_LEAST
             since = now - min(fact.age * AGE_UNIT, most)
@@ -116,7 +117,7 @@
         for member, suspicion in list(self.suspicions.items()):
             if suspicion.ends_at(self.timing) <= now:
                 fact = Fact(member, self.view.incarnations[member], State.DEAD)
-                self._change(now, fact, suspicion.why())
+                self._change(now, fact, suspicion.why(), news=suspicion.own)  # else all decide it alone
 
     def postpone(self, now: int, span: int) -> None:
         """This process did not run: each suspicion lasts so much longer."""
--- a/limelatch/relay/door.py
+++ b/limelatch/relay/door.py
@@ -24,7 +24,8 @@
 LOOK_EVERY = SECOND // 2
 FILE = "out"  # in the folder that lasts: the hosts out by hand
 OUT_MOST = 4096  # hosts out at once, as a bound on the file
-CALLS = {b"STATUS": 0, b"SUSPEND": 1, b"RESTORE": 1, b"PAUSE": 0, b"RESUME": 0}  # and their arguments
+CALLS = {b"STATUS": 0, b"SUSPEND": 1, b"RESTORE": 1, b"PAUSE": 0, b"RESUME": 0,
+         b"MEMBERS": 0}  # and their arguments
 
 
 class HostsOut:
@@ -170,6 +171,8 @@
         driver = self.driver
         if name == b"STATUS":
             return driver.status()
+        if name == b"MEMBERS":
+            return driver.members()
         if name == b"PAUSE":
             return driver.pause()
         if name == b"RESUME":
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -16,7 +16,7 @@
 from limelatch.relay.catalog import BadList, Catalog
 from limelatch.relay.clients import Client, Listener, Handed
 from limelatch.relay.deadlines import Clock, Deadlines
-from limelatch.relay.door import Door, HostsOut
+from limelatch.relay.door import Door, DoorError, HostsOut
 from limelatch.relay.hosts import Call, Outcome, Parcel, HostPool
 from limelatch.relay.ledger import Ledger
 from limelatch.relay.list_copy import ListCopy
@@ -73,6 +73,11 @@
                                lambda destination: destination in self.policy.dests)
         self.listener = Listener(self, plan.shares.clients, plan.client_bytes, plan.shares.clients_most)
         self.door = Door(self, plan.shares.operators)
+        self.peers = None
+        if plan.membership is not None:  # else nothing of it is loaded
+            from limelatch.relay.peers import Peers
+
+            self.peers = Peers(plan.membership, reactor, self.deadlines, clock, plan.state, plan.terms.seed)
 
     def start(self) -> None:
         """Take up what the ledger holds, then wait for the first list before serving."""
@@ -93,6 +98,8 @@
             ledger_bytes=self.ledger.size)
         if self.plan.operator is not None:  # at once: STATUS says whether clients are served yet
             self.door.listen(self.reactor, self.plan.operator.host, self.plan.operator.port)
+        if self.peers is not None:
+            self.peers.start()
         say(log, "waiting", on="list", most_ms=self.plan.list_wait // li.MS)
         self.deadlines.after(self.plan.list_wait, self.serve)
         if not self.plan.terms.list_asked:
@@ -215,6 +222,8 @@
         if not self._ended:
             self._ended = True
             self.listener.last_words()
+            if self.peers is not None:
+                self.peers.stop()
             say(log, "stopped", owed=len(self.owed), calls=self.pool.calls_out)
             self.deadlines.after(0, self.reactor.stop)
 
@@ -296,6 +305,12 @@
 
     # What the operators ask through the door; each answer is one line.
 
+    def members(self) -> str:
+        """What this relay holds of the others."""
+        if self.peers is None:
+            raise DoorError("membership is off")
+        return f"+OK {self.peers.members().line()}"
+
     def status(self) -> str:
         if self._stop_at is not None:
             return "-ERR stopping"
--- /dev/null
+++ b/limelatch/relay/incarnation.py
@@ -0,0 +1,43 @@
+"""This relay's incarnation among the members, kept in the folder that lasts."""
+
+from __future__ import annotations
+
+import os
+import zlib
+
+from limelatch.logs import logger, say
+from limelatch.membership.messages import INCARNATION_MOST
+
+log = logger("membership")
+FILE = "incarnation"
+
+
+class IncarnationFile:
+    """One line, the number and its checksum; replaced whole. What can't be read counts as absent."""
+
+    def __init__(self, folder: str) -> None:
+        self.path = os.path.join(folder, FILE)
+
+    def read(self) -> int:
+        """The last incarnation, 0 where none is kept."""
+        try:
+            with open(self.path, encoding="ascii") as file:
+                word, checksum = file.read(64).split()
+            if int(checksum) == zlib.crc32(word.encode()) and 1 <= int(word) < INCARNATION_MOST:
+                return int(word)
+            say(log, "incarnation-not-read", why="its checksum or its value is wrong")
+        except FileNotFoundError:
+            pass
+        except (OSError, ValueError) as error:
+            say(log, "incarnation-not-read", why=error)
+        return 0
+
+    def write(self, incarnation: int) -> None:
+        """Keep it; where the disk refuses, the other members tell it at the next start."""
+        word, passing = str(incarnation), f"{self.path}.{os.getpid()}"
+        try:
+            with open(passing, "w", encoding="ascii") as file:
+                file.write(f"{word} {zlib.crc32(word.encode())}\n")
+            os.replace(passing, self.path)
+        except OSError as error:
+            say(log, "incarnation-not-written", why=error)
--- /dev/null
+++ b/limelatch/relay/peers.py
@@ -0,0 +1,187 @@
+"""The relay's part among the members: the UDP socket, the timer and the log events of `limelatch.membership`.
+
+Nothing of it decides on a text, and none of its faults ends the relay.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from twisted.internet.error import CannotListenError
+from twisted.internet.protocol import DatagramProtocol
+
+from limelatch.configuration.plan import MembershipPlan
+from limelatch.interface import MS, SECOND
+from limelatch.logs import HeldDown, logger, say
+from limelatch.membership.codec import DATAGRAM_MOST
+from limelatch.membership.member import Member
+from limelatch.membership.messages import (
+    Drop,
+    Event,
+    IsolationChanged,
+    Joined,
+    MemberChanged,
+    State,
+)
+from limelatch.relay.deadlines import Clock, Deadline, Deadlines
+from limelatch.relay.incarnation import IncarnationFile
+
+log = logger("membership")
+
+PACKET_MOST = DATAGRAM_MOST + 1  # what is read of a datagram, so that a longer one shows
+READ_SPAN, READ_MOST = 100 * MS, 200  # datagrams that are looked at in a span; the others are dropped unread
+BIND_WAIT = SECOND  # until a socket that could not be bound is tried again
+
+
+@dataclass(frozen=True)
+class Members:
+    """What one relay holds of all: how many in each state, and the first that is not alive."""
+
+    counts: dict[str, int]
+    incarnation: int
+    isolated: str
+    first_not_alive: str
+
+    def line(self) -> str:
+        """As the operators' interface answers it."""
+        words = [f"{name}={count}" for name, count in self.counts.items()]
+        words += [f"incarnation={self.incarnation}", f"isolated={self.isolated or 'no'}"]
+        return " ".join(words + ([f"first={self.first_not_alive}"] if self.first_not_alive else []))
+
+
+class Peers(DatagramProtocol):
+    """One member of the fleet, behind a UDP socket."""
+
+    def __init__(self, plan: MembershipPlan, reactor, deadlines: Deadlines, clock: Clock, state: str,
+                 seed: int) -> None:
+        self.plan, self.reactor, self.deadlines, self.clock = plan, reactor, deadlines, clock
+        self.file, self.random = IncarnationFile(state), Random(seed)
+        self.addresses = [(each.host, each.port) for each in plan.peers]
+        self.numbers = {address: number for number, address in enumerate(self.addresses)}
+        self.held_down = HeldDown(log, clock)
+        self.member: Member | None = None
+        self.port = None
+        self._timer: Deadline | None = None
+        self._stored, self._read, self._read_until, self._ended = 0, 0, 0, False
+
+    def start(self) -> None:
+        """Bind the socket and take part; where it is in use, try again, for the relay serves without."""
+        if self._ended:
+            return
+        listen = self.plan.listen
+        try:
+            self.port = self.reactor.listenUDP(listen.port, self, listen.host, PACKET_MOST)
+        except CannotListenError as error:
+            self.held_down("membership-not-listening", listen=listen, why=error.socketError)
+            self.deadlines.after(BIND_WAIT, self.start)
+            return
+        self._stored = self.file.read()
+        self.member = Member([str(each) for each in self.plan.peers], self.plan.number,
+                             self._stored + 1 if self._stored else 0, self.random, self.clock.now(),
+                             self.plan.timing, self.plan.zones)
+        self._acted()
+
+    def stop(self) -> None:
+        """A clean end: the others hear at once that this relay has left."""
+        self._ended = True
+        if self.member is not None:
+            self.member.leave(self.clock.now())
+            self._send()
+            self.member = None
+        if self.port is not None:
+            self.port.stopListening()
+
+    def members(self) -> Members:
+        """What is held of all of them now."""
+        if self.member is None:
+            return Members({}, 0, "not listening", "")
+        view = self.member.view
+        counts = {state.name.lower(): view.counts[state] for state in State}
+        counts["unknown"] = len(self.addresses) - sum(counts.values())
+        isolation = self.member.hearing.isolation
+        first = next((number for number in range(len(self.addresses)) if not view.is_alive(number)), None)
+        named = "" if first is None else f"{self.plan.peers[first]}:{self._state(first)}"
+        return Members(counts, self.member.incarnation, isolation.value if isolation else "", named)
+
+    def _state(self, number: int) -> str:
+        view = self.member.view
+        return view.states[number].name.lower() if view.known(number) else "unknown"
+
+    # Datagrams and the timer.
+
+    def datagramReceived(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Guards against a flood: what is beyond READ_MOST in a span is not looked at."""
+        if self.member is None:
+            return
+        now = self.clock.now()
+        if now >= self._read_until:
+            self._read, self._read_until = 0, now + READ_SPAN
+        self._read += 1
+        if self._read > READ_MOST:
+            self.member.drops[Drop.FLOOD] += 1
+            self.port.stopReading()
+            self.deadlines.at(self._read_until, self._read_on)
+            return
+        drop = self.member.received(now, datagram, self.numbers.get(address))
+        if drop is not None:
+            self.held_down("datagram-dropped", why=drop.value, peer=address[0])
+        self._acted()
+
+    def _read_on(self) -> None:
+        if self.member is not None:
+            self.port.startReading()
+
+    def _tick(self) -> None:
+        if self.member is None:
+            return
+        try:
+            self.member.tick(self.clock.now())
+        finally:
+            self._timer = None
+            self._acted()
+
+    def _acted(self) -> None:
+        """Send, log and keep what has come of the last call; one deadline stands for the next tick."""
+        self._send()
+        due = self.member.due
+        if self._timer is not None and self._timer.when == due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self.deadlines.at(due, self._tick)
+
+    def _send(self) -> None:
+        datagrams, events = self.member.take()
+        if self.member.incarnation > self._stored:
+            self._stored = self.member.incarnation
+            self.file.write(self._stored)
+        for event in events:
+            self._log(event)
+        for each in datagrams:
+            try:
+                self.transport.write(each.data, self.addresses[each.to])
+            except OSError as error:
+                self.held_down("datagram-not-sent", why=error, member=self.plan.peers[each.to])
+
+    def _log(self, event: Event) -> None:
+        if isinstance(event, MemberChanged):
+            self._log_change(event)
+        elif isinstance(event, IsolationChanged):
+            why = event.why.value if event.why else "answered"
+            self.held_down("membership-isolated", why=why, after_ms=event.after // MS)
+        elif isinstance(event, Joined):
+            say(log, "membership-joined", member=self.plan.peers[self.plan.number],
+                incarnation=event.incarnation)
+
+    def _log_change(self, event: MemberChanged) -> None:
+        peer, incarnation = self.plan.peers[event.member], event.incarnation
+        why, after = event.why, event.after // MS
+        if event.state is State.ALIVE:
+            self.held_down("member-alive", member=peer, incarnation=incarnation, why=why, after_ms=after)
+        elif event.state is State.SUSPECT:
+            self.held_down("member-suspect", member=peer, incarnation=incarnation, why=why, after_ms=after)
+        elif event.state is State.DEAD:
+            self.held_down("member-dead", member=peer, incarnation=incarnation, why=why, after_ms=after)
+        else:
+            self.held_down("member-left", member=peer, incarnation=incarnation, why=why, after_ms=after)
--- /dev/null
+++ b/tests/test_membership_processes.py
@@ -0,0 +1,237 @@
+"""Relays as processes that watch each other through a faulty network of datagrams, while texts flow.
+
+Spans are shorter than the defaults (a pause of 2 s is to be borne), so that the tests take seconds."""
+
+import json
+import os
+import queue
+import signal
+import socket
+import threading
+import time
+
+import pytest
+from conftest import Program
+from test_door import Caller
+
+from limelatch.lab.membership.forwarder import DatagramNetwork
+
+COUNT = 5
+PAUSE_MS, PERIOD_MS = 2000, 250
+AGREED = 15  # seconds for all verdicts here; 2 s of pause and the rest of the suspicion make 3.25 to 6.5
+FIELDS = ("alive", "suspect", "dead", "left", "unknown", "incarnation")
+
+
+def address_of(host, kind):
+    with socket.socket(socket.AF_INET, kind) as spare:
+        spare.bind((host, 0))
+        return spare.getsockname()
+
+
+class Relay(Program):
+    """One member: its process and what its operators' interface says of the others."""
+
+    def view(self):
+        """MEMBERS as a dict, numbers as numbers."""
+        answer = Caller(self.door).call("MEMBERS")
+        assert answer.startswith("+OK "), answer
+        words = dict(word.split("=", 1) for word in answer[4:].split())
+        return words | {name: int(words[name]) for name in FIELDS if name in words}
+
+    def _read(self, process):
+        for line in process.stderr:
+            self.log.put(line)
+            self.lines.append(line)
+
+
+class Fleet:
+    """The relays, the network between them, and a client that hands in texts to each."""
+
+    def __init__(self, folder, agent):
+        host = "127.{}.{}.{}".format(*(1 + number % 254 for number in os.urandom(3)))
+        listens = [address_of(host, socket.SOCK_DGRAM) for _ in range(COUNT)]
+        self.network = DatagramNetwork([(host, 0)] * COUNT, listens)
+        peers = ["{}:{}".format(*front) for front in self.network.fronts]
+        self.relays, self.count = [], 0
+        for number in range(COUNT):
+            place = folder / f"relay-{number}"
+            place.mkdir()
+            door = address_of(host, socket.SOCK_STREAM)
+            relay = Relay(place, agent, operator="{}:{}".format(*door), peers=peers, membership={
+                "on": True, "address": peers[number], "pause_ms": PAUSE_MS, "probe_period_ms": PERIOD_MS},
+                peer_listen="{}:{}".format(*listens[number]), seed=f"{number + 1:x}")
+            relay.door, relay.lines = door, []
+            self.relays.append(relay)
+        self.peers = peers
+
+    def start(self):
+        for relay in self.relays:
+            relay.launch()
+        for relay in self.relays:
+            relay.says("event=serving")
+        self.until(lambda: all(view["alive"] == COUNT for view in self.views()))
+
+    def views(self, *without):
+        return [relay.view() for number, relay in enumerate(self.relays) if number not in without]
+
+    def until(self, holds, seconds=AGREED):
+        """Polls until it holds; how long that took."""
+        began = time.monotonic()
+        while not holds():
+            assert time.monotonic() < began + seconds, [relay.view() for relay in self.relays
+                                                        if relay.process.poll() is None]
+            threading.Event().wait(0.05)
+        return time.monotonic() - began
+
+    def lines(self, event, by, of=None):
+        """Log lines of an event at one relay, on one member."""
+        named = "" if of is None else f"member={self.peers[of]} "
+        return [line for line in self.relays[by].lines if f"event={event} " in line and named in line]
+
+    def submit(self, number):
+        """One text handed in at a relay, which takes it on."""
+        self.count += 1
+        client = self.relays[number].client()
+        assert client.submit(f"t{self.count}", body=f"t{self.count}".encode()) == "+OK"
+        client.socket.close()
+
+    def delivered(self, party):
+        """Every text has come to the host exactly once."""
+        bodies = [party.next().body.decode() for _ in range(self.count)]
+        assert sorted(bodies) == sorted(f"t{number + 1}" for number in range(self.count))
+        with pytest.raises(queue.Empty):
+            party.asked.get(timeout=0.2)
+
+
+@pytest.fixture
+def fleet(tmp_path, agent, party):
+    host = party()
+    agent.list(host.address)
+    fleet = Fleet(tmp_path, agent)
+    fleet.host = host
+    with fleet.network:
+        fleet.start()
+        yield fleet
+        for relay in fleet.relays:
+            if relay.process is not None:
+                relay.process.send_signal(signal.SIGCONT)
+                relay.kill()
+
+
+def test_a_killed_relay_is_dead_everywhere_and_back_at_a_higher_incarnation(fleet):
+    fleet.submit(0)
+    before = fleet.relays[1].view()["incarnation"]
+    fleet.relays[1].kill()
+    fleet.until(lambda: all(view["dead"] == 1 and view["alive"] == COUNT - 1 for view in fleet.views(1)))
+    for number in (0, 2, 3, 4):
+        assert fleet.lines("member-suspect", number, 1)
+        assert f"first={fleet.peers[1]}:dead" in Caller(fleet.relays[number].door).call("MEMBERS")
+        fleet.submit(number)
+    fleet.relays[1].launch()
+    fleet.relays[1].says("event=serving")
+    fleet.until(lambda: all(view["alive"] == COUNT for view in fleet.views()))
+    assert fleet.relays[1].view()["incarnation"] > before
+    fleet.submit(1)
+    fleet.delivered(fleet.host)
+
+
+def test_a_relay_that_lost_its_folder_asks_the_others_for_its_incarnation(fleet):
+    before = fleet.relays[2].view()["incarnation"]
+    fleet.relays[2].kill()
+    (fleet.relays[2].state / "incarnation").unlink()
+    fleet.relays[2].launch()
+    fleet.until(lambda: fleet.relays[2].process.poll() is None
+                and bool(fleet.lines("membership-joined", 2)[1:]))
+    fleet.until(lambda: all(view["alive"] == COUNT for view in fleet.views()))
+    assert fleet.relays[2].view()["incarnation"] > before
+
+
+def test_a_paused_relay_is_no_verdict_and_a_long_pause_ends_in_its_refutation(fleet):
+    for pause, verdict in ((PAUSE_MS / 1000, False), (3 * PAUSE_MS / 1000 + 1, True)):
+        fleet.relays[3].process.send_signal(signal.SIGSTOP)
+        fleet.submit(0)
+        if verdict:
+            fleet.until(lambda: all(view["dead"] == 1 for view in fleet.views(3)))
+        else:
+            threading.Event().wait(pause)  # the pause itself, not a wait for something
+        fleet.relays[3].process.send_signal(signal.SIGCONT)
+        fleet.until(lambda: all(view["alive"] == COUNT for view in fleet.views()), 5)
+        fleet.submit(3)
+        assert bool(fleet.lines("member-dead", 0, 3)) is verdict
+    others = (0, 1, 2, 4)
+    assert not [line for by in range(COUNT) for of in others for line in fleet.lines("member-dead", by, of)]
+    fleet.delivered(fleet.host)
+
+
+def test_a_clean_end_is_told_and_nobody_suspects(fleet):
+    fleet.submit(4)
+    fleet.relays[4].terminate()
+    fleet.until(lambda: all(view["left"] == 1 for view in fleet.views(4)))
+    assert fleet.relays[4].process.wait(10) == 0
+    assert not any(fleet.lines("member-suspect", number, 4) for number in range(4))
+    fleet.delivered(fleet.host)
+
+
+def test_one_link_cut_in_one_direction_is_no_verdict(fleet):
+    fleet.network.cut({0}, {1})
+    passed = fleet.network.passed[1, 0]
+    fleet.until(lambda: fleet.network.passed[1, 0] > passed + 12, 30)  # the other direction works
+    fleet.submit(0)
+    assert not any(fleet.lines("member-dead", number) for number in range(COUNT))
+    fleet.delivered(fleet.host)
+
+
+@pytest.mark.parametrize("mute, why", [(True, "unanswered"), (False, "deaf")])
+def test_a_mute_or_deaf_relay_is_dead_to_others_and_knows_that_it_is_isolated(fleet, mute, why):
+    others = set(range(COUNT)) - {2}
+    fleet.network.cut({2} if mute else others, others if mute else {2})
+    fleet.until(lambda: all(view["dead"] == 1 for view in fleet.views(2)))
+    assert fleet.relays[2].view()["isolated"] == why
+    assert not [line for of in others for line in fleet.lines("member-dead", 2, of)]
+    fleet.submit(2)
+    fleet.network.heal()
+    fleet.until(lambda: all(view["alive"] == COUNT and view["isolated"] == "no" for view in fleet.views()))
+    fleet.delivered(fleet.host)
+
+
+def test_both_sides_of_a_cut_agree_and_all_agree_after_it(fleet):
+    fleet.network.part({0, 1})
+    fleet.until(lambda: [view["dead"] for view in fleet.views()] == [3, 3, 2, 2, 2])
+    for number in range(COUNT):
+        fleet.submit(number)
+    fleet.network.heal()
+    fleet.until(lambda: all(view["alive"] == COUNT for view in fleet.views()))
+    fleet.delivered(fleet.host)
+
+
+def test_lost_doubled_and_late_datagrams_are_no_verdict(fleet):
+    fleet.network.conditions(lost=0.1, doubled=0.1, late=0.1)
+    passed = fleet.network.passed.total()
+    for number in range(10):
+        fleet.submit(number % COUNT)
+    fleet.until(lambda: fleet.network.passed.total() > passed + 400, 60)
+    assert not any(fleet.lines("member-dead", number) for number in range(COUNT))
+    fleet.delivered(fleet.host)
+
+
+def test_a_flood_and_nonsense_are_dropped_and_hurt_no_text(fleet):
+    stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    listen = fleet.network.listens[0]
+    for number in range(5000):
+        stranger.sendto(bytes([number % 256]) * (number % 300), listen)
+    fleet.network.sockets[1].sendto(b"\x01" * 40, listen)  # nonsense from a member's address
+    for _ in range(5):
+        fleet.submit(0)
+    fleet.until(lambda: bool(fleet.lines("datagram-dropped", 0)))
+    assert fleet.relays[0].view()["alive"] == COUNT
+    assert len(fleet.lines("datagram-dropped", 0)) <= 50
+    fleet.delivered(fleet.host)
+
+
+def test_without_membership_the_call_says_so(plan, agent):
+    program = plan()
+    host, port = address_of(program.address, socket.SOCK_STREAM)
+    program.file.write_text(json.dumps(json.loads(program.file.read_text()) | {
+        "operator": f"{host}:{port}", "peer_listen": f"{host}:1", "peers": [f"{host}:1", f"{host}:2"]}))
+    program.start()
+    assert Caller((host, port)).call("MEMBERS") == "-ERR membership is off"
