--- a/limelatch/lab/membership/fleet.py
+++ b/limelatch/lab/membership/fleet.py
@@ -238,9 +238,12 @@
             raise self.broken(f"member {number} gives a verdict while it is isolated")
         process = self.processes[event.member]
         gone = process.member is None or process.paused and self.now - process.paused_at > FAIR_PAUSE
-        wrong = not told and not gone and not self.network.is_cut(event.member, number)
+        wrong = not told and not gone and not self._is_apart(event.member, number)
         self.verdicts.append(Verdict(self.now, number, event.member, event.why, wrong))
 
+    def _is_apart(self, one: int, other: int) -> bool:
+        return self.network.is_cut(one, other) or self.network.is_cut(other, one)
+
     # Figures.
 
     def live(self) -> list[int]:
--- a/limelatch/membership/detector.py
+++ b/limelatch/membership/detector.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass
 from random import Random
 
@@ -11,8 +11,9 @@
 from limelatch.membership.view import View
 
 SEQUENCE_MOST = (1 << 32) - 1
+HEARD_MOST = 32  # senders that are remembered
 HISTORY, HURRY_SHARE = 8, 0.25  # last probes, and the share of failed ones above which more are sent
-ISOLATED_PROBES, ISOLATED_KNOWN = 4, 2  # without an answer; others known
+ISOLATED_PROBES, ISOLATED_KNOWN = 12, 2  # without an answer; others known
 
 
 @dataclass(slots=True)
@@ -33,6 +34,7 @@
         self._order = [member for member in range(len(view.words)) if member != me]
         self._at = len(self._order)
         self._absent_at = random.randrange(max(1, len(self._order)))
+        self._heard: OrderedDict[int, None] = OrderedDict()  # the last senders, the latest last
 
     def next_present(self, unsuspected: bool = False) -> int | None:
         """The next one that is alive or suspect, or that nobody suspects; None where there is none."""
@@ -58,6 +60,18 @@
                 return member
         return None
 
+    def heard(self, member: int) -> None:
+        """A datagram has come from it."""
+        self._heard[member] = None
+        self._heard.move_to_end(member)
+        if len(self._heard) > HEARD_MOST:
+            self._heard.popitem(last=False)
+
+    def some_heard(self, count: int) -> list[int]:
+        """Up to so many of the last senders, at random: they can be reached, whatever cut there is."""
+        members = [member for member in self._heard if self.view.is_alive(member)]
+        return self.random.sample(members, min(count, len(members)))
+
     def some_alive(self, count: int, *without: int) -> list[int]:
         """Up to so many different members that nobody suspects, at random."""
         found: list[int] = []
--- a/limelatch/membership/member.py
+++ b/limelatch/membership/member.py
@@ -151,7 +151,7 @@
     def _tell_at_once(self) -> None:
         fact = self.registry.fact(self.now, self.me)
         for member in self.rounds.some_alive(TOLD_AT_ONCE, self.me):
-            self.outbox.send(member, Gossip, self._header(member), first=fact)
+            self.outbox.send(member, Gossip, self._header(member), first=fact, alone=True)
 
     # Probes.
 
@@ -238,14 +238,17 @@
             return
         self._push_at = self.now + (self.timing.period // 2 if self.probes.hurried else self.timing.period)
         if len(self.queue):
-            for member in self.rounds.some_alive(PUSHES, self.me):
-                if self.outbox.affords(DATAGRAM_LEAST):
+            hurried = self.probes.hurried
+            some = self.rounds.some_heard(PUSHES) if hurried else self.rounds.some_alive(PUSHES, self.me)
+            for member in some:
+                if self.outbox.affords(PUSH_BYTES):
                     self.outbox.send(member, Gossip, self._header(member))
         if self.now >= self._page_at and self.exchange.ask(len(self.queue)):
             self._page_at = self.now + self.timing.page_wait
 
     def _next_due(self) -> int:
-        busy = self.probes.outstanding or self.registry.suspicions or not self.incarnation
+        waits = self.registry.suspicions or self.registry.refusals
+        busy = self.probes.outstanding or waits or not self.incarnation
         due = min(self._probe_at, self._absent_at if self.view.absent else self._probe_at)
         if len(self.queue):
             due = min(due, self._push_at)
@@ -267,6 +270,7 @@
         if header.sender != sender:
             return Drop.SENDER
         self.outbox.received(len(data))
+        self.rounds.heard(sender)
         if self.has_left:
             return None
         self.hearing.heard_at = self.now
@@ -338,3 +342,4 @@
 
 
 DATAGRAM_LEAST = 25  # bytes of a ping without facts
+PUSH_BYTES = 200  # that have to be affordable: few full datagrams of facts cost less than many small ones
--- a/limelatch/membership/registry.py
+++ b/limelatch/membership/registry.py
@@ -5,7 +5,7 @@
 from limelatch.interface import SECOND
 from limelatch.membership.codec import AGE_MOST
 from limelatch.membership.messages import Event, Fact, MemberChanged, State
-from limelatch.membership.suspicion import Suspicion
+from limelatch.membership.suspicion import Refusals, Suspicion
 from limelatch.membership.timing import Timing
 from limelatch.membership.view import View
 
@@ -20,6 +20,7 @@
         self.me, self.timing = me, timing
         self.view = View(members)
         self.suspicions: dict[int, Suspicion] = {}
+        self.refusals: dict[int, Refusals] = {}  # of members that nobody suspects for it yet
         self.held_of_self = 0  # the highest incarnation that others hold of this member
         self._news: list[int] = []
         self._events: list[Event] = []
@@ -59,6 +60,8 @@
         member, view = fact.member, self.view
         known, before = view.known(member), view.states[member]
         after, suspicion = 0, self.suspicions.pop(member, None)
+        if fact.state is not State.SUSPECT:
+            self.refusals.pop(member, None)
         if suspicion is not None:
             after = now - suspicion.since
         view.put(member, fact.incarnation, fact.state)
@@ -87,14 +90,20 @@
             self._news.append(member)
 
     def refused(self, now: int, member: int) -> None:
-        """A datagram to it came to a closed port."""
-        self.suspect(now, member, now)
-        if (suspicion := self.suspicions.get(member)) is not None:
-            suspicion.refuse(now, self.timing)
+        """A datagram to it came to a closed port.
+
+        One refusal is no suspicion: the member may just have left, or be starting again."""
+        if not self.view.is_present(member):
+            return
+        refusals = self.refusals.setdefault(member, Refusals(now, next_probe=now + self.timing.refused_apart))
+        if refusals.add(now, self.timing):
+            self.suspect(now, member, refusals.first_at)
+            self.suspicions[member].refused = True
 
     def answered(self, now: int, member: int, incarnation: int) -> None:
         """It has answered a probe: what is suspected here is over, whatever others still tell."""
         view = self.view
+        self.refusals.pop(member, None)
         if incarnation > view.incarnations[member]:
             self._change(now, Fact(member, incarnation, State.ALIVE), "answered")
         elif incarnation == view.incarnations[member] and member in self.suspicions:
@@ -106,10 +115,13 @@
         """The suspect that has waited longest for another probe of this member, if one is due."""
         due = [(each.next_probe, member) for member, each in self.suspicions.items()
                if each.own and each.next_probe <= now]
+        due += [(each.next_probe, member) for member, each in self.refusals.items() if each.next_probe <= now]
         if not due:
             return None
         _, member = min(due)
-        self.suspicions[member].next_probe = now + self.timing.own_probe
+        for waits in (self.suspicions.get(member), self.refusals.get(member)):
+            if waits is not None:
+                waits.next_probe = now + self.timing.own_probe
         return member
 
     def judge(self, now: int) -> None:
@@ -128,4 +140,5 @@
     def start_anew(self, now: int) -> None:
         """This member was isolated: what it suspected meanwhile says nothing of the others."""
         for suspicion in self.suspicions.values():
-            suspicion.since, suspicion.next_probe, suspicion.refusals = now, now, 0
+            suspicion.since, suspicion.next_probe, suspicion.refused = now, now, False
+        self.refusals.clear()
