--- a/limelatch/command/lab.py
+++ b/limelatch/command/lab.py
@@ -11,6 +11,7 @@
 import click
 
 from limelatch.command import BAD_USE, WRONG, BadUse, Wrong
+from limelatch.command.membership import membership
 from limelatch.command.scale import scale
 from limelatch.command.text import Span, address_of
 
@@ -450,4 +451,5 @@
     click.echo(made(), nl=False)
 
 
+lab.add_command(membership)
 lab.add_command(scale)
--- /dev/null
+++ b/limelatch/lab/membership/cells.py
@@ -0,0 +1,176 @@
+"""The cells that are measured: one fault, one size, one way of finding out, one seed; and what came of it."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+
+import msgspec
+
+from limelatch.interface import MS, SECOND
+from limelatch.lab.membership.baselines import Heartbeats, PlainSwim
+from limelatch.lab.membership.fleet import WINDOW, Fleet, Simulated
+from limelatch.lab.membership.network import Conditions
+from limelatch.membership.member import Member
+from limelatch.membership.messages import State
+
+WAYS: dict[str, Callable[..., Simulated]] = {
+    "member": Member, "plain-swim": PlainSwim, "heartbeats": Heartbeats}
+SETTLED = 3 * WINDOW  # after the start, all members known to all
+MOST = 40 * SECOND  # that is waited for an agreement
+PAUSES = (500 * MS, SECOND, 2 * SECOND, 5 * SECOND)
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """What one cell gave. Spans in seconds, -1 where it did not come within 40 s."""
+
+    cell: str
+    way: str
+    members: int
+    seed: int
+    agreed: float = -1.0  # all live members hold what is so
+    healed: float = -1.0  # after the fault's end
+    wrong: int = 0  # own verdicts on members that ran and could be reached
+    bytes_most: float = 0.0  # a second, of any member in any window of ten seconds
+    bytes_mean: float = 0.0
+    processor: float = 0.0  # share of a core a member, of this machine, in simulated time
+    simulated: float = 0.0  # seconds that were simulated
+    bytes_held: int = 0  # memory a member, where it was measured
+
+
+def addresses(members: int) -> list[str]:
+    return [f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:7946" for number in range(members)]
+
+
+def settled(way: str, members: int, seed: int) -> Fleet:
+    """A fleet whose members all know each other, as after hours."""
+    peers, form = addresses(members), WAYS[way]
+
+    def make(number: int, incarnation: int, random: Random, now: int) -> Simulated:
+        return form(peers, number, incarnation, random, now)
+
+    fleet = Fleet(members, seed, make)
+    fleet.start_all(SECOND).run(SECOND)
+    for process in fleet.processes:
+        fleet_knows_itself(process.member, members)
+    fleet.run(SETTLED)
+    fleet.verdicts.clear()
+    return fleet
+
+
+def fleet_knows_itself(member: Simulated, members: int) -> None:
+    for other in range(members):
+        if not member.view.known(other):
+            member.view.put(other, 1, State.ALIVE)
+
+
+def seconds(span: int | None) -> float:
+    return -1.0 if span is None else span / SECOND
+
+
+def kill(fleet: Fleet, machine: bool) -> tuple[int | None, int | None]:
+    """One process, or one machine, gone."""
+    fleet.kill(3, machine)
+    return fleet.until_agreed([3], State.DEAD, MOST), None
+
+
+def pauses(fleet: Fleet) -> tuple[int | None, int | None]:
+    """Four members stand still for up to 5 s."""
+    for number, span in enumerate(PAUSES):
+        fleet.pause(number, span)
+    fleet.run(fleet.now + 20 * SECOND)
+    return None, None
+
+
+def long_pause(fleet: Fleet, span: int) -> tuple[int | None, int | None]:
+    """One stands still for long, and comes back."""
+    others = [number for number in range(fleet.count) if number != 3]
+    fleet.pause(3, span)
+    began = fleet.now
+    agreed = fleet.until_agreed([3], State.DEAD, span - SECOND, by=others)
+    fleet.run(began + span)
+    return agreed, fleet.until_agreed(list(range(fleet.count)), State.ALIVE, MOST)
+
+
+def loss(fleet: Fleet, share: float, span: int) -> tuple[int | None, int | None]:
+    """Datagrams lost, doubled and late for a while."""
+    fleet.network.conditions = Conditions(share, share, share)
+    fleet.run(fleet.now + span)
+    return None, None
+
+
+def cut(fleet: Fleet, parts: list[list[int]], span: int) -> tuple[int | None, int | None]:
+    """Parts that hear nothing of each other."""
+    part_of = {number: part for part, members in enumerate(parts) for number in members}
+    fleet.network.cuts.append(lambda sender, receiver: part_of[sender] != part_of[receiver])
+    began, agreed = fleet.now, None
+    while fleet.now < began + span:
+        fleet.run(fleet.now + SECOND // 2)
+        if agreed is None and all(
+                fleet.agree([n for n in range(fleet.count) if part_of[n] != part], State.DEAD, by=members)
+                for part, members in enumerate(parts)):
+            agreed = fleet.now - began
+    fleet.network.cuts.clear()
+    return agreed, fleet.until_agreed(list(range(fleet.count)), State.ALIVE, MOST)
+
+
+def gone(fleet: Fleet, share: float) -> tuple[int | None, int | None]:
+    """A part of the fleet's machines gone at once, and back at once."""
+    lost = list(range(int(fleet.count * share)))
+    for number in lost:
+        fleet.kill(number, machine=True)
+    agreed = fleet.until_agreed(lost, State.DEAD, MOST, step=SECOND // 2)
+    for number in lost:
+        fleet.start(number)
+    return agreed, fleet.until_agreed(list(range(fleet.count)), State.ALIVE, MOST, step=SECOND // 2)
+
+
+def halves(fleet: Fleet) -> list[list[int]]:
+    middle = fleet.count // 2
+    return [list(range(middle)), list(range(middle, fleet.count))]
+
+
+def zone(fleet: Fleet) -> list[list[int]]:
+    """A seventh of the fleet and the others."""
+    size = max(2, fleet.count // 7)
+    return [list(range(size)), list(range(size, fleet.count))]
+
+
+CELLS: dict[str, Callable[[Fleet], tuple[int | None, int | None]]] = {
+    "kill": lambda fleet: kill(fleet, False), "machine": lambda fleet: kill(fleet, True),
+    "pauses": pauses, "pause-20s": lambda fleet: long_pause(fleet, 20 * SECOND),
+    "loss-10": lambda fleet: loss(fleet, 0.1, 60 * SECOND),
+    "loss-20": lambda fleet: loss(fleet, 0.2, 60 * SECOND),
+    "loss-30": lambda fleet: loss(fleet, 0.3, 60 * SECOND),
+    "halves": lambda fleet: cut(fleet, halves(fleet), 30 * SECOND),
+    "zone-off": lambda fleet: cut(fleet, zone(fleet), 30 * SECOND),
+    "third-gone": lambda fleet: gone(fleet, 1 / 3),
+    "rest": lambda fleet: (None, fleet.run(fleet.now + 20 * SECOND) and None),
+}
+
+
+def play(cell: str, way: str, members: int, seed: int) -> Outcome:
+    """One cell; raises Broken where an invariant did not hold."""
+    fleet = settled(way, members, seed)
+    began, processor = fleet.now, time.process_time()
+    agreed, healed = CELLS[cell](fleet)
+    spent = (time.process_time() - processor) / members / ((fleet.now - began) / SECOND)
+    fleet.run((fleet.now // WINDOW + 1) * WINDOW)
+    loads = fleet.bytes_a_second(began, fleet.now)
+    wrong = sum(verdict.wrong for verdict in fleet.verdicts)
+    return Outcome(cell, way, members, seed, seconds(agreed), seconds(healed), wrong, max(loads),
+                   sum(loads) / len(loads), spent, (fleet.now - began) / SECOND)
+
+
+def held(way: str, members: int) -> int:
+    """Memory of one member that knows all others, in bytes."""
+    peers = addresses(members)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    member = WAYS[way](peers, 0, 1, Random(1), 0)
+    fleet_knows_itself(member, members)
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return size
--- a/limelatch/membership/codec.py
+++ b/limelatch/membership/codec.py
@@ -21,6 +21,7 @@
     Ping,
     State,
 )
+from limelatch.membership.view import MEMBERS_MOST
 
 VERSION, DATAGRAM_MOST = 1, 256
 HEADER, CHECKSUM = struct.Struct(">BBHIIIII"), struct.Struct(">I")
@@ -28,6 +29,7 @@
 TARGET, TARGET_INCARNATION, RANGE, DIGEST = (struct.Struct(form) for form in (">H", ">HI", ">HH", ">I"))
 FACTS_MOST = 255
 STATE_BITS = 2
+WIDE_DISTANCES = MEMBERS_MOST // 128
 AGE_MOST, WITNESS = 127, 128  # tenths of a second, and the bit beside them
 PING, ACK, GOSSIP, INDIRECT_PING, INDIRECT_ACK, PAGE_DIGESTS, PAGE = range(1, 8)
 KINDS = {Ping: PING, Ack: ACK, Gossip: GOSSIP, IndirectPing: INDIRECT_PING, IndirectAck: INDIRECT_ACK,
@@ -69,9 +71,10 @@
     return bytes(out)
 
 
-def fact_bytes_most(fact: Fact) -> int:
-    """An upper bound of what a fact takes in a datagram, whatever stands before it."""
-    value, size = fact.incarnation << STATE_BITS, 4 if fact.state is State.SUSPECT else 3
+def fact_bytes(fact: Fact) -> int:
+    """What a fact takes in a datagram where its distance takes one byte; of all facts of a datagram at most
+    WIDE_DISTANCES take one more."""
+    value, size = fact.incarnation << STATE_BITS, 3 if fact.state is State.SUSPECT else 2
     while value > 127:
         value >>= 7
         size += 1
--- a/limelatch/membership/dissemination.py
+++ b/limelatch/membership/dissemination.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from limelatch.membership.codec import FACTS_MOST, fact_bytes_most
+from limelatch.membership.codec import FACTS_MOST, WIDE_DISTANCES, fact_bytes
 from limelatch.membership.messages import Fact
 
 
@@ -26,18 +26,18 @@
 
     def take(self, room: int, fact_of: Callable[[int], Fact], first: Fact | None = None) -> tuple[Fact, ...]:
         """Facts of `room` bytes at most, `first` before the queue's; each counts as sent once."""
-        taken = []
-        if first is not None and fact_bytes_most(first) <= room:
-            room -= fact_bytes_most(first)
+        taken, room = [], room - WIDE_DISTANCES
+        if first is not None and fact_bytes(first) <= room:
+            room -= fact_bytes(first)
             taken.append(first)
         for _ in range(min(len(self._left), FACTS_MOST - len(taken))):
             member = next(iter(self._left))
             fact = fact_of(member)
-            if fact_bytes_most(fact) > room:
+            if fact_bytes(fact) > room:
                 break
             self._count(member)
             if first is None or member != first.member:
-                room -= fact_bytes_most(fact)
+                room -= fact_bytes(fact)
                 taken.append(fact)
         return tuple(taken)
 
--- a/limelatch/membership/exchange.py
+++ b/limelatch/membership/exchange.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from limelatch.membership.codec import DATAGRAM_MOST, HEADER, fact_bytes_most
+from limelatch.membership.codec import DATAGRAM_MOST, HEADER, WIDE_DISTANCES, fact_bytes
 from limelatch.membership.messages import Fact, Header, Page, PageDigests, State
 from limelatch.membership.outbox import Outbox
 from limelatch.membership.registry import Registry
@@ -12,6 +12,7 @@
 
 PAGES_AT_ONCE = 2  # sent for one PageDigests
 PAGE_TAIL = 5  # first, end and the count of facts
+FACTS_ROOM = DATAGRAM_MOST - HEADER.size - PAGE_TAIL - WIDE_DISTANCES
 NEWS_FEW = 8  # queued facts up to which differences are not put down to news on its way
 
 
@@ -49,16 +50,16 @@
         """A page, in as many datagrams as its facts need."""
         first = page * PAGE_MEMBERS
         last = min(first + PAGE_MEMBERS, len(self.view.words))
-        facts, room = [], DATAGRAM_MOST - HEADER.size - PAGE_TAIL
+        facts, room = [], FACTS_ROOM
         for member in range(first, last):
             if not self.view.known(member):
                 continue
             fact = self.registry.fact(now, member)
-            if fact_bytes_most(fact) > room:
+            if fact_bytes(fact) > room:
                 self._put(to, first, member, facts)
-                first, facts, room = member, [], DATAGRAM_MOST - HEADER.size - PAGE_TAIL
+                first, facts, room = member, [], FACTS_ROOM
             facts.append(fact)
-            room -= fact_bytes_most(fact)
+            room -= fact_bytes(fact)
         self._put(to, first, last, facts)
 
     def _put(self, to: int, first: int, end: int, facts: list[Fact]) -> None:
--- a/limelatch/membership/member.py
+++ b/limelatch/membership/member.py
@@ -46,11 +46,13 @@
 class Member:
     """The member at `me` of `peers`. `incarnation`: 0 where no earlier one is known, which is asked for."""
 
+    registry_of = Registry
+
     def __init__(self, peers: Sequence[str], me: int, incarnation: int, random: Random, now: int,
                  timing: Timing | None = None, zones: Sequence[int] = ()) -> None:
         count, self.me, self.random, self.zones = len(peers), me, random, zones
         self.timing = timing or Timing()
-        self.registry = Registry(count, me, self.timing)
+        self.registry = self.registry_of(count, me, self.timing)
         self.view = self.registry.view
         self.rounds, self.probes = Rounds(me, self.view, random), Probes(random)
         self.codec = Codec(cluster_key(peers), count, me, pages_of(count))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,10 +10,11 @@
 from limelatch.interface import MS, SECOND
 from limelatch.membership.codec import (
     DATAGRAM_MOST,
+    WIDE_DISTANCES,
     BadDatagram,
     Codec,
     cluster_key,
-    fact_bytes_most,
+    fact_bytes,
     write_facts,
 )
 from limelatch.membership.detector import HISTORY, Probes
@@ -124,7 +125,7 @@
 
 @given(FACTS)
 def test_facts_never_take_more_than_is_reckoned_with(facts):
-    assert len(write_facts(facts)) <= 1 + sum(fact_bytes_most(fact) for fact in facts)
+    assert len(write_facts(facts)) <= 1 + WIDE_DISTANCES + sum(fact_bytes(fact) for fact in facts)
 
 
 @given(st.lists(FACT, max_size=30), st.randoms())
@@ -162,9 +163,9 @@
     def fact(member):
         return Fact(member, 1, State.ALIVE)
 
-    assert [each.member for each in queue.take(9, fact)] == [99, 98, 97]
+    assert [each.member for each in queue.take(WIDE_DISTANCES + 6, fact)] == [99, 98, 97]
     queue.add(5)  # still queued: its news overtakes
-    assert queue.take(3, fact)[0].member == 5
+    assert queue.take(WIDE_DISTANCES + 2, fact)[0].member == 5
     told = [each.member for _ in range(200) for each in queue.take(60, fact)]
     assert len(queue) == 0 and max(told.count(member) for member in range(100)) <= 3
 
