Membership: a closed port tells a process that is gone from one that is paused

relay/closed_ports.py sends an empty datagram from a connected socket to members that do not answer; the kernel's refusal comes back on it. Not taken: IP_RECVERR on the members' own socket, since an error in its queue makes the reactor take the port for lost.

--- a/limelatch/membership/member.py
+++ b/limelatch/membership/member.py
@@ -117,6 +117,12 @@
         if usable and member != self.me and self.view.is_present(member):
             self.registry.refused(self.now, member)
 
+    def doubtful(self) -> list[int]:
+        """Members that have not answered: worth a look whether their processes are gone."""
+        late = [probe.target for probe in self.probes.outstanding.values() if probe.asked_others]
+        own = [member for member, each in self.registry.suspicions.items() if each.own]
+        return list(dict.fromkeys([*self.registry.refusals, *late, *own]))
+
     def leave(self, now: int) -> None:
         """A clean end: others take it at once; nothing is done any more."""
         self.now = now
--- a/limelatch/relay/peers.py
+++ b/limelatch/relay/peers.py
@@ -24,6 +24,7 @@
     MemberChanged,
     State,
 )
+from limelatch.relay.closed_ports import ClosedPorts
 from limelatch.relay.deadlines import Clock, Deadline, Deadlines
 from limelatch.relay.incarnation import IncarnationFile
 
@@ -59,7 +60,7 @@
         self.file, self.random = IncarnationFile(state), Random(seed)
         self.addresses = [(each.host, each.port) for each in plan.peers]
         self.numbers = {address: number for number, address in enumerate(self.addresses)}
-        self.held_down = HeldDown(log, clock)
+        self.held_down, self.closed_ports = HeldDown(log, clock), ClosedPorts()
         self.member: Member | None = None
         self.port = None
         self._timer: Deadline | None = None
@@ -89,6 +90,7 @@
             self.member.leave(self.clock.now())
             self._send()
             self.member = None
+            self.closed_ports.close()
         if self.port is not None:
             self.port.stopListening()
 
@@ -112,7 +114,7 @@
 
     def datagramReceived(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Guards against a flood: what is beyond READ_MOST in a span is not looked at."""
-        if self.member is None:
+        if self.member is None or not datagram:  # an empty one asks whether this port is open
             return
         now = self.clock.now()
         if now >= self._read_until:
@@ -135,8 +137,13 @@
     def _tick(self) -> None:
         if self.member is None:
             return
+        now = self.clock.now()
         try:
-            self.member.tick(self.clock.now())
+            for number in self.closed_ports.refused(now):
+                self.member.refused(now, number)
+            self.member.tick(now)
+            for number in self.member.doubtful():
+                self.closed_ports.ask(now, number, self.addresses[number])
         finally:
             self._timer = None
             self._acted()
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -28,6 +28,15 @@
         return spare.getsockname()
 
 
+def poll(holds, seconds=AGREED, told=lambda: ""):
+    """Until it holds; how long that took, in seconds."""
+    began = time.monotonic()
+    while not holds():
+        assert time.monotonic() < began + seconds, told()
+        threading.Event().wait(0.05)
+    return time.monotonic() - began
+
+
 class Relay(Program):
     """One member: its process and what its operators' interface says of the others."""
 
@@ -75,13 +84,9 @@
         return [relay.view() for number, relay in enumerate(self.relays) if number not in without]
 
     def until(self, holds, seconds=AGREED):
-        """Polls until it holds; how long that took."""
-        began = time.monotonic()
-        while not holds():
-            assert time.monotonic() < began + seconds, [relay.view() for relay in self.relays
-                                                        if relay.process.poll() is None]
-            threading.Event().wait(0.05)
-        return time.monotonic() - began
+        """Until it holds, else all views are told."""
+        running = [relay for relay in self.relays if relay.process.poll() is None]
+        return poll(holds, seconds, lambda: [relay.view() for relay in running])
 
     def lines(self, event, by, of=None):
         """Log lines of an event at one relay, on one member."""
@@ -135,6 +140,39 @@
     fleet.delivered(fleet.host)
 
 
+def test_a_process_that_is_gone_is_told_by_its_closed_port_within_5_s(tmp_path, agent, party):
+    """Without a network between them, and with the spans as they are by default."""
+    agent.list(party().address)
+    relays, peers = [], []
+    host = "127.{}.{}.{}".format(*(1 + number % 254 for number in os.urandom(3)))
+    peers = ["{}:{}".format(*address_of(host, socket.SOCK_DGRAM)) for _ in range(3)]
+    for number, peer in enumerate(peers):
+        place = tmp_path / f"relay-{number}"
+        place.mkdir()
+        door = address_of(host, socket.SOCK_STREAM)
+        relays.append(Relay(place, agent, operator="{}:{}".format(*door), peers=peers, peer_listen=peer,
+                            membership={"on": True}))
+        relays[-1].door, relays[-1].lines = door, []
+        relays[-1].launch()
+    try:
+        for relay in relays:
+            relay.says("event=serving")
+        poll(lambda: all(relay.view()["alive"] == 3 for relay in relays))
+        relays[2].kill()
+        assert poll(lambda: all(relay.view()["dead"] == 1 for relay in relays[:2])) < 5
+        assert any("why=refused" in line for relay in relays[:2] for line in relay.lines
+                   if "event=member-dead" in line)
+        relays[1].process.send_signal(signal.SIGSTOP)  # its port stays open
+        threading.Event().wait(4)  # the pause itself
+        relays[1].process.send_signal(signal.SIGCONT)
+        poll(lambda: relays[0].view()["alive"] == 2)
+        assert not [line for line in relays[0].lines if "member-dead" in line and peers[1] in line]
+    finally:
+        for relay in relays:
+            relay.process.send_signal(signal.SIGCONT)
+            relay.kill()
+
+
 def test_a_relay_that_lost_its_folder_asks_the_others_for_its_incarnation(fleet):
     before = fleet.relays[2].view()["incarnation"]
     fleet.relays[2].kill()
