--- a/limelatch/lab/membership/forwarder.py
+++ b/limelatch/lab/membership/forwarder.py
@@ -47,10 +47,18 @@
         return one
 
     def __enter__(self) -> DatagramNetwork:
-        self._thread.start()
+        self.start()
         return self
 
     def __exit__(self, *ended: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Pass datagrams on, in a thread of its own."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End the thread and close the sockets."""
         self._ended = True
         self._thread.join()
         for each in self.sockets:
--- a/limelatch/lab/scenario/model.py
+++ b/limelatch/lab/scenario/model.py
@@ -108,6 +108,8 @@
     disk: Annotated[Size, key("of each one's folder, on sockets")] = 3_000_000
     turn: Annotated[Span, key("from an event to the decision on it, on the fleet stage")] = 10
     start_time: Annotated[Span, key("of a relay until it serves, on the fleet stage")] = 500 * MS
+    membership: Annotated[bool, key("they watch each other, on sockets, through a network that loses, "
+                                    "doubles and delays a tenth of their datagrams each")] = False
     uneven: Annotated[Share, key("0: texts spread evenly over the relays; towards 1, a few carry most")] = 0.0
 
 
--- a/limelatch/lab/stages/sockets.py
+++ b/limelatch/lab/stages/sockets.py
@@ -39,6 +39,7 @@
     Limits,
     Log,
     LogForm,
+    Membership,
     Product,
     Rules,
     Stop,
@@ -46,6 +47,7 @@
 from limelatch.configuration.platform import write_platform
 from limelatch.interface import MS, SECOND, Listing
 from limelatch.lab import record as rec
+from limelatch.lab.membership.forwarder import DatagramNetwork
 from limelatch.lab.record import NEVER_RAN, Condition, Fate
 from limelatch.lab.scenario.model import FaultKeys, Scenario, What
 from limelatch.lab.stages.address import PlayAddress
@@ -84,6 +86,7 @@
 GARBAGE = b"\x00\xff garbage \r\n\r\n"
 NAMELESS = "any"  # a scenario without kinds or floors has one of each
 REMEMBER = 60 * SECOND
+SPOILT_SHARE = 0.1  # of the relays' datagrams, for each kind of fault
 
 
 class Doors:
@@ -229,6 +232,7 @@
     def write(self) -> None:
         installation = installation_of(self.stage.scenario, self.stage.seed, self.number, self.listen,
                                        self.server.address, str(self.state))
+        installation = msgspec.structs.replace(installation, membership=self.stage.membership_of(self.number))
         temporary = self.path.with_suffix(".new")
         temporary.write_text(json.dumps(write_platform(installation)))
         os.replace(temporary, self.path)
@@ -352,6 +356,7 @@
         self.cut: list[set[int]] = [set() for _ in range(scenario.relays.count)]
         self.calls = self.oddities = self.foreign = 0
         self.address = PlayAddress()
+        self.datagrams = self._datagrams() if scenario.relays.membership else None
         self.remembers = any(fault.what is What.WIPE for fault in scenario.faults)
         self.ran_at: dict[str, int] = {}  # texts that may have run, and when they were called
         self.tasks: set[asyncio.Task] = set()
@@ -360,6 +365,22 @@
         self.failed: BaseException | None = None
         self.world = World(scenario, seed, self.clock, self)
 
+    def _datagrams(self) -> DatagramNetwork:
+        """Between the relays: each has an address there and one at which it listens."""
+        host, count = self.address.host, self.scenario.relays.count
+        fronts, listens = ([(host, self.address.port()) for _ in range(count)] for _ in range(2))
+        made = DatagramNetwork(fronts, listens, self.seed)
+        made.conditions(lost=SPOILT_SHARE, doubled=SPOILT_SHARE, late=SPOILT_SHARE)
+        return made
+
+    def membership_of(self, relay: int) -> Membership:
+        """A relay's part among the others; off where the scenario does not have it."""
+        if self.datagrams is None:
+            return Membership()
+        peers, listens = ([f"{host}:{port}" for host, port in addresses]
+                          for addresses in (self.datagrams.fronts, self.datagrams.listens))
+        return Membership(on=True, listen=listens[relay], peers=peers, address=peers[relay])
+
     def server(self, face: Face) -> Server:
         """A server for a party of this play, at a port of its own that stays its own."""
         return Server(face, self.address.host, self.address.port())
@@ -388,6 +409,8 @@
                              f"the fleet stage plays this size")
         most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+        if self.datagrams is not None:
+            self.datagrams.start()
         try:
             for endpoint in self.world.endpoints:
                 self.doors[endpoint.number] = Doors(endpoint, self)
@@ -491,6 +514,8 @@
         for doors in self.doors.values():
             for server in doors.servers:
                 server.down()
+        if self.datagrams is not None:
+            self.datagrams.stop()
 
     def row(self, endpoint: Endpoint, relay: int, listing: Listing) -> Row:
         """An endpoint as this relay's catalog tells it."""
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -264,6 +264,18 @@
     assert any(each.what == "sick" for each in figures.beliefs)
 
 
+def test_relays_that_watch_each_other_keep_the_rules_while_they_are_killed(tmp_path):
+    """With membership on, a network that spoils its datagrams, and relays that are killed and come back."""
+    text = SHORT + FAULTS["kills"] + "[relays]\nmembership = true\n"
+    plan = Plan("watched", text, 1, "module", "sockets", str(tmp_path))
+    figures = run_one(plan)
+    assert figures.kept, told_and_kept(figures, plan)
+    assert 0.6 < figures.service < 1 and figures.whole
+    (logs,) = tmp_path.glob("*.logs")
+    said = [log.read_text() for log in sorted(logs.glob("relay-*.log"))]
+    assert len(said) == 3 and all('"event":"member-alive"' in each for each in said)
+
+
 def test_the_same_seed_gives_the_same_record_byte_for_byte(tmp_path):
     path = tmp_path / "kills.toml"
     path.write_text(SHORT + FAULTS["kills"])
