--- a/limelatch/membership/member.py
+++ b/limelatch/membership/member.py
@@ -38,6 +38,7 @@
 from limelatch.membership.view import pages_of
 
 HELPERS, PUSHES = 3, 2  # asked to probe for this member; gossip datagrams a period
+ABSENT_TRIES = 2  # of one that is dead or unknown, a span
 TOLD_AT_ONCE = 32  # members that hear directly that this one is alive, or leaves
 RELAYED_MOST, RELAYED_FOR = 64, 2 * SECOND  # probes for others that are outstanding
 TARGET_BYTES, TARGET_ACK_BYTES = 3, 7  # with the count of facts
@@ -211,7 +212,7 @@
                 self._ping(target, self.probes.begin(self.now, target, counts))
         if self.now >= self._absent_at:
             self._absent_at = self.now + self.timing.absent_probe
-            target = self.rounds.next_absent()
+            target = self.rounds.next_absent() if self._tries_absent() else None
             if target is not None:
                 self._ping(target, self.probes.begin(self.now, target, counts=False))
         if self.now >= self._own_at and self.outbox.affords(DATAGRAM_LEAST):
@@ -220,6 +221,13 @@
                 self._own_at = self.now + self.timing.own_probes_apart
                 self._ping(suspect, self.probes.begin(self.now, suspect, counts=False))
 
+    def _tries_absent(self) -> bool:
+        """Whether it is this member's turn: all together try each absent one ABSENT_TRIES times a span.
+
+        Guards against hundreds of members that all try the one that is dead, at its return too."""
+        present = max(1, self.view.present)
+        return self.random.random() * present < ABSENT_TRIES * self.view.absent
+
     def _ping(self, target: int, sequence: int) -> None:
         """The target hears first what is held of it, where that is not that it is alive."""
         first = self.registry.bad_news(self.now, target)
