--- a/limelatch/membership/member.py
+++ b/limelatch/membership/member.py
@@ -9,10 +9,9 @@
 from collections.abc import Sequence
 from random import Random
 
-from limelatch.interface import MS, SECOND
+from limelatch.interface import MS
 from limelatch.membership.codec import BadDatagram, Codec, cluster_key
 from limelatch.membership.dissemination import FactQueue
-from limelatch.membership.detector import Hearing, Probe, Probes, Rounds
 from limelatch.membership.exchange import Exchange
 from limelatch.membership.messages import (
     Ack,
@@ -33,15 +32,14 @@
     State,
 )
 from limelatch.membership.outbox import Outbox
+from limelatch.membership.prober import Prober
 from limelatch.membership.registry import Registry
 from limelatch.membership.timing import Timing, transmissions
 from limelatch.membership.view import pages_of
 
-HELPERS, PUSHES = 3, 2  # asked to probe for this member; gossip datagrams a period
-ABSENT_TRIES = 2  # of one that is dead or unknown, a span
+PUSHES = 2  # gossip datagrams a period
+PUSH_BYTES = 200  # that have to be affordable: few full datagrams of facts cost less than many small ones
 TOLD_AT_ONCE = 32  # members that hear directly that this one is alive, or leaves
-RELAYED_MOST, RELAYED_FOR = 64, 2 * SECOND  # probes for others that are outstanding
-TARGET_BYTES, TARGET_ACK_BYTES = 3, 7  # with the count of facts
 
 
 class Member:
@@ -51,25 +49,23 @@
 
     def __init__(self, peers: Sequence[str], me: int, incarnation: int, random: Random, now: int,
                  timing: Timing | None = None, zones: Sequence[int] = ()) -> None:
-        count, self.me, self.random, self.zones = len(peers), me, random, zones
+        count, self.me, self.now = len(peers), me, now
         self.timing = timing or Timing()
         self.registry = self.registry_of(count, me, self.timing)
         self.view = self.registry.view
-        self.rounds, self.probes = Rounds(me, self.view, random), Probes(random)
         self.codec = Codec(cluster_key(peers), count, me, pages_of(count))
         self.queue = FactQueue(transmissions(count))
         self.outbox = Outbox(now, self.codec, self.queue, lambda member: self.registry.fact(self.now, member))
         self.exchange = Exchange(self.registry, self.outbox, self._header)
-        self.hearing, self.now = Hearing(now), now
         self.drops = dict.fromkeys(Drop, 0)
         self._events: list[Event] = []
-        self._relayed: dict[int, tuple[int, int, int]] = {}  # own sequence -> asker, its sequence, until
         self._asking_until = now + 2 * self.timing.asking
         self._answers_while_asking = 0
         self.incarnation, self.has_left = 0, False
         start = now + random.randrange(self.timing.period)
-        self.due = self._probe_at = self._push_at = start
-        self._absent_at = self._own_at = self._page_at = start
+        self.prober = Prober(me, start, random, self.timing, self.registry, self.outbox, self._header, zones)
+        self.rounds, self.probes, self.hearing = self.prober.rounds, self.prober.probes, self.prober.hearing
+        self.due = self._push_at = self._page_at = start
         if incarnation:
             self._join(incarnation)
 
@@ -93,13 +89,13 @@
             self._did_not_run(late)
         if not self.incarnation:
             self._ask()
-        unanswered = self._expire_probes()
+        unanswered = self.prober.expire(now)
         self._judge_hearing()
         if self.hearing.isolation is None:
             for probe in unanswered:
                 self.registry.suspect(now, probe.target, probe.sent)
             self.registry.judge(now)
-        self._begin_probes()
+        self.prober.begin(now)
         self._push()
         self.due = self._next_due()
 
@@ -120,7 +116,7 @@
 
     def doubtful(self) -> list[int]:
         """Members that have not answered: worth a look whether their processes are gone."""
-        late = [probe.target for probe in self.probes.outstanding.values() if probe.asked_others]
+        late = self.prober.late_targets()
         own = [member for member, each in self.registry.suspicions.items() if each.own]
         return list(dict.fromkeys([*self.registry.refusals, *late, *own]))
 
@@ -166,74 +162,11 @@
 
     def _did_not_run(self, late: int) -> None:
         """The process did not run for so long: answers may have been missed, so nobody is judged by them."""
-        self.probes.void()
+        self.prober.void()
         self.registry.postpone(self.now, late + self.timing.grace)
         self.hearing.answered_at += late
         self.hearing.heard_at += late
 
-    def _expire_probes(self) -> list[Probe]:
-        """Ask others where the direct answer is late; return the probes of the round that had none at all."""
-        for probe in list(self.probes.outstanding.values()):
-            if not probe.asked_others and probe.counts and self.now - probe.sent >= self.timing.direct_wait:
-                probe.asked_others = True
-                self._ask_others(probe)
-        for sequence in [each for each, (_, _, until) in self._relayed.items() if until <= self.now]:
-            del self._relayed[sequence]
-        unanswered = [each for each in self.probes.take_expired(self.now, self.timing) if each.counts]
-        self.hearing.unanswered += len(unanswered)
-        return unanswered
-
-    def _ask_others(self, probe: Probe) -> None:
-        """The direct answer is late: ask again, and ask others to probe, one of another zone first."""
-        if self.probes.hurried:
-            return
-        sequence = next(each for each, other in self.probes.outstanding.items() if other is probe)
-        self._ping(probe.target, sequence)
-        for helper in self._helpers(probe.target):
-            if self.outbox.affords(2 * TARGET_ACK_BYTES + DATAGRAM_LEAST):
-                self.outbox.send(helper, IndirectPing, self._header(helper, sequence), probe.target,
-                                 tail=TARGET_BYTES)
-
-    def _helpers(self, target: int) -> list[int]:
-        found = self.rounds.some_alive(2 * HELPERS if self.zones else HELPERS, self.me, target)
-        if self.zones:
-            found.sort(key=lambda member: self.zones[member] == self.zones[self.me])
-        return found[:HELPERS]
-
-    def _begin_probes(self) -> None:
-        if self.now >= self._probe_at:
-            hurried = self.probes.hurried and self.hearing.isolation is None
-            period = self.timing.hurried_period if hurried else self.timing.period
-            self._probe_at = max(self._probe_at + period, self.now + period // 2)
-            target, counts = self.rounds.next_present(unsuspected=hurried), True
-            if target is None:  # nobody is known yet
-                target, counts = self.rounds.next_absent(), False
-            if target is not None:
-                self._ping(target, self.probes.begin(self.now, target, counts))
-        if self.now >= self._absent_at:
-            self._absent_at = self.now + self.timing.absent_probe
-            target = self.rounds.next_absent() if self._tries_absent() else None
-            if target is not None:
-                self._ping(target, self.probes.begin(self.now, target, counts=False))
-        if self.now >= self._own_at and self.outbox.affords(DATAGRAM_LEAST):
-            suspect = self.registry.next_own_probe(self.now)
-            if suspect is not None:
-                self._own_at = self.now + self.timing.own_probes_apart
-                self._ping(suspect, self.probes.begin(self.now, suspect, counts=False))
-
-    def _tries_absent(self) -> bool:
-        """Whether it is this member's turn: all together try each absent one ABSENT_TRIES times a span.
-
-        Guards against hundreds of members that all try the one that is dead, at its return too."""
-        present = max(1, self.view.present)
-        return self.random.random() * present < ABSENT_TRIES * self.view.absent
-
-    def _ping(self, target: int, sequence: int) -> None:
-        """The target hears first what is held of it, where that is not that it is alive."""
-        first = self.registry.bad_news(self.now, target)
-        alone = self.probes.hurried or not self.view.is_alive(target)  # it may not hear what is told
-        self.outbox.send(target, Ping, self._header(target, sequence), first=first, alone=alone)
-
     def _judge_hearing(self) -> None:
         """Whether this member is isolated; what it suspected is begun anew once it is no longer."""
         known = self.view.present - 1 if self.incarnation else self.view.present
@@ -264,11 +197,10 @@
 
     def _next_due(self) -> int:
         waits = self.registry.suspicions or self.registry.refusals
-        busy = self.probes.outstanding or waits or not self.incarnation
-        due = min(self._probe_at, self._absent_at if self.view.absent else self._probe_at)
+        due = self.prober.next_due(self.now, bool(waits) or not self.incarnation)
         if len(self.queue):
             due = min(due, self._push_at)
-        return max(self.now + MS, min(due, self.now + self.timing.tick) if busy else due)
+        return max(self.now + MS, due)
 
     def _header(self, to: int, sequence: int = 0) -> Header:
         return Header(self.me, self.incarnation, sequence, self.view.digest, self.view.incarnations[to])
@@ -314,7 +246,7 @@
         elif isinstance(message, IndirectAck):
             self._answered(header.sequence, message.target, message.target_incarnation)
         elif isinstance(message, IndirectPing):
-            self._probe_for(header, message.target)
+            self.prober.probe_for(self.now, header, message.target)
         elif isinstance(message, PageDigests):
             self.exchange.answer(self.now, message)
         elif isinstance(message, Page):
@@ -330,32 +262,6 @@
             self._go_over(fact.incarnation)
 
     def _answered(self, sequence: int, target: int, incarnation: int) -> None:
-        if sequence in self._relayed:
-            self._pass_on(sequence, target, incarnation)
-            return
-        probe = self.probes.answered(sequence, target)
-        if probe is None:
-            return
-        self.hearing.answered(self.now)
-        if not self.incarnation:
+        if self.prober.answered(self.now, sequence, target, incarnation):
             self._answers_while_asking += 1
-        self.registry.answered(self.now, target, incarnation)
-
-    def _probe_for(self, header: Header, target: int) -> None:
-        if target in (self.me, header.sender) or len(self._relayed) >= RELAYED_MOST:
-            return
-        if self.outbox.affords(DATAGRAM_LEAST):
-            sequence = self.probes.begin(self.now, target, counts=False)
-            self._relayed[sequence] = header.sender, header.sequence, self.now + RELAYED_FOR
-            self._ping(target, sequence)
-
-    def _pass_on(self, sequence: int, target: int, incarnation: int) -> None:
-        if self.probes.answered(sequence, target) is not None and incarnation:
-            asker, asked, _ = self._relayed.pop(sequence)
-            self.hearing.answered(self.now)
-            self.outbox.send(asker, IndirectAck, self._header(asker, asked), target, incarnation,
-                             tail=TARGET_ACK_BYTES)
-
-
-DATAGRAM_LEAST = 25  # bytes of a ping without facts
-PUSH_BYTES = 200  # that have to be affordable: few full datagrams of facts cost less than many small ones
+            self.registry.answered(self.now, target, incarnation)
--- a/limelatch/membership/outbox.py
+++ b/limelatch/membership/outbox.py
@@ -10,6 +10,7 @@
 from limelatch.membership.messages import Datagram, Fact, Header, Message
 
 RESERVE = 700  # bytes
+DATAGRAM_LEAST = 25  # of a ping without facts
 PACKET_HEADERS = 28  # of IPv4 and UDP
 BYTES_A_SECOND, BYTES_SAVED = 2700, 1400  # sent and received, packet headers counted: under 3 KB/s
 
