--- a/limelatch/command/membership.py
+++ b/limelatch/command/membership.py
@@ -4,7 +4,7 @@
 
 import click
 
-from limelatch.command import BadUse
+from limelatch.command import BadUse, Wrong
 
 
 def names(word: str, known: list[str], what: str) -> list[str]:
@@ -26,7 +26,8 @@
 @click.option("--seeds", default="1-3", show_default=True, metavar="LIST")
 @click.option("--processes", default=2, show_default=True, type=click.IntRange(1))
 @click.option("--out", default="membership.json", show_default=True)
-def membership(cells: str, ways: str, members: str, seeds: str, processes: int, out: str) -> None:
+@click.option("--keep", is_flag=True, help="Keep the points of the same commit that the file has already.")
+def membership(cells: str, ways: str, members: str, seeds: str, processes: int, out: str, keep: bool) -> None:
     """Play faults to fleets on a virtual clock: time to agree, wrong verdicts, bytes, processor, memory.
 
     \b
@@ -34,7 +35,8 @@
     """
     from limelatch.command.scale import counts, save_points, seeds_in
     from limelatch.lab.membership.cells import CELLS, WAYS, Outcome
-    from limelatch.lab.membership.measure import Plan, memory, outcomes, points
+    from limelatch.lab.membership.measure import Plan, joined, memory, outcomes, points
+    from limelatch.lab.scale.results import load, save
 
     played, found, sizes = names(cells, list(CELLS), "cell"), names(ways, list(WAYS), "way"), counts(members)
     plans = [Plan(cell, way, size, seed) for size in sizes for cell in played for way in found
@@ -47,4 +49,10 @@
 
     made = points(outcomes(plans, processes, told)) + memory(found, sizes)
     words = f"--cells {cells} --ways {ways} --members {members} --seeds {seeds}"
+    before = load(out) if keep else None
     save_points(out, f"lab membership {words}", made)
+    if before is not None:
+        try:
+            save(out, joined(before, load(out)))
+        except ValueError as error:
+            raise Wrong(f"{out} holds the new points alone: {error}") from None
--- a/limelatch/lab/membership/measure.py
+++ b/limelatch/lab/membership/measure.py
@@ -6,8 +6,10 @@
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 
+import msgspec
+
 from limelatch.lab.membership.cells import Outcome, held, play
-from limelatch.lab.scale.results import Point
+from limelatch.lab.scale.results import Point, Results
 
 AXIS = "members"
 MEASURES = {"agreed": "s", "healed": "s", "wrong": "verdicts", "bytes_most": "B/s", "bytes_mean": "B/s",
@@ -59,6 +61,17 @@
     return made
 
 
+def joined(old: Results, new: Results) -> Results:
+    """The points of both, the new ones in place of old ones of the same series and size.
+
+    Raises ValueError where they are of different commits."""
+    if old.commit != new.commit:
+        raise ValueError(f"{old.commit} is not {new.commit}")
+    anew = {(each.scenario, each.measure, each.x) for each in new.points}
+    kept = [each for each in old.points if (each.scenario, each.measure, each.x) not in anew]
+    return msgspec.structs.replace(new, command=f"{old.command}; {new.command}", points=kept + new.points)
+
+
 def memory(ways: Iterable[str], sizes: Iterable[int]) -> list[Point]:
     """What one member holds that knows all others."""
     sizes = list(sizes)
