--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 lint: .venv/ready
 	$(RUN) ruff check limelatch tests example
+	$(RUN) ruff format --check limelatch tests example
 
 # The pages that are made from the code and from results.
 pages: .venv/ready
--- a/limelatch/benchlink/wire.py
+++ b/limelatch/benchlink/wire.py
@@ -22,8 +22,16 @@
 NACK, SCHEDULE, JOURNAL, FAULT, PLACE, TEST, DROP, CLOSE = 1040, 1050, 1060, 1070, 1080, 1090, 1100, 1110
 SUBSCRIBE = 1020
 
-RESULTS = (li.Result.DELIVERED, li.Result.ERROR, li.Result.FULL, li.Result.TIMEOUT, li.Result.CONNECT,
-           li.Result.RESET, li.Result.CANCELLED, li.Result.MOOT)
+RESULTS = (
+    li.Result.DELIVERED,
+    li.Result.ERROR,
+    li.Result.FULL,
+    li.Result.TIMEOUT,
+    li.Result.CONNECT,
+    li.Result.RESET,
+    li.Result.CANCELLED,
+    li.Result.MOOT,
+)
 LISTINGS = {3: li.Listing.READY, 2: li.Listing.DRAINING, 0: li.Listing.GONE}
 HANDED_IN_AGAIN = 2
 CACHED, FAILED, FULL_LIST, DELTA = 0, 1, 3, 4
@@ -77,7 +85,7 @@
         at += RECORD.size
         if at + size > len(body):
             raise MalformedFrame(f"a record of code {code} runs past its frame")
-        records.append(Record(code, body[at:at + size]))
+        records.append(Record(code, body[at : at + size]))
         at += size
     if at != len(body):
         raise MalformedFrame(f"{len(body) - at} bytes left over behind the records")
@@ -87,7 +95,7 @@
 def read_start(body: bytes) -> tuple[int, int, dict]:
     """Relay, seed and settings."""
     relay, seed, size = unpack(struct.Struct(">HQI"), body)
-    raw = body[14:14 + size]
+    raw = body[14 : 14 + size]
     try:
         settings = json.loads(raw)
     except ValueError as error:
--- a/limelatch/client/drive.py
+++ b/limelatch/client/drive.py
@@ -60,8 +60,10 @@
         endings = ", ".join(f"{self.endings[each]} {each.value}" for each in Ending if self.endings[each])
         yield f"{self.count} texts in {span:.1f} s, {self.count / span:.1f} a second: {endings or 'none'}"
         if self.count:
-            spread = "  ".join(f"p{each:g} {ms:.1f}" if each < 100 else f"max {ms:.1f}"
-                               for each, ms in self.percentiles().items())
+            spread = "  ".join(
+                f"p{each:g} {ms:.1f}" if each < 100 else f"max {ms:.1f}"
+                for each, ms in self.percentiles().items()
+            )
             yield f"answered after (ms from when it was due): {spread}"
             late = self.percentiles(self.lateness)
             yield f"sent late by (ms): p50 {late[50.0]:.1f}  p99 {late[99.0]:.1f}  max {late[100.0]:.1f}"
@@ -80,9 +82,14 @@
         yield due
 
 
-async def drive(pool: Pool, texts: Callable[[int], HandedText], count: int, rate: float | None,
-                told: Callable[[HandedText, Answer], None] = lambda text, answer: None,
-                sla_ms: float = 0.0) -> Summary:
+async def drive(
+    pool: Pool,
+    texts: Callable[[int], HandedText],
+    count: int,
+    rate: float | None,
+    told: Callable[[HandedText, Answer], None] = lambda text, answer: None,
+    sla_ms: float = 0.0,
+) -> Summary:
     """Hand in `count` texts at `rate` a second, each as it is due, answered or not."""
     loop, summary, tasks = asyncio.get_running_loop(), Summary(sla_ms), set()
 
--- a/limelatch/command/config.py
+++ b/limelatch/command/config.py
@@ -8,8 +8,9 @@
 
 from limelatch.command import BAD_USE, WRONG
 
-FORM = click.option("--form", type=click.Choice(["toml", "json"]), help="Of the file; by default by its "
-                                                                        "name.")
+FORM = click.option(
+    "--form", type=click.Choice(["toml", "json"]), help="Of the file; by default by its name."
+)
 
 
 @click.group()
@@ -80,8 +81,13 @@
 
 
 @config.command()
-@click.option("--form", type=click.Choice(["toml", "json"]), default="toml", show_default=True,
-              help="Which form to describe.")
+@click.option(
+    "--form",
+    type=click.Choice(["toml", "json"]),
+    default="toml",
+    show_default=True,
+    help="Which form to describe.",
+)
 def schema(form: str) -> None:
     """Print the JSON Schema of a form, for editors.
 
@@ -144,4 +150,3 @@
     from limelatch.configuration.page import page
 
     click.echo(page(), nl=False)
-
--- a/limelatch/command/demo.py
+++ b/limelatch/command/demo.py
@@ -13,8 +13,9 @@
 
 
 @click.command()
-@click.option("--seconds", type=click.FloatRange(8, 600), default=20, show_default=True,
-              help="How long it lasts.")
+@click.option(
+    "--seconds", type=click.FloatRange(8, 600), default=20, show_default=True, help="How long it lasts."
+)
 @click.option("--plain", is_flag=True, help="Plain lines, on a terminal too.")
 def demo(seconds: float, plain: bool) -> None:
     """Show a relay at work: partners, catalog and platform on loopback ports, in a temporary folder.
--- a/limelatch/command/lab.py
+++ b/limelatch/command/lab.py
@@ -16,13 +16,23 @@
 from limelatch.command.text import Span, address_of
 
 SCENARIO = click.argument("scenario", metavar="SCENARIO")
-STAGE = click.option("--stage", type=click.Choice(["fleet", "sockets"]), default="fleet", show_default=True,
-                     help="Modules alone in virtual time, or processes on loopback.")
-SEEDS = click.option("--seeds", default="1-4", show_default=True, metavar="LIST",
-                     help="Such as 1-8 or 1,5,9.")
-PROCESSES = click.option("--processes", type=click.IntRange(1), default=os.cpu_count() or 1,
-                         show_default=True,
-                         help="At once, on the fleet stage.")
+STAGE = click.option(
+    "--stage",
+    type=click.Choice(["fleet", "sockets"]),
+    default="fleet",
+    show_default=True,
+    help="Modules alone in virtual time, or processes on loopback.",
+)
+SEEDS = click.option(
+    "--seeds", default="1-4", show_default=True, metavar="LIST", help="Such as 1-8 or 1,5,9."
+)
+PROCESSES = click.option(
+    "--processes",
+    type=click.IntRange(1),
+    default=os.cpu_count() or 1,
+    show_default=True,
+    help="At once, on the fleet stage.",
+)
 FOLDER = click.option("--folder", default="runs", show_default=True, help="Where records go.")
 QUIET = click.option("--quiet", is_flag=True, help="No progress.")
 
@@ -75,8 +85,13 @@
         return
     from rich.console import Console
 
-    with Progress(TextColumn("{task.description:<40}"), BarColumn(), TimeElapsedColumn(),
-                  console=Console(stderr=True), transient=True) as bar:
+    with Progress(
+        TextColumn("{task.description:<40}"),
+        BarColumn(),
+        TimeElapsedColumn(),
+        console=Console(stderr=True),
+        transient=True,
+    ) as bar:
         task = bar.add_task("", total=1.0)
         yield lambda label, part: bar.update(task, description=label[:40], completed=part)
 
@@ -136,16 +151,28 @@
 @SCENARIO
 @STAGE
 @click.option("--seed", type=int, default=1, show_default=True)
-@click.option("--subject", default="module", show_default=True,
-              help="On the fleet stage: module, one-try, fixed-retries, or another checkout's path.")
-@click.option("--record", type=click.Path(dir_okay=False), help="Where the record goes; by default into "
-                                                                "--folder.")
+@click.option(
+    "--subject",
+    default="module",
+    show_default=True,
+    help="On the fleet stage: module, one-try, fixed-retries, or another checkout's path.",
+)
+@click.option(
+    "--record", type=click.Path(dir_okay=False), help="Where the record goes; by default into --folder."
+)
 @FOLDER
 @click.option("--report", type=click.Path(dir_okay=False), help="Write a page of HTML too.")
 @QUIET
-def run(scenario: str, stage: str, seed: int, subject: str, record: str | None, folder: str, report: str
-        | None,
-        quiet: bool) -> None:
+def run(
+    scenario: str,
+    stage: str,
+    seed: int,
+    subject: str,
+    record: str | None,
+    folder: str,
+    report: str | None,
+    quiet: bool,
+) -> None:
     """Play a scenario once, judge it and sum it up; exit 1 where a rule was broken or the run can't be used.
 
     \b
@@ -210,9 +237,10 @@
         _, checker, reader = judged(path)
         broken = {rule.name.lower(): count for rule, count in checker.counts.items() if count}
         cut = ", cut short" if reader.cut else ""
-        click.echo(f"{path}: {checker.judged} texts judged{cut}, "
-                   + (", ".join(f"{rule} broken {count} times" for rule, count in broken.items())
-                      or "rules kept"))
+        click.echo(
+            f"{path}: {checker.judged} texts judged{cut}, "
+            + (", ".join(f"{rule} broken {count} times" for rule, count in broken.items()) or "rules kept")
+        )
         for breach in checker.breaches:
             for line in breach.lines():
                 click.echo(f"  {line}")
@@ -224,8 +252,9 @@
 @lab.command()
 @click.argument("record", metavar="RECORD")
 @click.option("-o", "--output", default="report.html", show_default=True, help="The page.")
-@click.option("--pictures", type=click.Path(file_okay=False), help="Write each plot as a file of SVG here "
-                                                                   "too.")
+@click.option(
+    "--pictures", type=click.Path(file_okay=False), help="Write each plot as a file of SVG here too."
+)
 def report(record: str, output: str, pictures: str | None) -> None:
     """Make one self-contained page of HTML from a record, and sum it up here."""
     from limelatch.lab.report.terminal import console, run_summary
@@ -245,8 +274,9 @@
 
 @lab.command()
 @click.argument("scenarios", metavar="SCENARIO...", nargs=-1, required=True)
-@click.option("-a", "first", default="one-try", show_default=True, help="A subject, or another checkout's "
-                                                                        "path.")
+@click.option(
+    "-a", "first", default="one-try", show_default=True, help="A subject, or another checkout's path."
+)
 @click.option("-b", "second", default="module", show_default=True, help="The other one.")
 @STAGE
 @SEEDS
@@ -254,8 +284,17 @@
 @FOLDER
 @click.option("--report", type=click.Path(dir_okay=False), help="Write a page of HTML too.")
 @QUIET
-def compare(scenarios: tuple[str, ...], first: str, second: str, stage: str, seeds: str, processes: int,
-            folder: str, report: str | None, quiet: bool) -> None:
+def compare(
+    scenarios: tuple[str, ...],
+    first: str,
+    second: str,
+    stage: str,
+    seeds: str,
+    processes: int,
+    folder: str,
+    report: str | None,
+    quiet: bool,
+) -> None:
     """Play scenarios with two subjects on the same seeds, and say plainly: better, worse, or no difference
     seen.
 
@@ -276,19 +315,33 @@
     runs = play(plans, processes, quiet)
     rows = []
     for name, _ in named:
-        a, b = ([each for each in runs if each.scenario == name and each.subject == subject]
-                for subject in sides)
+        a, b = (
+            [each for each in runs if each.scenario == name and each.subject == subject] for subject in sides
+        )
         rows += compared(name, a, b)
     console().print(comparison(rows, first, second))
     if report:
         from limelatch.lab.report import page, plots
 
-        plot = plots.differences([row.name for row in rows], [row.mean for row in rows],
-                                 [row.low for row in rows], [row.high for row in rows])
-        Path(report).write_text(page.render(page.COMPARISON, title="limelatch: A against B",
-                                            verdict=verdict(rows),
-                                            a=first, b=second, pairs=len(numbers), rows=rows, plot=plot),
-                                encoding="utf-8")
+        plot = plots.differences(
+            [row.name for row in rows],
+            [row.mean for row in rows],
+            [row.low for row in rows],
+            [row.high for row in rows],
+        )
+        Path(report).write_text(
+            page.render(
+                page.COMPARISON,
+                title="limelatch: A against B",
+                verdict=verdict(rows),
+                a=first,
+                b=second,
+                pairs=len(numbers),
+                rows=rows,
+                plot=plot,
+            ),
+            encoding="utf-8",
+        )
 
 
 @lab.command()
@@ -301,8 +354,17 @@
 @FOLDER
 @click.option("--report", default="sweep.html", show_default=True, help="The page.")
 @QUIET
-def sweep(scenario: str, setting: str, subjects: tuple[str, ...], stage: str, seeds: str, processes: int,
-          folder: str, report: str, quiet: bool) -> None:
+def sweep(
+    scenario: str,
+    setting: str,
+    subjects: tuple[str, ...],
+    stage: str,
+    seeds: str,
+    processes: int,
+    folder: str,
+    report: str,
+    quiet: bool,
+) -> None:
     """Vary one key of a scenario and plot what it does.
 
     \b
@@ -321,8 +383,11 @@
     plans = []
     for value in values:
         varied = with_key(text, key, value)
-        plans += [Plan(f"{name}@{value}".replace("/", "_"), varied, seed, subject, stage, folder)
-                  for subject in chosen for seed in numbers]
+        plans += [
+            Plan(f"{name}@{value}".replace("/", "_"), varied, seed, subject, stage, folder)
+            for subject in chosen
+            for seed in numbers
+        ]
     runs = play(plans, processes, quiet)
     found = Sweep(name, key, values, list(subjects))
     for plan, figures in zip(plans, runs, strict=True):
@@ -359,23 +424,43 @@
 @click.option("--dests", default="1", show_default=True, metavar="LIST", help="Destinations, such as 1-8.")
 @click.option("--customer", default="")
 @click.option("--zipf", type=float, default=0.0, show_default=True, help="Law of their traffic; 0: even.")
-@click.option("--rate", type=click.FloatRange(0, min_open=True), default=50.0, show_default=True,
-              help="At first.")
+@click.option(
+    "--rate", type=click.FloatRange(0, min_open=True), default=50.0, show_default=True, help="At first."
+)
 @click.option("--step", type=click.FloatRange(0), default=0.0, help="So much more with each further rate.")
 @click.option("--times", type=click.FloatRange(1), default=1.0, help="Or so many times as much.")
 @click.option("--most", type=float, default=5000.0, show_default=True, help="The last rate.")
 @click.option("--each", type=Span(), default="10s", show_default=True, help="How long each rate lasts.")
-@click.option("--sla", type=Span(), default="100ms", show_default=True,
-              help="Within which an answer is wanted.")
-@click.option("--until", type=click.FloatRange(0, 1), default=0.99, show_default=True,
-              help="Stop when fewer are taken on within it.")
+@click.option(
+    "--sla", type=Span(), default="100ms", show_default=True, help="Within which an answer is wanted."
+)
+@click.option(
+    "--until",
+    type=click.FloatRange(0, 1),
+    default=0.99,
+    show_default=True,
+    help="Stop when fewer are taken on within it.",
+)
 @click.option("--size", type=int, default=200, show_default=True, help="Bytes of a body.")
 @click.option("--connections", type=click.IntRange(1), default=512, show_default=True)
 @QUIET
-def load(address: str, product: str, dests: str, customer: str, zipf: float, rate: float, step: float,
-         times: float,
-         most: float, each: float, sla: float, until: float, size: int, connections: int,
-         quiet: bool) -> None:
+def load(
+    address: str,
+    product: str,
+    dests: str,
+    customer: str,
+    zipf: float,
+    rate: float,
+    step: float,
+    times: float,
+    most: float,
+    each: float,
+    sla: float,
+    until: float,
+    size: int,
+    connections: int,
+    quiet: bool,
+) -> None:
     """Hand in texts to any relay by the clock, at rates that step up until its answers are too late.
 
     Latency counts from when a text was due. Exit 1 where not even the first rate was carried.
@@ -392,15 +477,28 @@
 
     def told(done: Step) -> None:
         spread = done.summary.percentiles()
-        click.echo(f"{done.rate:>8.0f}/s  SLA {done.sla_share:.4f}  p50 {spread[50.0]:.1f}  p99 "
-                   f"{spread[99.0]:.1f}  "
-                   f"max {spread[100.0]:.1f} ms  sent late by {done.late_ms:.1f} ms"
-                   + ("  (the tool itself was late)" if done.late_ms > 20 else ""))
+        click.echo(
+            f"{done.rate:>8.0f}/s  SLA {done.sla_share:.4f}  p50 {spread[50.0]:.1f}  p99 "
+            f"{spread[99.0]:.1f}  "
+            f"max {spread[100.0]:.1f} ms  sent late by {done.late_ms:.1f} ms"
+            + ("  (the tool itself was late)" if done.late_ms > 20 else "")
+        )
 
     with progress(quiet) as bar:
-        found = uvloop.run(climb(host, port, shape, rates(rate, step, most, times), each / 1000, sla, until,
-                                 connections, told, lambda at, done, count: bar(f"{at:.0f} a second",
-                                                                                done / count)))
+        found = uvloop.run(
+            climb(
+                host,
+                port,
+                shape,
+                rates(rate, step, most, times),
+                each / 1000,
+                sla,
+                until,
+                connections,
+                told,
+                lambda at, done, count: bar(f"{at:.0f} a second", done / count),
+            )
+        )
     for line in found[-1].summary.lines():
         click.echo(line)
     if found[0].sla_share < until:
@@ -409,8 +507,9 @@
 
 @lab.command()
 @click.option("--scenario", default="capacity", show_default=True, help="Whose rate is varied, on sockets.")
-@click.option("--share", type=click.FloatRange(0, 1), default=0.99, show_default=True,
-              help="SLA share to keep.")
+@click.option(
+    "--share", type=click.FloatRange(0, 1), default=0.99, show_default=True, help="SLA share to keep."
+)
 @click.option("--first", type=float, default=200.0, show_default=True, help="The first rate.")
 @click.option("--most", type=float, default=10_000.0, show_default=True, help="The highest rate to try.")
 @QUIET
@@ -423,16 +522,23 @@
     with tempfile.TemporaryDirectory(prefix="limelatch-capacity-") as folder:
 
         def trial(rate: float):
-            plan = Plan(f"{name}@{rate:.0f}", with_key(text, "clients.rate", f"{rate:.1f}"), 1, "module",
-                        "sockets",
-                        folder)
+            plan = Plan(
+                f"{name}@{rate:.0f}",
+                with_key(text, "clients.rate", f"{rate:.1f}"),
+                1,
+                "module",
+                "sockets",
+                folder,
+            )
             return play([plan], 1, quiet)[0]
 
         def told(rate: float, figures) -> None:
             late = "" if figures.usable else "  (the stage itself was late)"
-            click.echo(f"{rate:>8.0f}/s  SLA {figures.sla_share:.4f}  "
-                       f"p99 {figures.latency.get('p99', 0):.0f} ms  CPU a text {figures.cpu_a_text:.0f} us  "
-                       f"{figures.memory / 1e6:.0f} MB{late}")
+            click.echo(
+                f"{rate:>8.0f}/s  SLA {figures.sla_share:.4f}  "
+                f"p99 {figures.latency.get('p99', 0):.0f} ms  CPU a text {figures.cpu_a_text:.0f} us  "
+                f"{figures.memory / 1e6:.0f} MB{late}"
+            )
             for line in figures.breach_lines:
                 click.echo(f"          {line}", err=True)
 
--- a/limelatch/command/ledger.py
+++ b/limelatch/command/ledger.py
@@ -49,13 +49,22 @@
     from limelatch.relay.inspection import may_have_run, state_of
 
     pairs = entry.pairs
-    return {"id": entry.id.decode(errors="replace"), "state": state_of(entry),
-            "product": pairs.get("product"), "destination": pairs.get("dest"),
-            "customer": pairs.get("customer"), "key": pairs.get("key") or None,
-            "mark": pairs.get("mark") or None, "submits": entry.submits, "may_have_run": may_have_run(entry),
-            "first_may_have_run_at": moment(entry.ran_at),
-            "first_may_have_run_floor": entry.ran_zone, "valid_until": moment(pairs.get("until")),
-            "notice": entry.notice, "body_bytes": len(entry.body)}
+    return {
+        "id": entry.id.decode(errors="replace"),
+        "state": state_of(entry),
+        "product": pairs.get("product"),
+        "destination": pairs.get("dest"),
+        "customer": pairs.get("customer"),
+        "key": pairs.get("key") or None,
+        "mark": pairs.get("mark") or None,
+        "submits": entry.submits,
+        "may_have_run": may_have_run(entry),
+        "first_may_have_run_at": moment(entry.ran_at),
+        "first_may_have_run_floor": entry.ran_zone,
+        "valid_until": moment(pairs.get("until")),
+        "notice": entry.notice,
+        "body_bytes": len(entry.body),
+    }
 
 
 def left(until: int, now: int) -> str:
@@ -70,8 +79,9 @@
 @click.option("--destination", type=int, help="Only texts for this destination.")
 @click.option("--product", help="Only texts of this product.")
 @click.option("--may-have-run", is_flag=True, help="Only texts of which a submit may have had its effect.")
-def list_texts(folder: str, as_json: bool, destination: int | None, product: str | None,
-               may_have_run: bool) -> None:
+def list_texts(
+    folder: str, as_json: bool, destination: int | None, product: str | None, may_have_run: bool
+) -> None:
     """List the owed texts, in the order they were taken on.
 
     \b
@@ -83,10 +93,13 @@
     from limelatch.relay.inspection import state_of
 
     view, now = look(folder), int(time.time() * 10_000)
-    entries = [each for each in view.entries.values()
-               if (destination is None or each.pairs.get("dest") == destination)
-               and (product is None or each.pairs.get("product") == product)
-               and (not may_have_run or ran(each))]
+    entries = [
+        each
+        for each in view.entries.values()
+        if (destination is None or each.pairs.get("dest") == destination)
+        and (product is None or each.pairs.get("product") == product)
+        and (not may_have_run or ran(each))
+    ]
     if as_json:
         for each in entries:
             click.echo(json.dumps(row(each)))
@@ -95,9 +108,18 @@
     click.echo(form.format("id", "state", "product", "dest", "submits", "ran?", "valid for", "bytes"))
     for each in entries:
         pairs = each.pairs
-        click.echo(form.format(each.id.decode(errors="replace"), state_of(each), pairs.get("product", "?"),
-                               pairs.get("dest", "?"), each.submits, "may" if ran(each) else "no",
-                               left(pairs.get("until", 0), now), len(each.body)))
+        click.echo(
+            form.format(
+                each.id.decode(errors="replace"),
+                state_of(each),
+                pairs.get("product", "?"),
+                pairs.get("dest", "?"),
+                each.submits,
+                "may" if ran(each) else "no",
+                left(pairs.get("until", 0), now),
+                len(each.body),
+            )
+        )
     click.echo(f"{len(entries)} owed" + (f", {view.torn} bytes torn at the end" if view.torn else ""))
 
 
@@ -134,15 +156,29 @@
     """
     view = look(folder)
     if as_json:
-        wrongs = [{"at": at, "id": text.decode(errors="replace"), "wrong": wrong}
-                  for at, text, wrong in view.wrongs]
-        click.echo(json.dumps({"path": view.path, "bytes": view.size, "records": view.records,
-                               "kinds": dict(view.kinds), "owed": len(view.entries), "torn_at": view.whole,
-                               "torn_bytes": view.torn, "wrongs": wrongs}))
+        wrongs = [
+            {"at": at, "id": text.decode(errors="replace"), "wrong": wrong} for at, text, wrong in view.wrongs
+        ]
+        click.echo(
+            json.dumps(
+                {
+                    "path": view.path,
+                    "bytes": view.size,
+                    "records": view.records,
+                    "kinds": dict(view.kinds),
+                    "owed": len(view.entries),
+                    "torn_at": view.whole,
+                    "torn_bytes": view.torn,
+                    "wrongs": wrongs,
+                }
+            )
+        )
     else:
         kinds = ", ".join(f"{count} {kind}" for kind, count in sorted(view.kinds.items()))
-        click.echo(f"{view.path}: {view.size} bytes, {view.records} records ({kinds or 'none'}), "
-                   f"{len(view.entries)} owed")
+        click.echo(
+            f"{view.path}: {view.size} bytes, {view.records} records ({kinds or 'none'}), "
+            f"{len(view.entries)} owed"
+        )
         for at, text, wrong in view.wrongs:
             click.echo(f"at byte {at}, text {text.decode(errors='replace')}: {wrong}", err=True)
         if view.torn:
@@ -153,8 +189,9 @@
 
 @ledger.command()
 @FOLDER
-@click.option("--output", type=click.File("w", atomic=True), default="-", help="A file; standard output "
-                                                                               "else.")
+@click.option(
+    "--output", type=click.File("w", atomic=True), default="-", help="A file; standard output else."
+)
 def export(folder: str, output) -> None:
     """Write every owed text with its body (Base64), one JSON object a line."""
     view = look(folder)
--- a/limelatch/command/membership.py
+++ b/limelatch/command/membership.py
@@ -20,8 +20,13 @@
 
 @click.command()
 @click.option("--cells", default="all", show_default=True, metavar="LIST", help="Faults.")
-@click.option("--ways", default="all", show_default=True, metavar="LIST",
-              help="`member`, and the baselines `plain-swim` and `heartbeats`.")
+@click.option(
+    "--ways",
+    default="all",
+    show_default=True,
+    metavar="LIST",
+    help="`member`, and the baselines `plain-swim` and `heartbeats`.",
+)
 @click.option("--members", default="10", show_default=True, metavar="LIST", help="Sizes, as 10,100,700.")
 @click.option("--seeds", default="1-3", show_default=True, metavar="LIST")
 @click.option("--processes", default=2, show_default=True, type=click.IntRange(1))
@@ -39,13 +44,20 @@
     from limelatch.lab.scale.results import load, save
 
     played, found, sizes = names(cells, list(CELLS), "cell"), names(ways, list(WAYS), "way"), counts(members)
-    plans = [Plan(cell, way, size, seed) for size in sizes for cell in played for way in found
-             for seed in seeds_in(seeds)]
+    plans = [
+        Plan(cell, way, size, seed)
+        for size in sizes
+        for cell in played
+        for way in found
+        for seed in seeds_in(seeds)
+    ]
 
     def told(outcome: Outcome) -> None:
-        click.echo(f"{outcome.way:<11} {outcome.cell:<10} {outcome.members:>4} seed {outcome.seed:<3} "
-                   f"agreed {outcome.agreed:>5.1f} s  healed {outcome.healed:>5.1f} s  "
-                   f"wrong {outcome.wrong:>4}  {outcome.bytes_most:>6.0f} B/s at most")
+        click.echo(
+            f"{outcome.way:<11} {outcome.cell:<10} {outcome.members:>4} seed {outcome.seed:<3} "
+            f"agreed {outcome.agreed:>5.1f} s  healed {outcome.healed:>5.1f} s  "
+            f"wrong {outcome.wrong:>4}  {outcome.bytes_most:>6.0f} B/s at most"
+        )
 
     made = points(outcomes(plans, processes, told)) + memory(found, sizes)
     words = f"--cells {cells} --ways {ways} --members {members} --seeds {seeds}"
--- a/limelatch/command/relay.py
+++ b/limelatch/command/relay.py
@@ -13,10 +13,17 @@
 
 
 @relay.command()
-@click.option("--config", "path", metavar="FILE", envvar="RELAY_CONFIG", show_envvar=True,
-              help="The configuration, TOML or the platform's JSON.")
-@click.option("--form", type=click.Choice(["toml", "json"]), help="Its form; by default what its name ends "
-                                                                  "with.")
+@click.option(
+    "--config",
+    "path",
+    metavar="FILE",
+    envvar="RELAY_CONFIG",
+    show_envvar=True,
+    help="The configuration, TOML or the platform's JSON.",
+)
+@click.option(
+    "--form", type=click.Choice(["toml", "json"]), help="Its form; by default what its name ends with."
+)
 @click.option("--tied", is_flag=True, help="Stop, as by SIGTERM, when standard input ends.")
 def run(path: str | None, form: str | None, tied: bool) -> None:
     """Run one relay in the foreground until SIGTERM; SIGHUP reads its configuration again.
@@ -46,7 +53,16 @@
     for name, event in events.EVENTS.items():
         level = getLevelName(event.level).lower()
         if as_json:
-            click.echo(json.dumps({"event": name, "part": event.part, "level": level, "about": event.about,
-                                   "fields": event.fields}))
+            click.echo(
+                json.dumps(
+                    {
+                        "event": name,
+                        "part": event.part,
+                        "level": level,
+                        "about": event.about,
+                        "fields": event.fields,
+                    }
+                )
+            )
         else:
             click.echo(f"{name:<22} {event.part:<10} {level:<8} {event.about}")
--- a/limelatch/command/scale.py
+++ b/limelatch/command/scale.py
@@ -14,11 +14,13 @@
 
 @scale.command()
 @click.option("--relays", default=30, show_default=True, type=click.IntRange(1), help="Processes in all.")
-@click.option("--killed", default=0.7, show_default=True, type=click.FloatRange(0, 1),
-              help="Of them, at once.")
+@click.option(
+    "--killed", default=0.7, show_default=True, type=click.FloatRange(0, 1), help="Of them, at once."
+)
 @click.option("--silent", default=8.0, show_default=True, help="Seconds for which discovery is silent.")
-@click.option("--share", default=0.4, show_default=True, type=click.FloatRange(0.01),
-              help="Of a core that a relay has.")
+@click.option(
+    "--share", default=0.4, show_default=True, type=click.FloatRange(0.01), help="Of a core that a relay has."
+)
 @click.option("--seed", default=1, show_default=True)
 @click.option("--out", default="docs/capacity/ready.json", show_default=True)
 def ready(relays: int, killed: float, silent: float, share: float, seed: int, out: str) -> None:
@@ -35,12 +37,23 @@
     found = points(starts, relays, share)
     words = f"--relays {relays} --killed {killed} --silent {silent} --share {share} --seed {seed}"
     Path(out).parent.mkdir(parents=True, exist_ok=True)
-    save(out, Results("program", f"lab scale ready {words}", commit_of(),
-                      datetime.now(UTC).isoformat(timespec="seconds"), machine(), found))
+    save(
+        out,
+        Results(
+            "program",
+            f"lab scale ready {words}",
+            commit_of(),
+            datetime.now(UTC).isoformat(timespec="seconds"),
+            machine(),
+            found,
+        ),
+    )
     for each in found:
         parts = quantiles(each.values, n=10, method="inclusive") if len(each.values) > 1 else each.values * 9
-        click.echo(f"{each.measure:<24} half {parts[4]:.2f} s, nine in ten {parts[8]:.2f} s,"
-                   f" longest {each.values[-1]:.2f} s")
+        click.echo(
+            f"{each.measure:<24} half {parts[4]:.2f} s, nine in ten {parts[8]:.2f} s,"
+            f" longest {each.values[-1]:.2f} s"
+        )
     click.echo(found[0].note)
 
 
@@ -77,13 +90,22 @@
 
 
 @scale.command()
-@click.option("--relays", default="7,40,150,400,700", show_default=True, metavar="LIST",
-              help="Numbers of hollow relays.")
+@click.option(
+    "--relays",
+    default="7,40,150,400,700",
+    show_default=True,
+    metavar="LIST",
+    help="Numbers of hollow relays.",
+)
 @click.option("--seeds", default="1-3", show_default=True, metavar="LIST", help="A run each.")
-@click.option("--processes", type=click.IntRange(1, 16), default=2, show_default=True,
-              help="Runs at once.")
-@click.option("--form", type=click.Choice(["all", "short", "held", "fidelity"]), default="all",
-              show_default=True, help="Texts valid for seconds; for hours; or hollow beside 7 real relays.")
+@click.option("--processes", type=click.IntRange(1, 16), default=2, show_default=True, help="Runs at once.")
+@click.option(
+    "--form",
+    type=click.Choice(["all", "short", "held", "fidelity"]),
+    default="all",
+    show_default=True,
+    help="Texts valid for seconds; for hours; or hollow beside 7 real relays.",
+)
 @click.option("--out", default="docs/capacity/hollow.json", show_default=True, help="The file of results.")
 def hollow(relays: str, seeds: str, processes: int, form: str, out: str) -> None:
     """What a down, a returning and a lowered destination get from all relays together."""
@@ -107,10 +129,20 @@
 
 
 @scale.command()
-@click.option("--watchers", default="35,100,350,700", show_default=True, metavar="LIST",
-              help="Numbers of hollow watchers; cuts are made with the most.")
-@click.option("--rows", default="2000,20000,60000,180000", show_default=True, metavar="LIST",
-              help="Rows of the list, for starts of a rack and a zone at once.")
+@click.option(
+    "--watchers",
+    default="35,100,350,700",
+    show_default=True,
+    metavar="LIST",
+    help="Numbers of hollow watchers; cuts are made with the most.",
+)
+@click.option(
+    "--rows",
+    default="2000,20000,60000,180000",
+    show_default=True,
+    metavar="LIST",
+    help="Rows of the list, for starts of a rack and a zone at once.",
+)
 @click.option("--runs", type=click.IntRange(1, 20), default=3, show_default=True, help="Of each.")
 @click.option("--out", default="docs/capacity/control.json", show_default=True, help="The file of results.")
 def control(watchers: str, rows: str, runs: int, out: str) -> None:
@@ -121,8 +153,9 @@
     from limelatch.lab.stages.errors import StageError
 
     try:
-        points = asyncio.run(measure(counts(watchers), counts(rows), runs,
-                                     lambda line: click.echo(line, err=True)))
+        points = asyncio.run(
+            measure(counts(watchers), counts(rows), runs, lambda line: click.echo(line, err=True))
+        )
     except StageError as error:
         raise Wrong(str(error)) from None
     save_points(out, f"limelatch lab scale control --watchers {watchers} --rows {rows} --runs {runs}", points)
@@ -140,21 +173,50 @@
 
 
 @scale.command()
-@click.option("--sizes", default="200,2000", show_default=True, metavar="LIST", callback=whole_numbers,
-              help="Numbers of destinations.")
+@click.option(
+    "--sizes",
+    default="200,2000",
+    show_default=True,
+    metavar="LIST",
+    callback=whole_numbers,
+    help="Numbers of destinations.",
+)
 @click.option("--runs", default=1, show_default=True, type=click.IntRange(1), help="Of each scenario.")
-@click.option("--scenarios", metavar="LIST", help="Some of: walls, start, rest, text, change, burst, list, "
-              "wake, folder, trickle, beside, down, backlog, pair.  [default: start to folder]")
-@click.option("--tree", default=".", show_default=True, type=click.Path(exists=True, file_okay=False),
-              help="Folder of the program to be measured; another commit's, say.")
-@click.option("--against", type=click.Path(exists=True, file_okay=False),
-              help="Folder of the other program of `pair`, which gives two relays the same texts by turns.")
+@click.option(
+    "--scenarios",
+    metavar="LIST",
+    help="Some of: walls, start, rest, text, change, burst, list, "
+    "wake, folder, trickle, beside, down, backlog, pair.  [default: start to folder]",
+)
+@click.option(
+    "--tree",
+    default=".",
+    show_default=True,
+    type=click.Path(exists=True, file_okay=False),
+    help="Folder of the program to be measured; another commit's, say.",
+)
+@click.option(
+    "--against",
+    type=click.Path(exists=True, file_okay=False),
+    help="Folder of the other program of `pair`, which gives two relays the same texts by turns.",
+)
 @click.option("--subject", default="this tree", show_default=True, help="What the results call it.")
-@click.option("--out", type=click.Path(dir_okay=False), help="File of results; what is measured again takes "
-              "the place of earlier points.")
+@click.option(
+    "--out",
+    type=click.Path(dir_okay=False),
+    help="File of results; what is measured again takes the place of earlier points.",
+)
 @click.option("--quiet", is_flag=True, help="No progress.")
-def relay(sizes: list[int], runs: int, scenarios: str | None, tree: str, against: str | None,
-          subject: str, out: str | None, quiet: bool) -> None:
+def relay(
+    sizes: list[int],
+    runs: int,
+    scenarios: str | None,
+    tree: str,
+    against: str | None,
+    subject: str,
+    out: str | None,
+    quiet: bool,
+) -> None:
     """What one real relay costs by the number of its destinations, from outside.
 
     Starts relay processes on loopback among stand-ins of its own: memory, processor time, descriptors and
@@ -184,21 +246,37 @@
             one.store(Path(out), subject, words, Path(tree), points)
 
     try:
-        points = asyncio.run(one.measure(Path(tree), sizes, runs, chosen, lambda line: None if quiet
-                                         else click.echo(line, err=True), keep, against and Path(against)))
+        points = asyncio.run(
+            one.measure(
+                Path(tree),
+                sizes,
+                runs,
+                chosen,
+                lambda line: None if quiet else click.echo(line, err=True),
+                keep,
+                against and Path(against),
+            )
+        )
     except one.OtherRun as error:
         raise BadUse(str(error)) from None
     except asyncio.CancelledError:
         raise click.Abort from None
     for each in points:
         values = " ".join(f"{value:g}" for value in each.values) or "-"
-        click.echo(f"{each.scenario:8} {each.x:>8g} {each.axis:18} {each.measure:36} {values} {each.unit}"
-                   f"{'   (' + each.note + ')' if each.note else ''}")
+        click.echo(
+            f"{each.scenario:8} {each.x:>8g} {each.axis:18} {each.measure:36} {values} {each.unit}"
+            f"{'   (' + each.note + ')' if each.note else ''}"
+        )
 
 
 @scale.command("page")
-@click.option("--folder", default="docs/capacity", show_default=True, type=click.Path(file_okay=False),
-              help="Where roles.toml and the files of results are.")
+@click.option(
+    "--folder",
+    default="docs/capacity",
+    show_default=True,
+    type=click.Path(file_okay=False),
+    help="Where roles.toml and the files of results are.",
+)
 def page_of(folder: str) -> None:
     """Print docs/CAPACITY.md, made from the results of the other commands.
 
--- a/limelatch/command/text.py
+++ b/limelatch/command/text.py
@@ -11,8 +11,16 @@
 from limelatch.command import WRONG, BadUse
 
 SHOWN_MOST = 20  # texts whose answers are printed one by one
-RELAY = click.option("--relay", "address", metavar="HOST:PORT", default="127.0.0.1:6379", show_default=True,
-                     envvar="LIMELATCH_RELAY", show_envvar=True, help="Where the relay listens.")
+RELAY = click.option(
+    "--relay",
+    "address",
+    metavar="HOST:PORT",
+    default="127.0.0.1:6379",
+    show_default=True,
+    envvar="LIMELATCH_RELAY",
+    show_envvar=True,
+    help="Where the relay listens.",
+)
 
 
 class Span(click.ParamType):
@@ -31,8 +39,9 @@
             self.fail(f"{value!r} is no span such as 250ms or 2s", parameter, context)
 
 
-TIMEOUT = click.option("--timeout", type=Span(), default="400ms", show_default=True,
-                       help="How long to wait for an answer.")
+TIMEOUT = click.option(
+    "--timeout", type=Span(), default="400ms", show_default=True, help="How long to wait for an answer."
+)
 
 
 def address_of(word: str) -> tuple[str, int]:
@@ -64,16 +73,30 @@
 @click.option("--mark", help="By which a repeat is known; by default the id of each text.")
 @click.option("--valid-for", type=Span(), default="24s", show_default=True, help="Its validity period.")
 @click.option("--body", help="Its body; standard input else.")
-@click.option("--count", type=click.IntRange(1), default=1, show_default=True,
-              help="So many, alike but for ids.")
+@click.option(
+    "--count", type=click.IntRange(1), default=1, show_default=True, help="So many, alike but for ids."
+)
 @click.option("--rate", type=click.FloatRange(0, min_open=True), help="So many a second; all at once else.")
-@click.option("--connections", type=click.IntRange(1), default=64, show_default=True,
-              help="At once, at most.")
+@click.option(
+    "--connections", type=click.IntRange(1), default=64, show_default=True, help="At once, at most."
+)
 @TIMEOUT
 @click.option("--json", "as_json", is_flag=True, help="One JSON object a text, and one for the summary.")
-def submit(address: str, product: str, dest: int, customer: str, key: str, mark: str | None, valid_for: float,
-           body: str | None, count: int, rate: float | None, connections: int, timeout: float,
-           as_json: bool) -> None:
+def submit(
+    address: str,
+    product: str,
+    dest: int,
+    customer: str,
+    key: str,
+    mark: str | None,
+    valid_for: float,
+    body: str | None,
+    count: int,
+    rate: float | None,
+    connections: int,
+    timeout: float,
+    as_json: bool,
+) -> None:
     """Hand in a text, or many, and print what the relay answered and how long it took.
 
     With --count and --rate each text goes when it is due by the clock, answered or not; a summary with
@@ -96,12 +119,22 @@
 
     def told(handed: HandedText, answer: Answer) -> None:
         if as_json:
-            click.echo(json.dumps({"id": handed.id, "ending": answer.ending.value, "words": answer.words,
-                                   "wait_ms": answer.wait_ms, "took_ms": round(answer.took * 1000, 3)}))
+            click.echo(
+                json.dumps(
+                    {
+                        "id": handed.id,
+                        "ending": answer.ending.value,
+                        "words": answer.words,
+                        "wait_ms": answer.wait_ms,
+                        "took_ms": round(answer.took * 1000, 3),
+                    }
+                )
+            )
         elif count <= SHOWN_MOST:
             wait = f", come again after {answer.wait_ms} ms" if answer.wait_ms else ""
-            click.echo(f"{handed.id}  {answer.ending.value}{wait}  ({answer.words})  "
-                       f"{answer.took * 1000:.1f} ms")
+            click.echo(
+                f"{handed.id}  {answer.ending.value}{wait}  ({answer.words})  {answer.took * 1000:.1f} ms"
+            )
 
     async def run():
         async with Pool(host, port, connections, timeout / 1000) as pool:
@@ -109,9 +142,15 @@
 
     summary = asyncio.run(run())
     if as_json:
-        click.echo(json.dumps({"texts": summary.count, "endings": {each.value: number for each, number
-                                                                   in summary.endings.items()},
-                               "ms": {f"p{each:g}": ms for each, ms in summary.percentiles().items()}}))
+        click.echo(
+            json.dumps(
+                {
+                    "texts": summary.count,
+                    "endings": {each.value: number for each, number in summary.endings.items()},
+                    "ms": {f"p{each:g}": ms for each, ms in summary.percentiles().items()},
+                }
+            )
+        )
     elif count > 1:
         for line in summary.lines():
             click.echo(line)
--- a/limelatch/configuration/__init__.py
+++ b/limelatch/configuration/__init__.py
@@ -15,23 +15,40 @@
 from limelatch.configuration.plan import Address, Names, RelayPlan, bench_terms, plan_of
 from limelatch.configuration.units import to_units
 
-__all__ = ["Address", "ConfigurationError", "Fault", "Form", "Found", "Names", "RelayPlan", "bench_terms",
-           "load", "plan_of", "relay_plan", "retuned_plan", "to_units"]
-
-
-def relay_plan(environment: Mapping[str, str], path: str | None = None,
-               form: Form | None = None) -> RelayPlan:
+__all__ = [
+    "Address",
+    "ConfigurationError",
+    "Fault",
+    "Form",
+    "Found",
+    "Names",
+    "RelayPlan",
+    "bench_terms",
+    "load",
+    "plan_of",
+    "relay_plan",
+    "retuned_plan",
+    "to_units",
+]
+
+
+def relay_plan(
+    environment: Mapping[str, str], path: str | None = None, form: Form | None = None
+) -> RelayPlan:
     """The plan from a file, or the one that $RELAY_CONFIG names, and for what that leaves out the others."""
     return plan_of(load(path or told_path(environment), form, environment).installation)
 
 
-def retuned_plan(environment: Mapping[str, str], path: str | None = None,
-                 form: Form | None = None) -> RelayPlan:
+def retuned_plan(
+    environment: Mapping[str, str], path: str | None = None, form: Form | None = None
+) -> RelayPlan:
     """The plan of a new configuration at SIGHUP; ConfigurationError where it can't be taken, and the one in
     force stays whole."""
     found = load(path or told_path(environment), form, environment)
-    faults = [replace(each, path=found.reader.where(each.path))
-              for each in retune_faults(found.installation, found.told)]
+    faults = [
+        replace(each, path=found.reader.where(each.path))
+        for each in retune_faults(found.installation, found.told)
+    ]
     if faults:
         raise ConfigurationError(faults, found.text)
     return plan_of(found.installation)
--- a/limelatch/configuration/checks.py
+++ b/limelatch/configuration/checks.py
@@ -21,8 +21,11 @@
 
 
 def names_twice(table: str, names: Iterable[str]) -> list[Fault]:
-    return [Fault(table, f"the name {name!r} stands {count} times")
-            for name, count in Counter(names).items() if name and count > 1]
+    return [
+        Fault(table, f"the name {name!r} stands {count} times")
+        for name, count in Counter(names).items()
+        if name and count > 1
+    ]
 
 
 def membership_faults(membership: Membership) -> list[Fault]:
@@ -30,24 +33,37 @@
     if not membership.on:
         return []
     faults, peers = [], membership.peers
-    own, spans = membership.address or membership.listen, (
-        ("probe_period", membership.probe_period, PERIOD_LEAST, PERIOD_MOST),
-        ("pause", membership.pause, PAUSE_LEAST, PAUSE_MOST))
+    own, spans = (
+        membership.address or membership.listen,
+        (
+            ("probe_period", membership.probe_period, PERIOD_LEAST, PERIOD_MOST),
+            ("pause", membership.pause, PAUSE_LEAST, PAUSE_MOST),
+        ),
+    )
     if not membership.listen:
         faults.append(Fault("membership.listen", "an address is wanted where `on` is true"))
     if not 2 <= len(peers) <= MEMBERS_MOST:
         wanted = f"2 to {MEMBERS_MOST} addresses are wanted, {len(peers)} found"
         faults.append(Fault("membership.peers", wanted))
-    faults += [Fault("membership.peers", f"{peer!r} is no address such as 10.0.0.1:7946")
-               for peer in peers if not is_address(peer)]
-    faults += [Fault("membership.peers", f"{peer!r} stands {count} times")
-               for peer, count in Counter(peers).items() if count > 1]
+    faults += [
+        Fault("membership.peers", f"{peer!r} is no address such as 10.0.0.1:7946")
+        for peer in peers
+        if not is_address(peer)
+    ]
+    faults += [
+        Fault("membership.peers", f"{peer!r} stands {count} times")
+        for peer, count in Counter(peers).items()
+        if count > 1
+    ]
     if own and peers and own not in peers:
         faults.append(Fault("membership.peers", f"this relay's own address {own} is not among them"))
     if membership.zones and len(membership.zones) != len(peers):
         faults.append(Fault("membership.zones", f"{len(peers)} zones are wanted, one for each of `peers`"))
-    faults += [Fault(f"membership.{name}", f"a span from {write_span(least)} to {write_span(most)} is wanted")
-               for name, span, least, most in spans if not least <= span <= most]
+    faults += [
+        Fault(f"membership.{name}", f"a span from {write_span(least)} to {write_span(most)} is wanted")
+        for name, span, least, most in spans
+        if not least <= span <= most
+    ]
     return faults
 
 
@@ -81,8 +97,9 @@
     for table in ("products", "customers"):
         for at, row in enumerate(getattr(installation, table)):
             if not WIRE_WORD.fullmatch(row.name):
-                found.append(Fault(f"{table}[{at}].name", "1 to 64 letters without space, comma or = are "
-                                                          "wanted"))
+                found.append(
+                    Fault(f"{table}[{at}].name", "1 to 64 letters without space, comma or = are wanted")
+                )
     for at, row in enumerate(installation.products):
         path = f"products[{at}]"
         if row.validity_period and row.sla_time > row.validity_period:
--- a/limelatch/configuration/faults.py
+++ b/limelatch/configuration/faults.py
@@ -36,7 +36,7 @@
     if isinstance(value, int) and abs(value) >= 1 << 64:
         return "a number past 64 bits"
     word = repr(value[:SHOWN_MOST] if isinstance(value, str) else value)
-    return word if len(word) <= SHOWN_MOST + 2 else word[:SHOWN_MOST - 2] + "..."
+    return word if len(word) <= SHOWN_MOST + 2 else word[: SHOWN_MOST - 2] + "..."
 
 
 def wrong(path: str, wanted: str, value: object) -> Fault:
--- a/limelatch/configuration/files.py
+++ b/limelatch/configuration/files.py
@@ -19,8 +19,13 @@
 JSON_MOST, TOML_MOST = 8_000_000, 500_000  # bytes of a file; the parsers' time grows with it
 LINES_MOST = 500_000  # bytes of a file whose lines are looked up
 KEY_MOST = 2000  # dots in a key of TOML, whose parser goes as deep
-VARIABLES = {"name": "RELAY_NAME", "listen": "RELAY_LISTEN", "discovery": "RELAY_DISCOVERY",
-             "state": "RELAY_STATE", "operator": "RELAY_OPERATOR"}
+VARIABLES = {
+    "name": "RELAY_NAME",
+    "listen": "RELAY_LISTEN",
+    "discovery": "RELAY_DISCOVERY",
+    "state": "RELAY_STATE",
+    "operator": "RELAY_OPERATOR",
+}
 
 
 class Form(Enum):
@@ -68,7 +73,8 @@
                 raise ConfigurationError([Fault(path, "a file is wanted, and this is none")])
             if status.st_size > most:
                 raise ConfigurationError(
-                    [Fault(path, f"a file of {most} bytes at most is wanted, not of {status.st_size}")])
+                    [Fault(path, f"a file of {most} bytes at most is wanted, not of {status.st_size}")]
+                )
             raw = file.read(most + 1)
     except (OSError, ValueError) as error:
         raise ConfigurationError([Fault(path, getattr(error, "strerror", None) or str(error))]) from None
@@ -108,8 +114,9 @@
     except ValueError as error:
         raise ConfigurationError([Fault(path, f"no JSON: {error}")]) from None
     if twice:
-        raise ConfigurationError([Fault(path, f"the key {name!r} stands twice in one object")
-                                  for name in dict.fromkeys(twice)])
+        raise ConfigurationError(
+            [Fault(path, f"the key {name!r} stands twice in one object") for name in dict.fromkeys(twice)]
+        )
     return raw
 
 
@@ -139,8 +146,11 @@
     else:
         raw = parse_json(path, text)
         if isinstance(raw, dict):
-            told = {key: (environment or {})[word] for key, word in VARIABLES.items()
-                    if word in (environment or {})}
+            told = {
+                key: (environment or {})[word]
+                for key, word in VARIABLES.items()
+                if word in (environment or {})
+            }
             raw = told | {key: value for key, value in raw.items() if value is not None}
         installation, faults, reader = read_platform(raw)
     if form is Form.OWN and installation is not None:  # the platform's is taken as it is
@@ -180,7 +190,7 @@
 def line_for(path: str, lines: Mapping[str, int]) -> int:
     """The line of the key, or of the nearest table or list that it is missing from; 0 for none."""
     while path and path not in lines:
-        path = path[:max(path.rfind("."), path.rfind("["), 0)]
+        path = path[: max(path.rfind("."), path.rfind("["), 0)]
     return lines.get(path, 0)
 
 
--- a/limelatch/configuration/own.py
+++ b/limelatch/configuration/own.py
@@ -91,5 +91,4 @@
         return HIDDEN if hidden(change.key, value, False) else str(worded(change.key, value)) or '""'
 
     when = {"at once": "at once on SIGHUP", "restart": "after a restart", "start": "at the next start"}
-    return (f"{change.path}: {side(change.before)} -> {side(change.after)}"
-            f" ({when[change.reload.value]})")
+    return f"{change.path}: {side(change.before)} -> {side(change.after)} ({when[change.reload.value]})"
--- a/limelatch/configuration/page.py
+++ b/limelatch/configuration/page.py
@@ -79,8 +79,9 @@
             yield from section(f"[[{name}]]", name, row.cls, key.notes["platform"], key)
 
 
-def section(title: str, path: str, table: type[msgspec.Struct], place: str,
-            of: Key | None = None) -> Iterator[str]:
+def section(
+    title: str, path: str, table: type[msgspec.Struct], place: str, of: Key | None = None
+) -> Iterator[str]:
     yield f"## {title}\n"
     needed = " At least one." if of is not None and of.type.min_length else ""
     yield f"{table.__doc__.strip()}{needed}{f' {of.about.capitalize()}.' if of and of.about else ''}\n"
--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -117,24 +117,41 @@
 
 def product_of(row: Product, falls: Falls) -> li.Product:
     return li.Product(
-        effect=row.effect, sla_time=row.sla_time, validity_period=row.validity_period, revenue=row.revenue,
-        late_share=row.late_share, by_halves=falls is Falls.HALVES, repeat_window=row.repeat_window,
-        repeats_anywhere=row.repeat_known is Known.DESTINATION, in_order=row.in_order)
+        effect=row.effect,
+        sla_time=row.sla_time,
+        validity_period=row.validity_period,
+        revenue=row.revenue,
+        late_share=row.late_share,
+        by_halves=falls is Falls.HALVES,
+        repeat_window=row.repeat_window,
+        repeats_anywhere=row.repeat_known is Known.DESTINATION,
+        in_order=row.in_order,
+    )
 
 
 def terms_of(installation: Installation, seed: int) -> li.Terms:
     """What the module is told when it starts."""
     limits, rules = installation.limits, installation.rules
     return li.Terms(
-        seed=seed, relays=installation.relay.relays, slots=limits.slots, max_texts=limits.texts,
-        max_submits=limits.submits, max_advice=limits.advice,
+        seed=seed,
+        relays=installation.relay.relays,
+        slots=limits.slots,
+        max_texts=limits.texts,
+        max_submits=limits.submits,
+        max_advice=limits.advice,
         products=[product_of(row, installation.revenue.falls) for row in installation.products],
         kinds=[li.HostKind(row.texts_per_call, row.routes_apart) for row in installation.kinds],
         zone_fees=[row.fee for row in installation.floors],
         rates_listed=installation.catalog.rates is not Rates.NONE,
-        list_asked=installation.catalog.news is News.ASKED, ask_within=installation.catalog.ask_within,
-        cold_share=rules.cold_share, cold_time=rules.cold_time, fall_multiple=rules.fall_multiple,
-        fall_time=rules.fall_time, turn_gap=rules.key_rest, conn_idle=installation.hosts.idle_time)
+        list_asked=installation.catalog.news is News.ASKED,
+        ask_within=installation.catalog.ask_within,
+        cold_share=rules.cold_share,
+        cold_time=rules.cold_time,
+        fall_multiple=rules.fall_multiple,
+        fall_time=rules.fall_time,
+        turn_gap=rules.key_rest,
+        conn_idle=installation.hosts.idle_time,
+    )
 
 
 def bench_terms(seed: int, settings: object) -> li.Terms:
@@ -149,11 +166,13 @@
 
 def names_of(installation: Installation) -> Names:
     """What products, customers, floors, kinds of destination and report fields are called."""
-    return Names(products=[row.name for row in installation.products],
-                 customers=[row.name for row in installation.customers],
-                 zones=[row.name for row in installation.floors],
-                 kinds=[row.name for row in installation.kinds],
-                 fields=installation.hosts.report_fields)
+    return Names(
+        products=[row.name for row in installation.products],
+        customers=[row.name for row in installation.customers],
+        zones=[row.name for row in installation.floors],
+        kinds=[row.name for row in installation.kinds],
+        fields=installation.hosts.report_fields,
+    )
 
 
 def membership_of(membership: Membership) -> MembershipPlan | None:
@@ -162,10 +181,12 @@
         return None
     names = sorted(set(membership.zones))
     return MembershipPlan(
-        listen=address_of(membership.listen), peers=[address_of(peer) for peer in membership.peers],
+        listen=address_of(membership.listen),
+        peers=[address_of(peer) for peer in membership.peers],
         number=membership.peers.index(membership.address or membership.listen),
         zones=[names.index(zone) for zone in membership.zones],
-        timing=Timing(period=membership.probe_period, pause=membership.pause))
+        timing=Timing(period=membership.probe_period, pause=membership.pause),
+    )
 
 
 def plan_of(installation: Installation) -> RelayPlan:
@@ -173,18 +194,30 @@
     relay, catalog, limits = installation.relay, installation.catalog, installation.limits
     seed = int(relay.seed, 16) if relay.seed else int.from_bytes(os.urandom(SEED_BYTES), "big")
     return RelayPlan(
-        name=relay.name, listen=address_of(relay.listen),
+        name=relay.name,
+        listen=address_of(relay.listen),
         operator=address_of(relay.operator) if relay.operator else None,
         discovery=address_of(catalog.address),
-        state=relay.state, log=installation.log,
+        state=relay.state,
+        log=installation.log,
         terms=replace(terms_of(installation, seed), hosts_on_demand=True),
-        names=names_of(installation), known=installation.known,
-        disk_bytes=limits.disk, memory_bytes=limits.memory,
-        sockets=limits.sockets, shares=Shares.of(limits.sockets),
+        names=names_of(installation),
+        known=installation.known,
+        disk_bytes=limits.disk,
+        memory_bytes=limits.memory,
+        sockets=limits.sockets,
+        shares=Shares.of(limits.sockets),
         client_bytes=limits.memory // 8,
-        client_command=installation.clients.command_wait, client_idle=installation.clients.idle_wait,
-        connect_wait=installation.hosts.connect_wait, probe_wait=installation.hosts.probe_wait,
-        stop_least=installation.stop.least, stop_wait=installation.stop.most,
-        notice_wait=catalog.notice_wait, list_wait=catalog.list_wait, silence=catalog.silence,
-        reconnect_wait=catalog.reconnect_wait, told=installation,
-        membership=membership_of(installation.membership))
+        client_command=installation.clients.command_wait,
+        client_idle=installation.clients.idle_wait,
+        connect_wait=installation.hosts.connect_wait,
+        probe_wait=installation.hosts.probe_wait,
+        stop_least=installation.stop.least,
+        stop_wait=installation.stop.most,
+        notice_wait=catalog.notice_wait,
+        list_wait=catalog.list_wait,
+        silence=catalog.silence,
+        reconnect_wait=catalog.reconnect_wait,
+        told=installation,
+        membership=membership_of(installation.membership),
+    )
--- a/limelatch/configuration/platform.py
+++ b/limelatch/configuration/platform.py
@@ -24,8 +24,10 @@
 WORDS = {
     "products.effect": ({word: effect.value for word, effect in EFFECTS.items()}, Effect.ONCE_ONLY.value),
     "products.repeat_known": ({"all": Known.DESTINATION.value, "zone": Known.FLOOR.value}, Known.FLOOR.value),
-    "catalog.rates": ({"nominal": Rates.EXACT.value, "rough": Rates.ROUGH.value, "off": Rates.NONE.value},
-                      Rates.NONE.value),
+    "catalog.rates": (
+        {"nominal": Rates.EXACT.value, "rough": Rates.ROUGH.value, "off": Rates.NONE.value},
+        Rates.NONE.value,
+    ),
     "catalog.news": ({"automatic": News.PUSHED.value, "subscribe": News.ASKED.value}, None),
     "revenue.falls": ({"halves": Falls.HALVES.value, "line": Falls.LINE.value}, Falls.LINE.value),
 }
@@ -43,10 +45,16 @@
 
 
 UNITS = {
-    "span": Unit(lambda ms: to_units(number(ms)), "a number of milliseconds that is not negative",
-                 lambda ticks: ticks / MS),
-    "size": Unit(lambda mb: round(number(mb) * MEGABYTE), "a number of megabytes that is not negative",
-                 lambda count: count / MEGABYTE),
+    "span": Unit(
+        lambda ms: to_units(number(ms)),
+        "a number of milliseconds that is not negative",
+        lambda ticks: ticks / MS,
+    ),
+    "size": Unit(
+        lambda mb: round(number(mb) * MEGABYTE),
+        "a number of megabytes that is not negative",
+        lambda count: count / MEGABYTE,
+    ),
     "count": Unit(lambda value: int(number(value)), "a number that is not negative", lambda value: value),
     "address": ADDRESS,
 }
@@ -221,8 +229,13 @@
     raw: dict = {}
     for path, key, value in tables_of(installation):
         if path in ROWS:
-            rows = [{each.notes["platform"]: written(f"{path}.{name}", each, getattr(row, name))
-                     for name, each in keys_of(type(row)).items()} for row in value]
+            rows = [
+                {
+                    each.notes["platform"]: written(f"{path}.{name}", each, getattr(row, name))
+                    for name, each in keys_of(type(row)).items()
+                }
+                for row in value
+            ]
             put(raw, key.notes["platform"], rows)
         elif path in BESIDE:
             for name, each in keys_of(key.type.item_type.cls).items():
--- a/limelatch/configuration/schema.py
+++ b/limelatch/configuration/schema.py
@@ -26,8 +26,11 @@
     """A key's schema by its type alone."""
     found = msgspec.json.schema(key.told)
     while "$ref" in found:  # an enumeration
-        found = {name: each for name, each in found["$defs"][found["$ref"].rpartition("/")[2]].items()
-                 if name != "title"}
+        found = {
+            name: each
+            for name, each in found["$defs"][found["$ref"].rpartition("/")[2]].items()
+            if name != "title"
+        }
     return {name: each for name, each in found.items() if name not in ("$defs", "default")}
 
 
@@ -94,8 +97,10 @@
 
     for name, key in keys_of(Installation).items():
         if name in ROWS:
-            columns = {each.notes["platform"]: platform_leaf(f"{name}.{column}", each)
-                       for column, each in keys_of(key.type.item_type.cls).items()}
+            columns = {
+                each.notes["platform"]: platform_leaf(f"{name}.{column}", each)
+                for column, each in keys_of(key.type.item_type.cls).items()
+            }
             rows = {"type": "array", "items": {"type": "object", "properties": columns}}
             put(key.notes["platform"], rows | ({"minItems": 1} if key.type.min_length else {}), key.required)
         elif name in BESIDE:
@@ -107,6 +112,8 @@
                 put(each.notes["platform"], platform_leaf(f"{name}.{column}", each), each.required)
         else:
             put(key.notes["platform"], {"type": "object", "description": key.about})
-    put(ADVICE_FLAG, {"type": "boolean", "default": False,
-                      "description": "whether clients are told when to come again"})
+    put(
+        ADVICE_FLAG,
+        {"type": "boolean", "default": False, "description": "whether clients are told when to come again"},
+    )
     return top
--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -19,114 +19,262 @@
 HOST, OWED, CALLS = "the host, as the catalog names it", "texts whose end is still owed", "calls that are out"
 WHY, PEER = "the reason", "the client's address"
 HELD_DOWN = "so many more were left out in the second before"  # of events that anybody outside can cause
-MEMBER = {"member": "its address in `membership.peers`", "incarnation": "of its process", "why": WHY,
-          "after_ms": "since the first sign of it", "left_out": HELD_DOWN}
+MEMBER = {
+    "member": "its address in `membership.peers`",
+    "incarnation": "of its process",
+    "why": WHY,
+    "after_ms": "since the first sign of it",
+    "left_out": HELD_DOWN,
+}
 
 EVENTS = {
-    "started": Event("driver", INFO, "the folder that lasts has been read", {
-        "owed": OWED, "hosts": "hosts on the known list", "ledger_bytes": "size of the ledger"}),
-    "waiting": Event("driver", INFO, "the relay does not serve yet", {
-        "on": "what it waits for", "most_ms": "after which it serves without"}),
-    "serving": Event("driver", INFO, "clients are taken from here on", {
-        "listen": "the address", "hosts": "hosts on the list", "fresh_list": "whether the catalog has told "
-                                                                             "it since "
-        "the start"}),
-    "configured": Event("driver", INFO, "a new configuration has been taken (SIGHUP)", {
-        "catalog": "where catalog and platform are now", "owed": OWED, "products": "in force from now on",
-        "submits": "for one text, from now on",
-        "restart_for": "changed keys that wait for a restart"}),
-    "stopping": Event("driver", INFO, "SIGTERM has come: nothing new is taken", {
-        "owed": OWED, "calls": CALLS, "handed_over": "whether a new process serves beside it and takes the "
-                                                      "clients"}),
+    "started": Event(
+        "driver",
+        INFO,
+        "the folder that lasts has been read",
+        {"owed": OWED, "hosts": "hosts on the known list", "ledger_bytes": "size of the ledger"},
+    ),
+    "waiting": Event(
+        "driver",
+        INFO,
+        "the relay does not serve yet",
+        {"on": "what it waits for", "most_ms": "after which it serves without"},
+    ),
+    "serving": Event(
+        "driver",
+        INFO,
+        "clients are taken from here on",
+        {
+            "listen": "the address",
+            "hosts": "hosts on the list",
+            "fresh_list": "whether the catalog has told it since the start",
+        },
+    ),
+    "configured": Event(
+        "driver",
+        INFO,
+        "a new configuration has been taken (SIGHUP)",
+        {
+            "catalog": "where catalog and platform are now",
+            "owed": OWED,
+            "products": "in force from now on",
+            "submits": "for one text, from now on",
+            "restart_for": "changed keys that wait for a restart",
+        },
+    ),
+    "stopping": Event(
+        "driver",
+        INFO,
+        "SIGTERM has come: nothing new is taken",
+        {
+            "owed": OWED,
+            "calls": CALLS,
+            "handed_over": "whether a new process serves beside it and takes the clients",
+        },
+    ),
     "stopped": Event("driver", INFO, "the relay ends", {"owed": OWED, "calls": CALLS}),
-    "port-taken": Event("driver", WARNING, "the clients' port is in use at the start; it is tried for 1 s", {
-        "listen": "the address", "why": WHY}),
-    "not-serving": Event("driver", ERROR, "clients can't be taken; the relay ends", {
-        "listen": "the address", "why": WHY}),
-    "ledger-cut": Event("driver", WARNING, "the end of an earlier process tore a record, and the tail was "
-                                           "cut", {
-        "bytes": "that were cut"}),
-    "ledger-behind": Event("ledger", ERROR, "the disk takes no more: no text is taken on and no call goes "
-                                            "out until it does", {"why": WHY, "bytes": "still to write"}),
-    "known-list-not-read": Event("driver", WARNING, "the known list of the configuration is passed over", {
-        "why": WHY}),
-    "product-unknown": Event("driver", WARNING, "an owed text's product is not in the configuration any "
-                                                "more; it ends "
-                             "undeliverable", {"product": "its name"}),
-    "probe-ended": Event("driver", INFO, "a probe of a host has its outcome", {
-        "host": HOST, "result": "how it ended", "x0": "share of the limit left, where told",
-        "x1": "the limit in calls a second, where told"}),
-    "not-configured": Event("main", ERROR, "a new configuration was not taken; the one in force stays "
-                                           "whole", {
-        "why": "every fault, by key"}),
-    "descriptors-few": Event("main", WARNING, "the process may hold fewer descriptors than `limits.sockets`; "
-                                              "their shares are of these", {
-        "sockets": "as configured", "limit": "of the process"}),
+    "port-taken": Event(
+        "driver",
+        WARNING,
+        "the clients' port is in use at the start; it is tried for 1 s",
+        {"listen": "the address", "why": WHY},
+    ),
+    "not-serving": Event(
+        "driver", ERROR, "clients can't be taken; the relay ends", {"listen": "the address", "why": WHY}
+    ),
+    "ledger-cut": Event(
+        "driver",
+        WARNING,
+        "the end of an earlier process tore a record, and the tail was cut",
+        {"bytes": "that were cut"},
+    ),
+    "ledger-behind": Event(
+        "ledger",
+        ERROR,
+        "the disk takes no more: no text is taken on and no call goes out until it does",
+        {"why": WHY, "bytes": "still to write"},
+    ),
+    "known-list-not-read": Event(
+        "driver", WARNING, "the known list of the configuration is passed over", {"why": WHY}
+    ),
+    "product-unknown": Event(
+        "driver",
+        WARNING,
+        "an owed text's product is not in the configuration any more; it ends undeliverable",
+        {"product": "its name"},
+    ),
+    "probe-ended": Event(
+        "driver",
+        INFO,
+        "a probe of a host has its outcome",
+        {
+            "host": HOST,
+            "result": "how it ended",
+            "x0": "share of the limit left, where told",
+            "x1": "the limit in calls a second, where told",
+        },
+    ),
+    "not-configured": Event(
+        "main",
+        ERROR,
+        "a new configuration was not taken; the one in force stays whole",
+        {"why": "every fault, by key"},
+    ),
+    "descriptors-few": Event(
+        "main",
+        WARNING,
+        "the process may hold fewer descriptors than `limits.sockets`; their shares are of these",
+        {"sockets": "as configured", "limit": "of the process"},
+    ),
     "not-started": Event("main", ERROR, "the relay can't start; it ends", {"trace": "where"}),
-    "mode": Event("policy", INFO, "the module has changed its mind on a host", {
-        "host": HOST, "change": "to what, with the figures that caused it"}),
-    "command-bad": Event("clients", WARNING, "a client's command can't be carried out; it got an error", {
-        "why": WHY, "peer": PEER, "left_out": HELD_DOWN}),
-    "client-ended": Event("clients", WARNING, "a client's connection was closed by the relay", {
-        "why": "garbled, crowded or silent", "peer": PEER, "left_out": HELD_DOWN}),
-    "answer-not-read": Event("hosts", WARNING, "a host's answer can't be read; its texts may have run", {
-        "host": HOST, "why": WHY, "left_out": HELD_DOWN}),
-    "host-connection-bad": Event("hosts", WARNING, "a connection to a host ended badly", {
-        "host": HOST, "why": "garbled: it sent what can't be read; crowded: the table is full",
-        "left_out": HELD_DOWN}),
-    "host-connection-ended": Event("hosts", DEBUG, "a connection to a host is over", {
-        "host": HOST, "why": "how it ended"}),
-    "catalog-lost": Event("catalog", WARNING, "the watch has ended; the list held stays, and it is opened "
-                                              "anew", {
-        "why": "how it ended", "index": "of the list held"}),
+    "mode": Event(
+        "policy",
+        INFO,
+        "the module has changed its mind on a host",
+        {"host": HOST, "change": "to what, with the figures that caused it"},
+    ),
+    "command-bad": Event(
+        "clients",
+        WARNING,
+        "a client's command can't be carried out; it got an error",
+        {"why": WHY, "peer": PEER, "left_out": HELD_DOWN},
+    ),
+    "client-ended": Event(
+        "clients",
+        WARNING,
+        "a client's connection was closed by the relay",
+        {"why": "garbled, crowded or silent", "peer": PEER, "left_out": HELD_DOWN},
+    ),
+    "answer-not-read": Event(
+        "hosts",
+        WARNING,
+        "a host's answer can't be read; its texts may have run",
+        {"host": HOST, "why": WHY, "left_out": HELD_DOWN},
+    ),
+    "host-connection-bad": Event(
+        "hosts",
+        WARNING,
+        "a connection to a host ended badly",
+        {
+            "host": HOST,
+            "why": "garbled: it sent what can't be read; crowded: the table is full",
+            "left_out": HELD_DOWN,
+        },
+    ),
+    "host-connection-ended": Event(
+        "hosts", DEBUG, "a connection to a host is over", {"host": HOST, "why": "how it ended"}
+    ),
+    "catalog-lost": Event(
+        "catalog",
+        WARNING,
+        "the watch has ended; the list held stays, and it is opened anew",
+        {"why": "how it ended", "index": "of the list held"},
+    ),
     "list-not-read": Event("catalog", WARNING, "what the catalog told can't be read", {"why": WHY}),
-    "kind-unknown": Event("catalog", WARNING, "a host was left out: its kind is not in the configuration", {
-        "host": HOST, "kind": "its kind", "left_out": HELD_DOWN}),
-    "row-not-read": Event("catalog", WARNING, "a host was left out, or stays as it was: its row is beyond "
-                                              "the directory's bounds", {
-        "host": HOST, "why": WHY, "left_out": HELD_DOWN}),
+    "kind-unknown": Event(
+        "catalog",
+        WARNING,
+        "a host was left out: its kind is not in the configuration",
+        {"host": HOST, "kind": "its kind", "left_out": HELD_DOWN},
+    ),
+    "row-not-read": Event(
+        "catalog",
+        WARNING,
+        "a host was left out, or stays as it was: its row is beyond the directory's bounds",
+        {"host": HOST, "why": WHY, "left_out": HELD_DOWN},
+    ),
     "copy-not-read": Event("catalog", WARNING, "the folder's copy of the list is passed over", {"why": WHY}),
-    "copy-not-written": Event("catalog", WARNING, "the folder keeps no new copy of the list; it is tried "
-                                                  "again", {"why": WHY}),
-    "no-list": Event("driver", ERROR, "a text was turned back: no list of hosts could be read so far", {
-        "why": WHY, "left_out": HELD_DOWN}),
-    "platform-lost": Event("platform", WARNING, "the connection for notices has ended; they go again", {
-        "why": "how it ended", "owed": "notices not answered"}),
-    "notices-not-taken": Event("platform", ERROR, "the platform answered notices with another status than "
-                                                  "204", {
-        "status": "the status", "notices": "in that request"}),
-    "taken-over": Event("driver", INFO, "an upgrade: the process before has ended; its folder and what it "
-                                        "owed are this one's", {
-        "owed": OWED, "adopted": "texts that the process before still owed"}),
-    "call-bad": Event("door", WARNING, "an operator's call can't be carried out; it got an error", {
-        "why": WHY, "peer": "the caller's address", "left_out": HELD_DOWN}),
-    "out-not-read": Event("door", WARNING, "the file of the hosts out by hand can't be read; none is out", {
-        "why": WHY}),
-    "paused": Event("clients", INFO, "PAUSE: PING says no; connections close between requests", {
-        "owed": OWED}),
+    "copy-not-written": Event(
+        "catalog", WARNING, "the folder keeps no new copy of the list; it is tried again", {"why": WHY}
+    ),
+    "no-list": Event(
+        "driver",
+        ERROR,
+        "a text was turned back: no list of hosts could be read so far",
+        {"why": WHY, "left_out": HELD_DOWN},
+    ),
+    "platform-lost": Event(
+        "platform",
+        WARNING,
+        "the connection for notices has ended; they go again",
+        {"why": "how it ended", "owed": "notices not answered"},
+    ),
+    "notices-not-taken": Event(
+        "platform",
+        ERROR,
+        "the platform answered notices with another status than 204",
+        {"status": "the status", "notices": "in that request"},
+    ),
+    "taken-over": Event(
+        "driver",
+        INFO,
+        "an upgrade: the process before has ended; its folder and what it owed are this one's",
+        {"owed": OWED, "adopted": "texts that the process before still owed"},
+    ),
+    "call-bad": Event(
+        "door",
+        WARNING,
+        "an operator's call can't be carried out; it got an error",
+        {"why": WHY, "peer": "the caller's address", "left_out": HELD_DOWN},
+    ),
+    "out-not-read": Event(
+        "door", WARNING, "the file of the hosts out by hand can't be read; none is out", {"why": WHY}
+    ),
+    "paused": Event(
+        "clients", INFO, "PAUSE: PING says no; connections close between requests", {"owed": OWED}
+    ),
     "resumed": Event("clients", INFO, "RESUME: PING says yes again", {"owed": OWED}),
-    "membership-joined": Event("membership", INFO, "this relay takes part among the others", {
-        "member": "its own address", "incarnation": "of this process"}),
+    "membership-joined": Event(
+        "membership",
+        INFO,
+        "this relay takes part among the others",
+        {"member": "its own address", "incarnation": "of this process"},
+    ),
     "member-alive": Event("membership", INFO, "another relay is there", MEMBER),
     "member-suspect": Event("membership", WARNING, "another relay does not answer", MEMBER),
     "member-dead": Event("membership", WARNING, "another relay is taken for dead", MEMBER),
     "member-left": Event("membership", INFO, "another relay has ended in order", MEMBER),
-    "membership-isolated": Event("membership", WARNING, "no relay answers this one, which judges none while "
-                                                        "it is so; or it is answered again", {
-        "why": "deaf: nothing is heard; unanswered: others are heard; answered: it is over",
-        "after_ms": "since the last answer", "left_out": HELD_DOWN}),
-    "membership-not-listening": Event("membership", ERROR, "the socket for the other relays can't be bound; "
-                                                           "it is tried again", {
-        "listen": "the address", "why": WHY, "left_out": HELD_DOWN}),
-    "datagram-dropped": Event("membership", WARNING, "a datagram was dropped whole", {
-        "why": "length, version, kind, checksum, sender, value or stale",
-        "peer": "whose address it came from", "left_out": HELD_DOWN}),
-    "datagram-not-sent": Event("membership", WARNING, "a datagram could not be sent", {
-        "why": WHY, "member": "to whom", "left_out": HELD_DOWN}),
-    "incarnation-not-read": Event("membership", WARNING, "the folder's incarnation is passed over; the other "
-                                                         "relays are asked", {"why": WHY}),
-    "incarnation-not-written": Event("membership", WARNING, "the folder does not keep the incarnation", {
-        "why": WHY}),
+    "membership-isolated": Event(
+        "membership",
+        WARNING,
+        "no relay answers this one, which judges none while it is so; or it is answered again",
+        {
+            "why": "deaf: nothing is heard; unanswered: others are heard; answered: it is over",
+            "after_ms": "since the last answer",
+            "left_out": HELD_DOWN,
+        },
+    ),
+    "membership-not-listening": Event(
+        "membership",
+        ERROR,
+        "the socket for the other relays can't be bound; it is tried again",
+        {"listen": "the address", "why": WHY, "left_out": HELD_DOWN},
+    ),
+    "datagram-dropped": Event(
+        "membership",
+        WARNING,
+        "a datagram was dropped whole",
+        {
+            "why": "length, version, kind, checksum, sender, value or stale",
+            "peer": "whose address it came from",
+            "left_out": HELD_DOWN,
+        },
+    ),
+    "datagram-not-sent": Event(
+        "membership",
+        WARNING,
+        "a datagram could not be sent",
+        {"why": WHY, "member": "to whom", "left_out": HELD_DOWN},
+    ),
+    "incarnation-not-read": Event(
+        "membership",
+        WARNING,
+        "the folder's incarnation is passed over; the other relays are asked",
+        {"why": WHY},
+    ),
+    "incarnation-not-written": Event(
+        "membership", WARNING, "the folder does not keep the incarnation", {"why": WHY}
+    ),
     "fault": Event("deadlines", ERROR, "a fault in the program itself; please report it", {"trace": "where"}),
     "note": Event("twisted", WARNING, "a line of a library", {"text": "the line"}),
 }
@@ -153,8 +301,9 @@
     """The operators' page of events, in Markdown."""
     rows = []
     for name, event in EVENTS.items():
-        fields = "; ".join(f"`{field}`: {words}" for field, words in event.fields.items()
-                           if field != "left_out")
+        fields = "; ".join(
+            f"`{field}`: {words}" for field, words in event.fields.items() if field != "left_out"
+        )
         mark = " *" if "left_out" in event.fields else ""
         level = getLevelName(event.level).lower()
         rows.append(f"| `{name}`{mark} | {event.part} | {level} | {event.about} | {fields} |\n")
--- a/limelatch/lab/capacity.py
+++ b/limelatch/lab/capacity.py
@@ -21,8 +21,13 @@
     tries: list[tuple[float, Figures]] = field(default_factory=list)
 
 
-def search(trial: Callable[[float], Figures], least: float, first: float, most: float,
-           told: Callable[[float, Figures], None]) -> Capacity:
+def search(
+    trial: Callable[[float], Figures],
+    least: float,
+    first: float,
+    most: float,
+    told: Callable[[float, Figures], None],
+) -> Capacity:
     """Double the rate until it is too much, then halve what lies between.
 
     A trial in which the stage itself was late says nothing of the relay; its rate bounds the answer, and
--- a/limelatch/lab/checker.py
+++ b/limelatch/lab/checker.py
@@ -119,10 +119,12 @@
         self.routes: dict[int, RouteState] = {}
         self.relays: dict[int, RelayState] = {}
         self.lines: dict[tuple[int, TextId], list[TextId]] = {}  # relay and key -> texts not over, in order
-        self.rests: dict[tuple[int, TextId], tuple[int,
-                                                   TextId]] = {}  # until when a key rests, and for whom not
-        self.effects: dict[TextId, list[tuple[int, int,
-                                              TextId]]] = {}  # once-only: first -> when, where, which
+        self.rests: dict[
+            tuple[int, TextId], tuple[int, TextId]
+        ] = {}  # until when a key rests, and for whom not
+        self.effects: dict[
+            TextId, list[tuple[int, int, TextId]]
+        ] = {}  # once-only: first -> when, where, which
         self.due: list[tuple[int, int, TextId]] = []
         self.doubles = 0  # effects beyond a text's first, within the rules or not
         self.coming: list[tuple[int, int, rec.Responded]] = []  # answers on their way to a relay
@@ -182,8 +184,9 @@
                 later = max(relay.excuse_until, now) + (0 if relay.up else self.scenario.scenario.settle)
                 self._at(later, name)  # its relay is down, or just back
                 continue
-            self.breach(Rule.LOST, due, f"text {name}", "its time is up, and it has no final answer",
-                        text.trail)
+            self.breach(
+                Rule.LOST, due, f"text {name}", "its time is up, and it has no final answer", text.trail
+            )
             self._over(text, "lost", due)
         while self.forget and self.forget[0][0] < now:
             name = self.forget.popleft()[1]
@@ -227,16 +230,26 @@
         sent, route = event.at if self.by_arrival else event.sent, host.route if host else -1
         drained = relay.told.get(event.host)
         if drained is not None and sent > drained + self.scenario.rules.drain_grace + self.limit:
-            self.breach(Rule.DRAINS, event.at, self._name(event.host),
-                        f"relay {event.relay} sent to it {write_span(sent - drained)} after it was told "
-                        f"that it "
-                        f"drains or is gone", self._trails(event.texts))
+            self.breach(
+                Rule.DRAINS,
+                event.at,
+                self._name(event.host),
+                f"relay {event.relay} sent to it {write_span(sent - drained)} after it was told "
+                f"that it "
+                f"drains or is gone",
+                self._trails(event.texts),
+            )
         begin, until = relay.waits.get(route, (0, 0))
         if begin + self.wait_allow < sent < until:
-            self.breach(Rule.WAITS, event.at, self._name(event.host),
-                        f"relay {event.relay} sent {write_span(until - sent)} before the end of a wait that "
-                        f"it "
-                        f"was told {write_span(sent - begin)} before", self._trails(event.texts))
+            self.breach(
+                Rule.WAITS,
+                event.at,
+                self._name(event.host),
+                f"relay {event.relay} sent {write_span(until - sent)} before the end of a wait that "
+                f"it "
+                f"was told {write_span(sent - begin)} before",
+                self._trails(event.texts),
+            )
         for name in event.texts:
             text = self.texts.get(name)
             if text is None:
@@ -250,8 +263,9 @@
         if (given_up := self.given_up.pop(event.call, None)) is not None:
             self.gave_up(given_up)
 
-    def _check_call(self, event: rec.Called, text: TextState, name: TextId, host: rec.Host | None,
-                    sent: int) -> None:
+    def _check_call(
+        self, event: rec.Called, text: TextState, name: TextId, host: rec.Host | None, sent: int
+    ) -> None:
         product, subject = self.products[text.handed.product], f"text {name}"
         repeats = text.end == "delivered" and self.by_arrival and product.effect is not Effect.ONCE_ONLY
         if text.end and not repeats and sent > text.end_at + self.limit:
@@ -262,8 +276,13 @@
             self._unless_gone(event.at, text, text.out, Rule.TWICE, "a second call is out beside the first")
         if text.ran_at is not None:
             if product.effect is Effect.ONCE_ONLY:
-                self.breach(Rule.TWICE, event.at, subject, "sent again though an earlier call may have run",
-                            text.trail)
+                self.breach(
+                    Rule.TWICE,
+                    event.at,
+                    subject,
+                    "sent again though an earlier call may have run",
+                    text.trail,
+                )
             elif product.effect is Effect.REFERENCED:
                 elsewhere = product.repeat_known is Known.FLOOR and host and host.floor != text.ran_floor
                 late = sent - text.ran_at - product.repeat_window - self.limit
@@ -278,15 +297,23 @@
         for earlier in self.lines.get(key, []):
             if earlier == name:
                 break
-            self.breach(Rule.ORDER, event.at, f"key {text.handed.key}",
-                        f"text {name} was sent while text {earlier} before it was not over",
-                        [*self.texts[earlier].trail, *text.trail])
+            self.breach(
+                Rule.ORDER,
+                event.at,
+                f"key {text.handed.key}",
+                f"text {name} was sent while text {earlier} before it was not over",
+                [*self.texts[earlier].trail, *text.trail],
+            )
             break
         until, unless = self.rests.get(key, (0, name))
         if unless != name and sent < until - self.limit:
-            self.breach(Rule.ORDER, event.at, f"key {text.handed.key}",
-                        f"text {name} was sent {write_span(until - sent)} before the key's rest was over",
-                        text.trail)
+            self.breach(
+                Rule.ORDER,
+                event.at,
+                f"key {text.handed.key}",
+                f"text {name} was sent {write_span(until - sent)} before the key's rest was over",
+                text.trail,
+            )
 
     def _unless_gone(self, at: int, text: TextState, call: int, rule: Rule, words: str) -> None:
         """A breach, unless the call turns out to be over within the allowance: its end and what the relay
@@ -324,8 +351,12 @@
             text = self.texts.get(name)
             if text is None:
                 continue
-            self._trail(text, event.at, f"{Fate(fate).name.lower()} at {self._name(called.host)}"
-                                        + (f", wait {write_span(event.wait)}" if event.wait else ""))
+            self._trail(
+                text,
+                event.at,
+                f"{Fate(fate).name.lower()} at {self._name(called.host)}"
+                + (f", wait {write_span(event.wait)}" if event.wait else ""),
+            )
             if text.out == event.call:
                 text.out = None
             if fate in rec.NEVER_RAN:
@@ -375,17 +406,24 @@
         if seen:
             self.doubles += 1
             if product.effect is Effect.ONCE_ONLY:
-                trail = [line for _, _, other in seen if other in self.texts
-                         for line in self.texts[other].trail]
-                self.breach(Rule.TWICE, event.at, f"text {event.text}", "it takes effect a second time",
-                            [*trail, *text.trail])
+                trail = [
+                    line for _, _, other in seen if other in self.texts for line in self.texts[other].trail
+                ]
+                self.breach(
+                    Rule.TWICE,
+                    event.at,
+                    f"text {event.text}",
+                    "it takes effect a second time",
+                    [*trail, *text.trail],
+                )
         seen.append((event.at, event.host, event.text))
 
     def noticed(self, event: rec.Noticed) -> None:
         text = self.texts.get(event.text)
         if text is None:
-            self.breach(Rule.LOST, event.at, f"text {event.text}", "a notice of a text that nobody handed in",
-                        [])
+            self.breach(
+                Rule.LOST, event.at, f"text {event.text}", "a notice of a text that nobody handed in", []
+            )
             return
         what = "nacked" if event.nacked else "undeliverable"
         self._trail(text, event.at, f"{what}, by a notice of relay {event.relay}")
@@ -399,10 +437,16 @@
     def _nacked(self, text: TextState, at: int) -> None:
         product = self.products[text.handed.product]
         unsafe = product.effect is Effect.ONCE_ONLY or (
-            product.effect is Effect.REFERENCED and product.repeat_known is Known.FLOOR)
+            product.effect is Effect.REFERENCED and product.repeat_known is Known.FLOOR
+        )
         if text.ran_at is not None and unsafe and not text.end:
-            self.breach(Rule.TWICE, at, f"text {text.handed.text}",
-                        "nacked, which invites it again, though a call of it may have run", text.trail)
+            self.breach(
+                Rule.TWICE,
+                at,
+                f"text {text.handed.text}",
+                "nacked, which invites it again, though a call of it may have run",
+                text.trail,
+            )
 
     def _over(self, text: TextState, end: str, at: int) -> None:
         text.end, text.end_at = end, at
@@ -450,8 +494,10 @@
         total = sum(event.load.values())
         knew = sum(count for relay, count in event.load.items() if relay in route.knowing)
         hosts = ", ".join(host.name for host in self.hosts.values() if host.route == event.route)
-        words = (f"{total} texts where it bore {event.bore:.1f}; {knew} of them from relays that knew of the "
-                 f"outage ({shares(event.load, route.knowing)})")
+        words = (
+            f"{total} texts where it bore {event.bore:.1f}; {knew} of them from relays that knew of the "
+            f"outage ({shares(event.load, route.knowing)})"
+        )
         if knew >= KNOWING_SHARE * total:
             self.breach(Rule.PUSHED, event.at, f"route {event.route} ({hosts})", words, route.trail)
         else:
@@ -491,10 +537,19 @@
 
 
 HANDLERS = {
-    rec.Handed: Checker.handed, rec.Answered: Checker.answered, rec.Called: Checker.called,
-    rec.Responded: Checker.responded, rec.GaveUp: Checker.gave_up, rec.Ran: Checker.ran,
-    rec.Noticed: Checker.noticed, rec.Host: Checker.host, rec.Told: Checker.told, rec.State: Checker.state,
-    rec.Missed: Checker.missed, rec.Fell: Checker.fell, rec.Relay: Checker.relay_event,
+    rec.Handed: Checker.handed,
+    rec.Answered: Checker.answered,
+    rec.Called: Checker.called,
+    rec.Responded: Checker.responded,
+    rec.GaveUp: Checker.gave_up,
+    rec.Ran: Checker.ran,
+    rec.Noticed: Checker.noticed,
+    rec.Host: Checker.host,
+    rec.Told: Checker.told,
+    rec.State: Checker.state,
+    rec.Missed: Checker.missed,
+    rec.Fell: Checker.fell,
+    rec.Relay: Checker.relay_event,
     rec.Over: Checker.over,
 }
 
@@ -502,8 +557,9 @@
 def shares(load: dict[int, int], knowing: set[int]) -> str:
     """Who pushed, the largest first."""
     largest = sorted(load.items(), key=lambda each: (-each[1], each[0]))[:5]
-    return ", ".join(f"relay {relay}: {count}{' (knew)' if relay in knowing else ''}" for relay,
-                     count in largest)
+    return ", ".join(
+        f"relay {relay}: {count}{' (knew)' if relay in knowing else ''}" for relay, count in largest
+    )
 
 
 def check(source) -> Checker:
--- a/limelatch/lab/experiments.py
+++ b/limelatch/lab/experiments.py
@@ -70,11 +70,27 @@
     source = plan.target.with_suffix(".toml")
     source.write_text(plan.text, encoding="utf-8")
     done = subprocess.run(
-        [sys.executable, "-m", "limelatch", "lab", "run", str(source.resolve()), "--stage", plan.stage,
-         "--seed",
-         str(plan.seed), "--record", str(plan.target.resolve()), "--quiet"],
-        cwd=plan.subject, env=os.environ | {"PYTHONPATH": str(Path(plan.subject).resolve())},
-        capture_output=True, text=True, check=False)
+        [
+            sys.executable,
+            "-m",
+            "limelatch",
+            "lab",
+            "run",
+            str(source.resolve()),
+            "--stage",
+            plan.stage,
+            "--seed",
+            str(plan.seed),
+            "--record",
+            str(plan.target.resolve()),
+            "--quiet",
+        ],
+        cwd=plan.subject,
+        env=os.environ | {"PYTHONPATH": str(Path(plan.subject).resolve())},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     if done.returncode not in (0, 1):  # 1: rules were broken, which its record tells
         raise RunFailed(f"{plan.subject}: {done.stderr.strip() or done.stdout.strip()}")
 
@@ -85,8 +101,9 @@
         found = []
         for number, plan in enumerate(plans):
             label = f"{plan.name} {plan.subject} {plan.seed}"
-            found.append(run_one(plan, lambda part, at=number, words=label: progress(
-                words, (at + part) / len(plans))))
+            found.append(
+                run_one(plan, lambda part, at=number, words=label: progress(words, (at + part) / len(plans)))
+            )
         return found
     results: dict[int, Figures] = {}
     with ProcessPoolExecutor(processes) as pool:
--- a/limelatch/lab/figures.py
+++ b/limelatch/lab/figures.py
@@ -115,8 +115,12 @@
         where a rule is broken."""
         if not self.kept:
             return 0.0
-        return (0.5 * self.service + 0.3 * self.worst_window + 0.1 * self.worst_product
-                + 0.1 * self.worst_customer)
+        return (
+            0.5 * self.service
+            + 0.3 * self.worst_window
+            + 0.1 * self.worst_product
+            + 0.1 * self.worst_customer
+        )
 
 
 def worth(product: ProductKeys, falls: Falls, took: np.ndarray) -> np.ndarray:
@@ -240,8 +244,9 @@
     def state(self, event: rec.State) -> None:
         condition = Condition(event.condition)
         well = condition in (Condition.WELL, Condition.GONE)
-        self._span("conditions", self.hosts[event.host].name, event.at, None if well
-                   else condition.name.lower())
+        self._span(
+            "conditions", self.hosts[event.host].name, event.at, None if well else condition.name.lower()
+        )
 
     def believes(self, event: rec.Believes) -> None:
         host = self.hosts.get(event.host)
@@ -298,34 +303,51 @@
             in_sla[mine] = (took[mine] >= 0) & (took[mine] <= row.sla_time)
         counts = came >= scenario.scenario.warm_up
         worst, worst_at = self._worst(came[counts], asked[counts], earned[counts])
-        products = parts([row.name for row in scenario.products], product[counts], asked[counts],
-                         earned[counts])
-        customers = parts([row.name for row in scenario.customers], customer[counts], asked[counts],
-                          earned[counts])
+        products = parts(
+            [row.name for row in scenario.products], product[counts], asked[counts], earned[counts]
+        )
+        customers = parts(
+            [row.name for row in scenario.customers], customer[counts], asked[counts], earned[counts]
+        )
         total = max(1, int(counts.sum()))
         reached = took[counts & (took >= 0)] / 10
         cpu = sum(max(each) - min(each) for each in self.cpu.values())
         return Figures(
-            scenario=scenario.scenario.name, stage=head.stage, subject=head.subject, seed=head.seed,
-            build=head.build, texts=int(counts.sum()),
+            scenario=scenario.scenario.name,
+            stage=head.stage,
+            subject=head.subject,
+            seed=head.seed,
+            build=head.build,
+            texts=int(counts.sum()),
             service=float(earned[counts].sum() / max(1e-9, asked[counts].sum())) if len(came) else 1.0,
-            worst_window=worst, worst_window_at=worst_at, sla_share=float(in_sla[counts].sum() / total),
+            worst_window=worst,
+            worst_window_at=worst_at,
+            sla_share=float(in_sla[counts].sum() / total),
             latency={f"p{each:g}": float(np.percentile(reached, each)) for each in PERCENTILES}
-            if len(reached) else {},
+            if len(reached)
+            else {},
             ends=dict(Counter(each for each, counted in zip(self.ends, counts, strict=True) if counted)),
-            calls=self.call_count, calls_a_text=self.call_count / max(1, len(came)), fates=dict(self.fates),
-            missed=self.missed, doubles=checker.doubles, products=products, customers=customers,
-            seconds=self._seconds(came, asked, earned, took), faults=self.intervals["faults"],
-            conditions=self.intervals["conditions"], beliefs=self.intervals["beliefs"],
+            calls=self.call_count,
+            calls_a_text=self.call_count / max(1, len(came)),
+            fates=dict(self.fates),
+            missed=self.missed,
+            doubles=checker.doubles,
+            products=products,
+            customers=customers,
+            seconds=self._seconds(came, asked, earned, took),
+            faults=self.intervals["faults"],
+            conditions=self.intervals["conditions"],
+            beliefs=self.intervals["beliefs"],
             breaches={rule.name.lower(): checker.counts[rule] for rule in Rule},
             breach_lines=[line for breach in checker.breaches[:10] for line in breach.lines()],
-            memory=max(self.memory.values(), default=0), descriptors=max(self.descriptors.values(),
-                                                                         default=0),
+            memory=max(self.memory.values(), default=0),
+            descriptors=max(self.descriptors.values(), default=0),
             cpu_a_text=cpu / max(1, len(came)),
             late={who: float(np.percentile(each, 99)) / 10 for who, each in sorted(self.late.items())},
-            whole=self.whole, worst_product=min((each.service for each in products if each.texts),
-                                                default=1.0),
-            worst_customer=min((each.service for each in customers if each.texts), default=1.0))
+            whole=self.whole,
+            worst_product=min((each.service for each in products if each.texts), default=1.0),
+            worst_customer=min((each.service for each in customers if each.texts), default=1.0),
+        )
 
     def _worst(self, came: np.ndarray, asked: np.ndarray, earned: np.ndarray) -> tuple[float, float]:
         """The worst window's service, and when it begins, in seconds."""
@@ -344,8 +366,9 @@
                     found, at = float(service), begin / SECOND
         return found, at
 
-    def _seconds(self, came: np.ndarray, asked: np.ndarray, earned: np.ndarray,
-                 took: np.ndarray) -> list[Second]:
+    def _seconds(
+        self, came: np.ndarray, asked: np.ndarray, earned: np.ndarray, took: np.ndarray
+    ) -> list[Second]:
         count = int(self.now // SECOND) + 1
         rows = [Second() for _ in range(count)]
         second = came // SECOND
@@ -353,7 +376,7 @@
         edges = np.searchsorted(second[order], np.arange(count + 1))
         held = 0
         for at, row in enumerate(rows):
-            mine = order[edges[at]:edges[at + 1]]
+            mine = order[edges[at] : edges[at + 1]]
             row.texts, row.asked, row.earned = len(mine), float(asked[mine].sum()), float(earned[mine].sum())
             reached = took[mine]
             reached = reached[reached >= 0] / 10
@@ -367,11 +390,21 @@
 
 
 HANDLERS = {
-    rec.Handed: Collector.handed, rec.Answered: Collector.answered, rec.Called: Collector.called,
-    rec.Responded: Collector.responded, rec.GaveUp: Collector.gave_up, rec.Noticed: Collector.noticed,
-    rec.Host: Collector.host, rec.State: Collector.state, rec.Believes: Collector.believes,
-    rec.Fault: Collector.fault, rec.Relay: Collector.relay, rec.Missed: Collector.missed_,
-    rec.Gauge: Collector.gauge, rec.Late: Collector.was_late, rec.Over: Collector.over,
+    rec.Handed: Collector.handed,
+    rec.Answered: Collector.answered,
+    rec.Called: Collector.called,
+    rec.Responded: Collector.responded,
+    rec.GaveUp: Collector.gave_up,
+    rec.Noticed: Collector.noticed,
+    rec.Host: Collector.host,
+    rec.State: Collector.state,
+    rec.Believes: Collector.believes,
+    rec.Fault: Collector.fault,
+    rec.Relay: Collector.relay,
+    rec.Missed: Collector.missed_,
+    rec.Gauge: Collector.gauge,
+    rec.Late: Collector.was_late,
+    rec.Over: Collector.over,
 }
 
 
--- a/limelatch/lab/load.py
+++ b/limelatch/lab/load.py
@@ -84,9 +84,18 @@
             return
 
 
-async def climb(host: str, port: int, shape: Shape, wanted: Iterator[float], seconds: float, sla_ms: float,
-                least: float, connections: int, told: Callable[[Step], None],
-                progress: Callable[[float, int, int], None]) -> list[Step]:
+async def climb(
+    host: str,
+    port: int,
+    shape: Shape,
+    wanted: Iterator[float],
+    seconds: float,
+    sla_ms: float,
+    least: float,
+    connections: int,
+    told: Callable[[Step], None],
+    progress: Callable[[float, int, int], None],
+) -> list[Step]:
     """Try each rate for so long, until the SLA share falls under `least`."""
     found: list[Step] = []
     made = texts_of(shape)
@@ -109,4 +118,3 @@
                 break
             await asyncio.sleep(0.2)
     return found
-
--- a/limelatch/lab/membership/cells.py
+++ b/limelatch/lab/membership/cells.py
@@ -17,7 +17,10 @@
 from limelatch.membership.messages import State
 
 WAYS: dict[str, Callable[..., Simulated]] = {
-    "member": Member, "plain-swim": PlainSwim, "heartbeats": Heartbeats}
+    "member": Member,
+    "plain-swim": PlainSwim,
+    "heartbeats": Heartbeats,
+}
 SETTLED = 3 * WINDOW  # after the start, all members known to all
 MOST = 40 * SECOND  # that is waited for an agreement
 PAUSES = (500 * MS, SECOND, 2 * SECOND, 5 * SECOND)
@@ -109,8 +112,9 @@
     while fleet.now < began + span:
         fleet.run(fleet.now + SECOND // 2)
         if agreed is None and all(
-                fleet.agree([n for n in range(fleet.count) if part_of[n] != part], State.DEAD, by=members)
-                for part, members in enumerate(parts)):
+            fleet.agree([n for n in range(fleet.count) if part_of[n] != part], State.DEAD, by=members)
+            for part, members in enumerate(parts)
+        ):
             agreed = fleet.now - began
     fleet.network.cuts.clear()
     return agreed, fleet.until_agreed(list(range(fleet.count)), State.ALIVE, MOST)
@@ -139,8 +143,10 @@
 
 
 CELLS: dict[str, Callable[[Fleet], tuple[int | None, int | None]]] = {
-    "kill": lambda fleet: kill(fleet, False), "machine": lambda fleet: kill(fleet, True),
-    "pauses": pauses, "pause-20s": lambda fleet: long_pause(fleet, 20 * SECOND),
+    "kill": lambda fleet: kill(fleet, False),
+    "machine": lambda fleet: kill(fleet, True),
+    "pauses": pauses,
+    "pause-20s": lambda fleet: long_pause(fleet, 20 * SECOND),
     "loss-10": lambda fleet: loss(fleet, 0.1, 60 * SECOND),
     "loss-20": lambda fleet: loss(fleet, 0.2, 60 * SECOND),
     "loss-30": lambda fleet: loss(fleet, 0.3, 60 * SECOND),
@@ -160,8 +166,19 @@
     fleet.run((fleet.now // WINDOW + 1) * WINDOW)
     loads = fleet.bytes_a_second(began, fleet.now)
     wrong = sum(verdict.wrong for verdict in fleet.verdicts)
-    return Outcome(cell, way, members, seed, seconds(agreed), seconds(healed), wrong, max(loads),
-                   sum(loads) / len(loads), spent, (fleet.now - began) / SECOND)
+    return Outcome(
+        cell,
+        way,
+        members,
+        seed,
+        seconds(agreed),
+        seconds(healed),
+        wrong,
+        max(loads),
+        sum(loads) / len(loads),
+        spent,
+        (fleet.now - began) / SECOND,
+    )
 
 
 def held(way: str, members: int) -> int:
--- a/limelatch/lab/membership/fleet.py
+++ b/limelatch/lab/membership/fleet.py
@@ -260,11 +260,21 @@
     def agree(self, subjects: list[int], state: State, by: list[int] | None = None) -> bool:
         """Whether all live members (or those of `by`) hold this state of all subjects."""
         judges = self.live() if by is None else by
-        return all(self.holds(number, subject) is state
-                   for number in judges for subject in subjects if subject != number)
-
-    def until_agreed(self, subjects: list[int], state: State, most: int, by: list[int] | None = None,
-                     step: int = SECOND // 10) -> int | None:
+        return all(
+            self.holds(number, subject) is state
+            for number in judges
+            for subject in subjects
+            if subject != number
+        )
+
+    def until_agreed(
+        self,
+        subjects: list[int],
+        state: State,
+        most: int,
+        by: list[int] | None = None,
+        step: int = SECOND // 10,
+    ) -> int | None:
         """Time until they agree; None if not within `most`."""
         began = self.now
         while self.now < began + most:
@@ -276,5 +286,8 @@
     def bytes_a_second(self, first: int, last: int) -> list[float]:
         """Sent and received by each member in each whole window of ten seconds between the two times."""
         windows = range(first // WINDOW, last // WINDOW)
-        return [process.bytes_windows.get(window, 0) * SECOND / WINDOW
-                for process in self.processes for window in windows]
+        return [
+            process.bytes_windows.get(window, 0) * SECOND / WINDOW
+            for process in self.processes
+            for window in windows
+        ]
--- a/limelatch/lab/membership/measure.py
+++ b/limelatch/lab/membership/measure.py
@@ -12,8 +12,14 @@
 from limelatch.lab.scale.results import Point, Results
 
 AXIS = "members"
-MEASURES = {"agreed": "s", "healed": "s", "wrong": "verdicts", "bytes_most": "B/s", "bytes_mean": "B/s",
-            "processor": "of a core"}
+MEASURES = {
+    "agreed": "s",
+    "healed": "s",
+    "wrong": "verdicts",
+    "bytes_most": "B/s",
+    "bytes_mean": "B/s",
+    "processor": "of a core",
+}
 NOT_REACHED = -1.0
 
 
@@ -75,5 +81,6 @@
 def memory(ways: Iterable[str], sizes: Iterable[int]) -> list[Point]:
     """What one member holds that knows all others."""
     sizes = list(sizes)
-    return [Point(f"{way}: rest", "memory", "B", AXIS, size, [held(way, size)])
-            for way in ways for size in sizes]
+    return [
+        Point(f"{way}: rest", "memory", "B", AXIS, size, [held(way, size)]) for way in ways for size in sizes
+    ]
--- a/limelatch/lab/play.py
+++ b/limelatch/lab/play.py
@@ -36,14 +36,22 @@
     whole: bool
 
 
-def head_of(scenario: Scenario, text: str, stage: str, seed: int, subject: str,
-            allowances: dict[str, int]) -> rec.Head:
-    return rec.Head(rec.VERSION, stage, seed, msgspec.to_builtins(scenario), text, __version__, allowances,
-                    subject)
-
-
-def play_fleet(scenario: Scenario, text: str, seed: int, target: str | Path, subject: str = "module",
-               progress: Progress = lambda part: None) -> Played:
+def head_of(
+    scenario: Scenario, text: str, stage: str, seed: int, subject: str, allowances: dict[str, int]
+) -> rec.Head:
+    return rec.Head(
+        rec.VERSION, stage, seed, msgspec.to_builtins(scenario), text, __version__, allowances, subject
+    )
+
+
+def play_fleet(
+    scenario: Scenario,
+    text: str,
+    seed: int,
+    target: str | Path,
+    subject: str = "module",
+    progress: Progress = lambda part: None,
+) -> Played:
     """Play it on the fleet stage; interrupted, the record holds what has been played."""
     head = head_of(scenario, text, STAGE, seed, subject, {})
     made: Subject = SUBJECTS[subject]
@@ -62,9 +70,16 @@
     return Played(str(target), seed, writer.count, time.monotonic() - began, whole)
 
 
-def play_sockets(scenario: Scenario, text: str, seed: int, target: str | Path, folder: str | Path,
-                 progress: Progress = lambda part: None, command: list[str] | None = None,
-                 subject: str = "program") -> Played:
+def play_sockets(
+    scenario: Scenario,
+    text: str,
+    seed: int,
+    target: str | Path,
+    folder: str | Path,
+    progress: Progress = lambda part: None,
+    command: list[str] | None = None,
+    subject: str = "program",
+) -> Played:
     """Play it on the sockets stage; relays' logs and configurations go to `folder`.
 
     Interrupted, no process is left, and the record holds what has been played."""
@@ -110,6 +125,9 @@
             else:
                 writer.add(event)
                 count += 1
-        writer.add(rec.Over(max((each.at for each in ends), default=0), bool(ends) and all(
-            each.whole for each in ends)))
+        writer.add(
+            rec.Over(
+                max((each.at for each in ends), default=0), bool(ends) and all(each.whole for each in ends)
+            )
+        )
     return count
--- a/limelatch/lab/record.py
+++ b/limelatch/lab/record.py
@@ -229,9 +229,27 @@
     why: str
 
 
-Any_ = (Handed | Answered | Called | Responded | GaveUp | Ran | Noticed | Host | Told | Relay | Fault
-        | State | Fell
-        | Missed | Believes | Gauge | Late | Over | Foreign)
+Any_ = (
+    Handed
+    | Answered
+    | Called
+    | Responded
+    | GaveUp
+    | Ran
+    | Noticed
+    | Host
+    | Told
+    | Relay
+    | Fault
+    | State
+    | Fell
+    | Missed
+    | Believes
+    | Gauge
+    | Late
+    | Over
+    | Foreign
+)
 
 
 class Head(msgspec.Struct, frozen=True):
--- a/limelatch/lab/report/compare.py
+++ b/limelatch/lab/report/compare.py
@@ -13,8 +13,14 @@
 CONFIDENCE = 0.95
 BETTER, WORSE, SAME = "better", "worse", "no difference seen"
 # A figure, whether more of it is better, and the least difference worth a word.
-COMPARED = (("score", True, 0.002), ("service", True, 0.002), ("worst_window", True, 0.005),
-            ("sla_share", True, 0.002), ("calls_a_text", False, 0.01), ("doubles", False, 0.5))
+COMPARED = (
+    ("score", True, 0.002),
+    ("service", True, 0.002),
+    ("worst_window", True, 0.005),
+    ("sla_share", True, 0.002),
+    ("calls_a_text", False, 0.01),
+    ("doubles", False, 0.5),
+)
 
 
 @dataclass(frozen=True)
@@ -51,9 +57,16 @@
     pairs = [(each, theirs[each.seed]) for each in a if each.seed in theirs]
     if not pairs:
         raise ValueError(f"{name}: no seed was played on both sides")
-    rows = [paired(f"{name}: {figure}", [getattr(one, figure) for one, _ in pairs],
-                   [getattr(other, figure) for _, other in pairs], more, least)
-            for figure, more, least in COMPARED]
+    rows = [
+        paired(
+            f"{name}: {figure}",
+            [getattr(one, figure) for one, _ in pairs],
+            [getattr(other, figure) for _, other in pairs],
+            more,
+            least,
+        )
+        for figure, more, least in COMPARED
+    ]
     broken = [sum(not run.kept for run in side) for side in zip(*pairs, strict=True)]
     if any(broken):
         word = SAME if broken[0] == broken[1] else WORSE if broken[1] > broken[0] else BETTER
--- a/limelatch/lab/report/page.py
+++ b/limelatch/lab/report/page.py
@@ -17,7 +17,9 @@
 """
 HEAD = """<!doctype html><html lang="en"><head><meta charset="utf-8"><title>{{ title }}</title>
 <style>{{ style }}</style></head><body><h1>{{ title }}</h1>"""
-RUN = HEAD + """
+RUN = (
+    HEAD
+    + """
 <p>{{ about }}</p>
 <p class="dim">stage {{ figures.stage }}, {{ figures.subject }}, seed {{ figures.seed }}, build {{
 figures.build }}</p> {% if not figures.usable %}<p class="bad">This run can't be used: {{ unusable }}</p>{%
@@ -35,7 +37,10 @@
 {% if figures.breach_lines %}<h2>Breaches</h2><pre>{{ figures.breach_lines | join('\n') | e }}</pre>{% endif
 %} <h2>Scenario</h2><pre>{{ text | e }}</pre></body></html>
 """
-COMPARISON = HEAD + """
+)
+COMPARISON = (
+    HEAD
+    + """
 <p>{{ verdict }}</p><p class="dim">A: {{ a }}; B: {{ b }}; {{ pairs }} paired seeds a scenario, intervals of
 95 %</p> <table><tr><th>scenario, figure</th><th>A</th><th>B</th><th>B less
 A</th><th>interval</th><th></th></tr> {% for row in rows %}<tr><td>{{ row.name }}</td><td>{{ '%.4g' % row.a
@@ -43,12 +48,16 @@
 '%+.4g' % row.high }}</td> <td class="{{ 'good' if row.word == 'better' else 'bad' if row.word == 'worse'
 else 'dim' }}">{{ row.word }}</td></tr> {% endfor %}</table>{{ plot }}</body></html>
 """
-SWEEP = HEAD + """
+)
+SWEEP = (
+    HEAD
+    + """
 <p class="dim">{{ about }}</p>{% for title, plot in plots %}<h2>{{ title }}</h2>{{ plot }}{% endfor %}
 <table><tr><th>{{ label }}</th>{% for name in names %}<th>{{ name }}</th>{% endfor %}</tr>
 {% for value, cells in rows %}<tr><td>{{ value }}</td>{% for cell in cells %}<td>{{ cell }}</td>{% endfor
 %}</tr> {% endfor %}</table></body></html>
 """
+)
 MARKUP = Environment(autoescape=False, trim_blocks=True)
 
 
@@ -58,24 +67,37 @@
 
 def rows_of(figures: Figures) -> list[tuple[str, str]]:
     """The figures of a run with their words, for a page or a terminal."""
-    rows = [("score", f"{figures.score:.3f}"), ("service (revenue earned of asked)",
-                                                f"{figures.service:.3f}"),
-            ("worst ten seconds", f"{figures.worst_window:.3f} from {figures.worst_window_at:.0f} s"),
-            ("worst product, customer", f"{figures.worst_product:.3f}, {figures.worst_customer:.3f}"),
-            ("delivered within the SLA time", f"{figures.sla_share:.1%}"),
-            ("until delivery", ", ".join(f"{name} {ms:.0f} ms" for name, ms in figures.latency.items())),
-            ("texts", f"{figures.texts}: " + ", ".join(f"{count} {end}" for end, count
-                                                       in sorted(figures.ends.items(), key=lambda e: -e[1]))),
-            ("calls", f"{figures.calls}, {figures.calls_a_text:.2f} a text: "
-             + ", ".join(f"{count} {fate}" for fate, count
-                         in sorted(figures.fates.items(), key=lambda e: -e[1]))),
-            ("effects beyond a text's first", str(figures.doubles))]
+    rows = [
+        ("score", f"{figures.score:.3f}"),
+        ("service (revenue earned of asked)", f"{figures.service:.3f}"),
+        ("worst ten seconds", f"{figures.worst_window:.3f} from {figures.worst_window_at:.0f} s"),
+        ("worst product, customer", f"{figures.worst_product:.3f}, {figures.worst_customer:.3f}"),
+        ("delivered within the SLA time", f"{figures.sla_share:.1%}"),
+        ("until delivery", ", ".join(f"{name} {ms:.0f} ms" for name, ms in figures.latency.items())),
+        (
+            "texts",
+            f"{figures.texts}: "
+            + ", ".join(f"{count} {end}" for end, count in sorted(figures.ends.items(), key=lambda e: -e[1])),
+        ),
+        (
+            "calls",
+            f"{figures.calls}, {figures.calls_a_text:.2f} a text: "
+            + ", ".join(
+                f"{count} {fate}" for fate, count in sorted(figures.fates.items(), key=lambda e: -e[1])
+            ),
+        ),
+        ("effects beyond a text's first", str(figures.doubles)),
+    ]
     if figures.memory:
         rows.append(("largest relay", f"{figures.memory / 1e6:.1f} MB, {figures.descriptors} descriptors"))
         rows.append(("CPU a text", f"{figures.cpu_a_text:.0f} us, starts counted"))
     if figures.late:
-        rows.append(("late at the 99th percentile", ", ".join(f"{who} {ms:.1f} ms"
-                                                             for who, ms in figures.late.items())))
+        rows.append(
+            (
+                "late at the 99th percentile",
+                ", ".join(f"{who} {ms:.1f} ms" for who, ms in figures.late.items()),
+            )
+        )
     return rows
 
 
@@ -90,17 +112,26 @@
 def run_page(figures: Figures, about: str, text: str) -> str:
     """The page of one run."""
     parts = [(title, plot) for title, _, plot in pictures(figures)]
-    return render(RUN, title=f"limelatch: {figures.scenario}", about=about, figures=figures,
-                  rows=rows_of(figures),
-                  plots=parts, text=text, unusable=unusable(figures))
+    return render(
+        RUN,
+        title=f"limelatch: {figures.scenario}",
+        about=about,
+        figures=figures,
+        rows=rows_of(figures),
+        plots=parts,
+        text=text,
+        unusable=unusable(figures),
+    )
 
 
 def pictures(figures: Figures) -> list[tuple[str, str, str]]:
     """Title, short name and SVG of each plot of a run."""
     from limelatch.lab.report import plots
 
-    return [("Revenue over time", "revenue", plots.revenue(figures)),
-            ("Latency", "latency", plots.latency(figures)),
-            ("Calls by outcome", "calls", plots.calls(figures)),
-            ("What befell whom, and what the relays believed", "timeline", plots.timeline(figures)),
-            ("Held", "held", plots.held(figures))]
+    return [
+        ("Revenue over time", "revenue", plots.revenue(figures)),
+        ("Latency", "latency", plots.latency(figures)),
+        ("Calls by outcome", "calls", plots.calls(figures)),
+        ("What befell whom, and what the relays believed", "timeline", plots.timeline(figures)),
+        ("Held", "held", plots.held(figures)),
+    ]
--- a/limelatch/lab/report/plots.py
+++ b/limelatch/lab/report/plots.py
@@ -17,13 +17,32 @@
 
 WIDTH, HEIGHT = 10.0, 2.6  # inches
 ROWS_MOST = 30  # hosts and relays in the time-line
-COLOURS = {"delivered": "#4c9f70", "refused": "#e0a030", "failed": "#c0504d", "reset": "#8064a2",
-           "garbled": "#7f6000", "given up": "#606060"}
-CONDITION_COLOURS = {"out": "#c0504d", "cold": "#7fb2e5", "fallen": "#000000", "killed": "#303030",
-                     "wiped": "#303030", "stopping": "#909090"}
+COLOURS = {
+    "delivered": "#4c9f70",
+    "refused": "#e0a030",
+    "failed": "#c0504d",
+    "reset": "#8064a2",
+    "garbled": "#7f6000",
+    "given up": "#606060",
+}
+CONDITION_COLOURS = {
+    "out": "#c0504d",
+    "cold": "#7fb2e5",
+    "fallen": "#000000",
+    "killed": "#303030",
+    "wiped": "#303030",
+    "stopping": "#909090",
+}
 BELIEF_COLOURS = {"sick": "#e07b39", "warming": "#f1d36b"}
-plt.rcParams.update({"svg.hashsalt": "limelatch", "font.size": 9, "axes.spines.top": False,
-                     "axes.spines.right": False, "svg.fonttype": "none"})
+plt.rcParams.update(
+    {
+        "svg.hashsalt": "limelatch",
+        "font.size": 9,
+        "axes.spines.top": False,
+        "axes.spines.right": False,
+        "svg.fonttype": "none",
+    }
+)
 
 
 def svg(figure: Figure) -> str:
@@ -32,7 +51,7 @@
     figure.savefig(target, format="svg", metadata={"Date": None}, bbox_inches="tight")
     plt.close(figure)
     text = target.getvalue()
-    return text[text.index("<svg"):]
+    return text[text.index("<svg") :]
 
 
 def panel(rows: float = 1.0) -> tuple[Figure, Axes]:
@@ -124,25 +143,55 @@
     relays = max(1, len({each.subject for each in figures.beliefs}))
     for row, name in enumerate(order, start=len(figures.faults)):
         for each in struck.get(name, []):
-            axes.barh(row + 0.2, max(each.end - each.begin, 0.1), left=each.begin, height=0.35,
-                      color=CONDITION_COLOURS.get(each.what, "#404040"))
+            axes.barh(
+                row + 0.2,
+                max(each.end - each.begin, 0.1),
+                left=each.begin,
+                height=0.35,
+                color=CONDITION_COLOURS.get(each.what, "#404040"),
+            )
         for each in beliefs.get(name, []):
-            axes.barh(row - 0.2, max(each.end - each.begin, 0.1), left=each.begin, height=0.35, lw=0,
-                      color=BELIEF_COLOURS.get(each.what, "#404040"), alpha=max(0.15, min(1.0, 4 / relays)))
+            axes.barh(
+                row - 0.2,
+                max(each.end - each.begin, 0.1),
+                left=each.begin,
+                height=0.35,
+                lw=0,
+                color=BELIEF_COLOURS.get(each.what, "#404040"),
+                alpha=max(0.15, min(1.0, 4 / relays)),
+            )
     axes.set_yticks(range(len(names)), names, fontsize=7)
     axes.set_ylim(len(names) - 0.4, -0.6)
-    axes.set(xlabel="s" + (f" ({left_out} more hosts left out)" if left_out > 0 else ""),
-             xlim=(0, len(figures.seconds)))
-    words = [("out", CONDITION_COLOURS["out"]), ("cold", CONDITION_COLOURS["cold"]),
-             ("believed sick", BELIEF_COLOURS["sick"]), ("believed warming", BELIEF_COLOURS["warming"])]
+    axes.set(
+        xlabel="s" + (f" ({left_out} more hosts left out)" if left_out > 0 else ""),
+        xlim=(0, len(figures.seconds)),
+    )
+    words = [
+        ("out", CONDITION_COLOURS["out"]),
+        ("cold", CONDITION_COLOURS["cold"]),
+        ("believed sick", BELIEF_COLOURS["sick"]),
+        ("believed warming", BELIEF_COLOURS["warming"]),
+    ]
     handles = [plt.Rectangle((0, 0), 1, 1, color=colour) for _, colour in words]
-    axes.legend(handles, [word for word, _ in words], loc="upper center", bbox_to_anchor=(0.5, 1.0), ncols=4,
-                frameon=False, fontsize=7)
+    axes.legend(
+        handles,
+        [word for word, _ in words],
+        loc="upper center",
+        bbox_to_anchor=(0.5, 1.0),
+        ncols=4,
+        frameon=False,
+        fontsize=7,
+    )
     return svg(figure)
 
 
-def curve(label: str, values: list[float], means: dict[str, list[float]], spreads: dict[str, list[float]],
-          ylabel: str) -> str:
+def curve(
+    label: str,
+    values: list[float],
+    means: dict[str, list[float]],
+    spreads: dict[str, list[float]],
+    ylabel: str,
+) -> str:
     """A sweep: a figure over a parameter, a line a subject, with its interval."""
     figure, axes = panel(1.3)
     for name, mean in means.items():
--- a/limelatch/lab/report/sweep.py
+++ b/limelatch/lab/report/sweep.py
@@ -36,10 +36,12 @@
 
     def means(self, name: str, subject: str) -> tuple[list[float], list[float]]:
         """The figure's mean at each value, and half its interval."""
-        found = [[getattr(each, name) for each in self.runs.get((value, subject), [])]
-                 for value in self.values]
-        return [float(np.mean(each)) if each else float("nan") for each in found], [interval(each)
-                                                                                     for each in found]
+        found = [
+            [getattr(each, name) for each in self.runs.get((value, subject), [])] for value in self.values
+        ]
+        return [float(np.mean(each)) if each else float("nan") for each in found], [
+            interval(each) for each in found
+        ]
 
     def lines(self) -> Iterator[str]:
         """For the terminal."""
@@ -59,15 +61,35 @@
         drawn = []
         for name in SHOWN:
             found = {subject: self.means(name, subject) for subject in self.subjects}
-            drawn.append((name, plots.curve(self.key, along, {each: found[each][0] for each in found},
-                                            {each: found[each][1] for each in found}, name)))
+            drawn.append(
+                (
+                    name,
+                    plots.curve(
+                        self.key,
+                        along,
+                        {each: found[each][0] for each in found},
+                        {each: found[each][1] for each in found},
+                        name,
+                    ),
+                )
+            )
         names = [f"{name}, {subject}" for name in SHOWN for subject in self.subjects]
-        rows = [(value, [f"{self.means(name, subject)[0][at]:.4f}" for name in SHOWN
-                         for subject in self.subjects])
-                for at, value in enumerate(self.values)]
-        return page.render(page.SWEEP, title=f"limelatch: {self.scenario}, {self.key}", about=about,
-                           plots=drawn,
-                           label=self.key, names=names, rows=rows)
+        rows = [
+            (
+                value,
+                [f"{self.means(name, subject)[0][at]:.4f}" for name in SHOWN for subject in self.subjects],
+            )
+            for at, value in enumerate(self.values)
+        ]
+        return page.render(
+            page.SWEEP,
+            title=f"limelatch: {self.scenario}, {self.key}",
+            about=about,
+            plots=drawn,
+            label=self.key,
+            names=names,
+            rows=rows,
+        )
 
 
 def is_number(word: str) -> bool:
--- a/limelatch/lab/report/terminal.py
+++ b/limelatch/lab/report/terminal.py
@@ -22,8 +22,14 @@
     for name, value in rows_of(figures):
         table.add_row(name, value)
     broken = {rule: count for rule, count in figures.breaches.items() if count}
-    rules = Text("rules kept", style="green") if not broken else Text(
-        "BROKEN: " + ", ".join(f"{rule} {count} times" for rule, count in broken.items()), style="red bold")
+    rules = (
+        Text("rules kept", style="green")
+        if not broken
+        else Text(
+            "BROKEN: " + ", ".join(f"{rule} {count} times" for rule, count in broken.items()),
+            style="red bold",
+        )
+    )
     parts = [Text(head, style="bold"), rules, table]
     if not figures.usable:
         parts.append(Text(f"this run can't be used: {unusable(figures)}", style="red bold"))
@@ -41,10 +47,18 @@
     for each in runs:
         broken = sum(each.breaches.values())
         word = "unusable" if not each.usable else f"{broken} broken" if broken else "kept"
-        table.add_row(each.scenario, each.subject, str(each.seed), f"{each.score:.3f}", f"{each.service:.3f}",
-                      f"{each.worst_window:.3f}", f"{each.sla_share:.3f}",
-                      f"{each.latency.get('p99', float('nan')):.0f}", f"{each.calls_a_text:.2f}",
-                      Text(word, style="green" if word == "kept" else "red"))
+        table.add_row(
+            each.scenario,
+            each.subject,
+            str(each.seed),
+            f"{each.score:.3f}",
+            f"{each.service:.3f}",
+            f"{each.worst_window:.3f}",
+            f"{each.sla_share:.3f}",
+            f"{each.latency.get('p99', float('nan')):.0f}",
+            f"{each.calls_a_text:.2f}",
+            Text(word, style="green" if word == "kept" else "red"),
+        )
     return table
 
 
@@ -56,8 +70,14 @@
         table.add_column(name, justify="right")
     table.add_column("")
     for row in rows:
-        table.add_row(row.name, f"{row.a:.4g}", f"{row.b:.4g}", f"{row.mean:+.4g}",
-                      f"{row.low:+.4g} .. {row.high:+.4g}", Text(row.word, style=STYLES.get(row.word, "dim")))
+        table.add_row(
+            row.name,
+            f"{row.a:.4g}",
+            f"{row.b:.4g}",
+            f"{row.mean:+.4g}",
+            f"{row.low:+.4g} .. {row.high:+.4g}",
+            Text(row.word, style=STYLES.get(row.word, "dim")),
+        )
     return Group(Text(f"A: {a}\nB: {b}", style="dim"), table, Text(verdict(rows), style="bold"))
 
 
--- a/limelatch/lab/scale/control.py
+++ b/limelatch/lab/scale/control.py
@@ -38,15 +38,20 @@
 def row(number: int, status: str = "active") -> bytes:
     """One row of the list, in the catalog's form."""
     port = 1024 + number % 60_000
-    return (f'{{"name":"s-{number:08x}","address":"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}'
-            f':{port}","zone":"{"abcdefg"[number % 7]}","type":"m2","group":{number},"status":"{status}",'
-            f'"weight":1.0,"since_ms":0}}').encode()
+    return (
+        f'{{"name":"s-{number:08x}","address":"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}'
+        f':{port}","zone":"{"abcdefg"[number % 7]}","type":"m2","group":{number},"status":"{status}",'
+        f'"weight":1.0,"since_ms":0}}'
+    ).encode()
 
 
 def page(index: int, rows: Iterable[bytes], whole: bool) -> bytes:
     """One object of the list or the watch, on its line."""
-    return b'{"index":%d,"snapshot":%s,"endpoints":[%s]}\n' % (index, b"true" if whole else b"false",
-                                                               b",".join(rows))
+    return b'{"index":%d,"snapshot":%s,"endpoints":[%s]}\n' % (
+        index,
+        b"true" if whole else b"false",
+        b",".join(rows),
+    )
 
 
 class Fed(Connection):
@@ -114,8 +119,9 @@
         return self._whole[1]
 
     def since(self, index: int) -> bytes:
-        return page(self.index, [self.rows[at] for at in {at for known, at in self.log if known > index}],
-                    False)
+        return page(
+            self.index, [self.rows[at] for at in {at for known, at in self.log if known > index}], False
+        )
 
     def quiet(self) -> None:
         for connection in self.watches:
@@ -176,7 +182,7 @@
         """Lines may come in pieces; of each only its beginning is kept."""
         self.read, begin = self.read + len(part), 0
         while (end := part.find(b"\n", begin)) >= 0:
-            self.head += part[begin:min(end, begin + 64)]
+            self.head += part[begin : min(end, begin + 64)]
             begin = end + 1
             if self.head:
                 self.index, self.at = int(self.head[:64].split(b",")[0].partition(b":")[2]), time.monotonic()
@@ -186,7 +192,7 @@
                 self.read -= 1  # an empty line: bytes are of objects alone, and exact
             self.head = b""
         if len(self.head) < 64:
-            self.head += part[begin:begin + 64]
+            self.head += part[begin : begin + 64]
 
     def on_message_complete(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
@@ -237,8 +243,11 @@
         self.done.clear()
         if self.missing:
             await self.done.wait()
-        return {"at": max((each.at for each in found), default=0.0), "read": sum(each.read for each in found),
-                "wholes": sum(each.wholes for each in found)}
+        return {
+            "at": max((each.at for each in found), default=0.0),
+            "read": sum(each.read for each in found),
+            "wholes": sum(each.wholes for each in found),
+        }
 
 
 async def serve_orders(handle: Callable) -> None:
@@ -265,9 +274,15 @@
     async def handle(order: dict) -> dict:
         if "change" in order:
             feeder.change(order["change"])
-        return {"address": server.address, "index": feeder.index, "sent": feeder.sent, "lists": feeder.lists,
-                "cpu": time.process_time(), "watches": len(feeder.watches),
-                "memory": most_memory()}
+        return {
+            "address": server.address,
+            "index": feeder.index,
+            "sent": feeder.sent,
+            "lists": feeder.lists,
+            "cpu": time.process_time(),
+            "watches": len(feeder.watches),
+            "memory": most_memory(),
+        }
 
     await serve_orders(handle)
 
@@ -298,9 +313,17 @@
 
     @classmethod
     async def start(cls, *words: str) -> Part:
-        return cls(await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "limelatch.lab.scale.control", *words,
-            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=LINE_MOST))
+        return cls(
+            await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "limelatch.lab.scale.control",
+                *words,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                limit=LINE_MOST,
+            )
+        )
 
     def tell(self, **order: object) -> None:
         self.process.stdin.write(json.dumps(order).encode() + b"\n")
@@ -410,10 +433,13 @@
             got = await self.order("until", who, index=self.index)
             spreads.append(max(each["at"] for each in got) - began)
         after = await self.told()
-        return Cost(spreads, sum(each["read"] for each in got) - sum(each["read"] for each in read),
-                    sum(each["cpu"] for each in after) - sum(each["cpu"] for each in before),
-                    sum(each["wholes"] for each in got) - sum(each["wholes"] for each in read),
-                    max(each["memory"] for each in after))
+        return Cost(
+            spreads,
+            sum(each["read"] for each in got) - sum(each["read"] for each in read),
+            sum(each["cpu"] for each in after) - sum(each["cpu"] for each in before),
+            sum(each["wholes"] for each in got) - sum(each["wholes"] for each in read),
+            max(each["memory"] for each in after),
+        )
 
 
 async def changes(watchers: int, runs: int, rows: int = 2000) -> list[Cost]:
@@ -471,55 +497,109 @@
 
 def change_points(watchers: int, runs: list[Cost], rows: int) -> list[Point]:
     def point(measure: str, unit: str, values: list[float], note: str = "") -> Point:
-        return Point("change", measure, unit, "watchers", watchers, values,
-                     "; ".join(filter(None, [f"{CHANGES} changes a run, {rows} rows, {MACHINES} machines",
-                                             note])))
+        return Point(
+            "change",
+            measure,
+            unit,
+            "watchers",
+            watchers,
+            values,
+            "; ".join(filter(None, [f"{CHANGES} changes a run, {rows} rows, {MACHINES} machines", note])),
+        )
 
     wall, each = "wall time on a shared machine", CHANGES * watchers
-    return [point("until the last has it, mean", "ms",
-                  [round(1000 * sum(run.spreads) / CHANGES, 3) for run in runs], wall),
-            point("until the last has it, most", "ms", [round(1000 * max(run.spreads), 3) for run in runs],
-                  wall),
-            point("bytes a change and watcher", "B", [round(run.read / each, 2) for run in runs],
-                  f"objects; beside them 6 B of framing, and empty lines of {BEAT / QUIET:.0f} B a second"),
-            point("processor a change and watcher", "us", [round(1e6 * run.cpu / each, 3) for run in runs],
-                  "all machines' together"),
-            point("processor a change", "ms", [round(1000 * run.cpu / CHANGES, 4) for run in runs],
-                  "all machines' together")]
+    return [
+        point(
+            "until the last has it, mean",
+            "ms",
+            [round(1000 * sum(run.spreads) / CHANGES, 3) for run in runs],
+            wall,
+        ),
+        point("until the last has it, most", "ms", [round(1000 * max(run.spreads), 3) for run in runs], wall),
+        point(
+            "bytes a change and watcher",
+            "B",
+            [round(run.read / each, 2) for run in runs],
+            f"objects; beside them 6 B of framing, and empty lines of {BEAT / QUIET:.0f} B a second",
+        ),
+        point(
+            "processor a change and watcher",
+            "us",
+            [round(1e6 * run.cpu / each, 3) for run in runs],
+            "all machines' together",
+        ),
+        point(
+            "processor a change",
+            "ms",
+            [round(1000 * run.cpu / CHANGES, 4) for run in runs],
+            "all machines' together",
+        ),
+    ]
 
 
 def cut_points(name: str, count: int, costs: list[Cost], watchers: int) -> list[Point]:
     note = f"a {name} of {watchers}, {CHANGES} changes missed"
-    rows = [("until the last is up to date", "ms", [round(1000 * each.spreads[0], 3) for each in costs]),
-            ("bytes a watcher", "B", [round(each.read / count, 1) for each in costs]),
-            ("processor a watcher", "us", [round(1e6 * each.cpu / count, 2) for each in costs]),
-            ("whole lists", "count", [float(each.wholes) for each in costs])]
-    return [Point("cut back", measure, unit, "watchers", count, values,
-                  note + ("; wall time on a shared machine" if unit == "ms" else ""))
-            for measure, unit, values in rows]
+    rows = [
+        ("until the last is up to date", "ms", [round(1000 * each.spreads[0], 3) for each in costs]),
+        ("bytes a watcher", "B", [round(each.read / count, 1) for each in costs]),
+        ("processor a watcher", "us", [round(1e6 * each.cpu / count, 2) for each in costs]),
+        ("whole lists", "count", [float(each.wholes) for each in costs]),
+    ]
+    return [
+        Point(
+            "cut back",
+            measure,
+            unit,
+            "watchers",
+            count,
+            values,
+            note + ("; wall time on a shared machine" if unit == "ms" else ""),
+        )
+        for measure, unit, values in rows
+    ]
 
 
 def start_points(name: str, watchers: int, rows: int, costs: list[Cost]) -> list[Point]:
     a_watcher = [each.read / watchers for each in costs]
     note = f"{watchers} at once from {MACHINES} machines"
-    found = [("until the last has it", "s", [round(each.spreads[0], 4) for each in costs],
-              "wall time on a shared machine"),
-             ("bytes a watcher", "B", [round(each, 1) for each in a_watcher], ""),
-             ("bytes in all", "MB", [round(each.read / 1e6, 3) for each in costs], ""),
-             ("processor a watcher", "ms", [round(1000 * each.cpu / watchers, 4) for each in costs],
-              "all machines' together"),
-             ("memory of a machine at most", "MB", [round(each.memory / 1e6, 1) for each in costs], ""),
-             ("rows that the budget carries in time", "count",
-              [round(rows * BUDGET * IN_FORCE / each) for each in a_watcher],
-              f"{BUDGET} B a second for {IN_FORCE} s: arithmetic"),
-             ("time at the budget", "s", [round(each / BUDGET, 1) for each in a_watcher],
-              f"bytes a watcher by {BUDGET} B a second: arithmetic")]
-    return [Point(f"start {name}", measure, unit, "rows", rows, values, "; ".join(filter(None, [note, more])))
-            for measure, unit, values, more in found]
-
-
-async def measure(watchers: list[int], rows: list[int], runs: int,
-                  told: Callable[[str], None]) -> list[Point]:
+    found = [
+        (
+            "until the last has it",
+            "s",
+            [round(each.spreads[0], 4) for each in costs],
+            "wall time on a shared machine",
+        ),
+        ("bytes a watcher", "B", [round(each, 1) for each in a_watcher], ""),
+        ("bytes in all", "MB", [round(each.read / 1e6, 3) for each in costs], ""),
+        (
+            "processor a watcher",
+            "ms",
+            [round(1000 * each.cpu / watchers, 4) for each in costs],
+            "all machines' together",
+        ),
+        ("memory of a machine at most", "MB", [round(each.memory / 1e6, 1) for each in costs], ""),
+        (
+            "rows that the budget carries in time",
+            "count",
+            [round(rows * BUDGET * IN_FORCE / each) for each in a_watcher],
+            f"{BUDGET} B a second for {IN_FORCE} s: arithmetic",
+        ),
+        (
+            "time at the budget",
+            "s",
+            [round(each / BUDGET, 1) for each in a_watcher],
+            f"bytes a watcher by {BUDGET} B a second: arithmetic",
+        ),
+    ]
+    return [
+        Point(f"start {name}", measure, unit, "rows", rows, values, "; ".join(filter(None, [note, more])))
+        for measure, unit, values, more in found
+    ]
+
+
+async def measure(
+    watchers: list[int], rows: list[int], runs: int, told: Callable[[str], None]
+) -> list[Point]:
     """All of it, one after another; `told` hears of each part as it ends."""
     found: list[Point] = []
     for count in watchers:
--- a/limelatch/lab/scale/fit.py
+++ b/limelatch/lab/scale/fit.py
@@ -79,8 +79,9 @@
     sizes, positive = tuple(filled), [x for x in filled if x > 0]
     if len(sizes) < POINTS_LEAST or positive[-1] < RANGE_LEAST * positive[0]:
         span = positive[-1] / positive[0] if positive else 0.0
-        raise TooFewPoints(f"{len(sizes)} over a factor of {span:.3g}; wanted are {POINTS_LEAST} over "
-                           f"{RANGE_LEAST:.3g}")
+        raise TooFewPoints(
+            f"{len(sizes)} over a factor of {span:.3g}; wanted are {POINTS_LEAST} over {RANGE_LEAST:.3g}"
+        )
     xs = np.array([x for x, values in filled.items() for _ in values])
     ys = np.array([value for values in filled.values() for value in values])
     scale = float(np.mean(np.abs(ys))) or 1.0
@@ -89,8 +90,7 @@
     curved = best.residual < BETTER * line.residual and line.residual > VISIBLE
     flat = Curve(Growth.LINE, float(np.mean(ys)), 0.0, float(np.std(ys)) / scale)
     taken = best if curved else line if line.residual < SLOPING * flat.residual else flat
-    return Fit(curves, taken, sizes, min(map(len, filled.values())),
-               max(map(spread, filled.values())))
+    return Fit(curves, taken, sizes, min(map(len, filled.values())), max(map(spread, filled.values())))
 
 
 def _least_squares(growth: Growth, xs: np.ndarray, ys: np.ndarray, scale: float) -> Curve:
@@ -99,7 +99,7 @@
     found = np.linalg.lstsq(np.column_stack([np.ones_like(grown), grown / top]), ys, rcond=None)[0]
     base, slope = float(found[0]), float(found[1]) / top
     missed = ys - (base + slope * grown)
-    return Curve(growth, base, slope, float(np.sqrt(np.mean(missed ** 2))) / scale)
+    return Curve(growth, base, slope, float(np.sqrt(np.mean(missed**2))) / scale)
 
 
 def spread(values: list[float]) -> float:
--- a/limelatch/lab/scale/hollow.py
+++ b/limelatch/lab/scale/hollow.py
@@ -135,17 +135,36 @@
     def scenario(self, relays: int) -> tuple[Scenario, str]:
         """The scenario for so many relays, and its text."""
         text = (TEXT + (LOWERED if "lowered" in self.groups else "")).format(
-            name=self.name, relays=relays, lasts=self.lasts, seconds=self.seconds, settle=self.settle,
-            valid=self.valid, rate=EACH * self.count * len(self.groups), what=self.what, at=self.at,
-            more="share = 1.0\nruns = 0.0\n" if self.what == "errors" else "", lowered=self.lowered,
-            partners="".join(PARTNER.format(name=name, count=self.count) for name in self.groups))
+            name=self.name,
+            relays=relays,
+            lasts=self.lasts,
+            seconds=self.seconds,
+            settle=self.settle,
+            valid=self.valid,
+            rate=EACH * self.count * len(self.groups),
+            what=self.what,
+            at=self.at,
+            more="share = 1.0\nruns = 0.0\n" if self.what == "errors" else "",
+            lowered=self.lowered,
+            partners="".join(PARTNER.format(name=name, count=self.count) for name in self.groups),
+        )
         return parse(f"{self.name}.toml", text), text
 
 
 SHORT = Form("short", "down", valid=24, at=60, lasts=120, lowered=180, seconds=300, settle=40)
 # Texts that stay valid for longer than the outage: every relay comes to hold some, as in a backlog of days.
-LONG = Form("held", "down", valid=7200, at=60, lasts=1200, lowered=0, seconds=4260, settle=40, count=4,
-            groups=("struck",))
+LONG = Form(
+    "held",
+    "down",
+    valid=7200,
+    at=60,
+    lasts=1200,
+    lowered=0,
+    seconds=4260,
+    settle=40,
+    count=4,
+    groups=("struck",),
+)
 # A call that fails at once is seen at the stand-in, a refused connection is not.
 FIDELITY = Form("fidelity", "errors", valid=24, at=10, lasts=20, lowered=30, seconds=60, settle=30)
 
@@ -254,20 +273,28 @@
     def texts(self, name: str, begin: int, end: int) -> list[Trace]:
         """Those that were first handed in for a group in that time."""
         numbers = {number for number, _ in self.group(name)}
-        return [each for each in self.traces.values()
-                if each.destination in numbers and begin <= each.handed < end]
+        return [
+            each
+            for each in self.traces.values()
+            if each.destination in numbers and begin <= each.handed < end
+        ]
 
     def figures(self) -> dict[tuple[str, str, str], float]:
         """(scenario, measure, unit): figure; a destination's figures are the mean over its group."""
         outage, *limits = self.scenario.faults
-        parts = {"down": self._down(outage.at, outage.at + outage.lasts),
-                 "cold": self._cold(outage.at + outage.lasts)}
+        parts = {
+            "down": self._down(outage.at, outage.at + outage.lasts),
+            "cold": self._cold(outage.at + outage.lasts),
+        }
         for limit in limits:
             parts["lowered"] = self._lowered(limit.at, limit.at + limit.lasts)
         if self.group("steady"):
             parts["steady"] = self._steady()
-        return {(scenario, measure, unit): value for scenario, rows in parts.items()
-                for (measure, unit), value in rows.items()}
+        return {
+            (scenario, measure, unit): value
+            for scenario, rows in parts.items()
+            for (measure, unit), value in rows.items()
+        }
 
     def _down(self, begin: int, end: int) -> dict[tuple[str, str], float]:
         group, span = self.group("struck"), (end - begin) / SECOND
@@ -275,12 +302,14 @@
         late = [len([at for at in each if at >= end - (end - begin) // 3]) for each in tries]
         texts = self.texts("struck", begin, end)
         calls = [sum(begin <= at < end for at in seen.calls) for _, seen in group]
-        rows = {("calls that came", "1/s"): mean(each / span for each in calls),  # none where refused
-                ("trials", "1/s"): mean(len(each) / span for each in tries),
-                ("trials in the last third", "1/s"): mean(each / (span / 3) for each in late),
-                ("trials in the fullest second", "count"): mean(fullest(each, SECOND) for each in tries),
-                ("texts lost", "share"): lost(texts),
-                ("texts given up before their time", "share"): mean(each.given_up for each in texts)}
+        rows = {
+            ("calls that came", "1/s"): mean(each / span for each in calls),  # none where refused
+            ("trials", "1/s"): mean(len(each) / span for each in tries),
+            ("trials in the last third", "1/s"): mean(each / (span / 3) for each in late),
+            ("trials in the fullest second", "count"): mean(fullest(each, SECOND) for each in tries),
+            ("texts lost", "share"): lost(texts),
+            ("texts given up before their time", "share"): mean(each.given_up for each in texts),
+        }
         return rows | self._connections("struck", begin, end)
 
     def _cold(self, back: int) -> dict[tuple[str, str], float]:
@@ -289,22 +318,30 @@
         first = [min((at - back for at in seen.delivered if at >= back), default=-1) for _, seen in group]
         again = [at / SECOND for at in first if at >= 0]
         numbers = {number for number, _ in group}
-        owed = [each for each in self.traces.values() if each.destination in numbers
-                and each.handed < back < each.valid_until and not 0 <= each.delivered < back]
+        owed = [
+            each
+            for each in self.traces.values()
+            if each.destination in numbers
+            and each.handed < back < each.valid_until
+            and not 0 <= each.delivered < back
+        ]
         done = sorted((each.delivered - back) / SECOND for each in owed if each.delivered >= 0)
-        rows = {("calls in the first second", "count"): mean(upto(each, SECOND) for each in came),
-                ("calls in the first fall time", "count"): mean(upto(each, rules.fall_time)
-                                                                for each in came),
-                ("calls in the cold time", "count"): mean(upto(each, rules.cold_time) for each in came),
-                ("fullest window over what it bears", "share"): max(
-                    pushed(each, seen.capacity, rules) for each, (_, seen) in zip(came, group, strict=True)),
-                ("pushed over", "share"): mean(seen.fell for _, seen in group),
-                ("not delivered to again", "share"): 1 - len(again) / len(group),
-                ("until the first delivery", "s"): mean(again),
-                ("texts owed at the return", "count"): len(owed) / len(group),
-                ("owed texts lost", "share"): lost(owed),
-                ("texts lost of those handed in after it", "share"):
-                    lost(self.texts("struck", back, back + AFTER))}
+        rows = {
+            ("calls in the first second", "count"): mean(upto(each, SECOND) for each in came),
+            ("calls in the first fall time", "count"): mean(upto(each, rules.fall_time) for each in came),
+            ("calls in the cold time", "count"): mean(upto(each, rules.cold_time) for each in came),
+            ("fullest window over what it bears", "share"): max(
+                pushed(each, seen.capacity, rules) for each, (_, seen) in zip(came, group, strict=True)
+            ),
+            ("pushed over", "share"): mean(seen.fell for _, seen in group),
+            ("not delivered to again", "share"): 1 - len(again) / len(group),
+            ("until the first delivery", "s"): mean(again),
+            ("texts owed at the return", "count"): len(owed) / len(group),
+            ("owed texts lost", "share"): lost(owed),
+            ("texts lost of those handed in after it", "share"): lost(
+                self.texts("struck", back, back + AFTER)
+            ),
+        }
         if done:
             rows["until half of the owed are delivered", "s"] = done[len(done) // 2]
             rows["until all delivered ones are", "s"] = done[-1]
@@ -317,23 +354,27 @@
         calls = [[at for at in seen.calls if begin <= at < end] for _, seen in group]
         refused = [[at for at in seen.refused if begin <= at < end] for _, seen in group]
         taken = mean(len([at for at in seen.delivered if begin <= at < end]) / span for _, seen in group)
-        rows = {("calls", "1/s"): mean(len(each) / span for each in calls),
-                ("calls over its limit", "1/s"): mean(len(each) / span for each in refused),
-                ("calls in the fullest second", "count"): mean(fullest(each, SECOND) for each in calls),
-                ("deliveries, of its limit", "share"): taken / told,
-                ("texts lost", "share"): lost(self.texts("lowered", begin, end))}
+        rows = {
+            ("calls", "1/s"): mean(len(each) / span for each in calls),
+            ("calls over its limit", "1/s"): mean(len(each) / span for each in refused),
+            ("calls in the fullest second", "count"): mean(fullest(each, SECOND) for each in calls),
+            ("deliveries, of its limit", "share"): taken / told,
+            ("texts lost", "share"): lost(self.texts("lowered", begin, end)),
+        }
         return rows | self._connections("lowered", begin, end)
 
     def _steady(self) -> dict[tuple[str, str], float]:
         end, group = self.scenario.scenario.seconds, self.group("steady")
-        return {("calls", "1/s"): mean(len(seen.calls) * SECOND / end for _, seen in group),
-                ("calls over its limit", "1/s"): mean(len(seen.refused) * SECOND / end for _, seen in group),
-                ("texts lost", "share"): lost(self.texts("steady", 0, end))}
+        return {
+            ("calls", "1/s"): mean(len(seen.calls) * SECOND / end for _, seen in group),
+            ("calls over its limit", "1/s"): mean(len(seen.refused) * SECOND / end for _, seen in group),
+            ("texts lost", "share"): lost(self.texts("steady", 0, end)),
+        }
 
     def _connections(self, name: str, begin: int, end: int) -> dict[tuple[str, str], float]:
         if not self.connections:
             return {}
-        most = [max(self.connections[number][begin // STEP:end // STEP]) for number, _ in self.group(name)]
+        most = [max(self.connections[number][begin // STEP : end // STEP]) for number, _ in self.group(name)]
         return {("connections at most", "count"): mean(most)}
 
 
@@ -414,8 +455,9 @@
     return tally.figures(), max(tally.latest.values(), default=0)
 
 
-def points(runs: dict[int, list[dict[tuple[str, str, str], float]]], suffix: str = "",
-           note: str = "") -> list[Point]:
+def points(
+    runs: dict[int, list[dict[tuple[str, str, str], float]]], suffix: str = "", note: str = ""
+) -> list[Point]:
     """One point a measure and number of relays; its values are the seeds' in their order."""
     found: list[Point] = []
     for relays, every in runs.items():
@@ -424,13 +466,17 @@
             values = [round(figures[name], 5) for figures in every if name in figures]
             none = len(every) - len(values)
             notes = [note, f"{none} of {len(every)} runs had none" if none else ""]
-            found.append(Point(scenario + suffix, measure, unit, "relays", relays, values,
-                               "; ".join(filter(None, notes))))
+            found.append(
+                Point(
+                    scenario + suffix, measure, unit, "relays", relays, values, "; ".join(filter(None, notes))
+                )
+            )
     return found
 
 
-def measure(form: Form, relays: list[int], seeds: list[int], processes: int,
-            told: Callable[[str], None]) -> list[Point]:
+def measure(
+    form: Form, relays: list[int], seeds: list[int], processes: int, told: Callable[[str], None]
+) -> list[Point]:
     """One form at all sizes; `told` hears of each run as it ends."""
     jobs = [(form, HOLLOW, size, seed) for size in relays for seed in seeds]
     runs: dict[int, list] = {}
@@ -438,8 +484,9 @@
         for job, (figures, _) in zip(jobs, pool.map(one, jobs), strict=True):
             told(f"{form.name}: {job[2]} relays, seed {job[3]}")
             runs.setdefault(job[2], []).append(figures)
-    return points(runs, " held" if form is LONG else "",
-                  f"texts valid for {form.valid} s, out for {form.lasts} s")
+    return points(
+        runs, " held" if form is LONG else "", f"texts valid for {form.valid} s, out for {form.lasts} s"
+    )
 
 
 def measure_fidelity(seeds: list[int], told: Callable[[str], None]) -> list[Point]:
@@ -453,6 +500,7 @@
             runs.append(figures)
             late = max(late, by)
         note = f"calls fail at once for {FIDELITY.lasts} s" + (
-            f"; the stage was late by {late // MS} ms at most" if late else "")
+            f"; the stage was late by {late // MS} ms at most" if late else ""
+        )
         found += points({FIDELITY_RELAYS: runs}, f" {kind}", note)
     return found
--- a/limelatch/lab/scale/one.py
+++ b/limelatch/lab/scale/one.py
@@ -52,16 +52,18 @@
 
     points: dict[tuple[str, str, str, float], Point] = field(default_factory=dict)
 
-    def add(self, scenario: str, measure: str, unit: str, axis: str, x: float, value: float, note: str = ""
-            ) -> None:
+    def add(
+        self, scenario: str, measure: str, unit: str, axis: str, x: float, value: float, note: str = ""
+    ) -> None:
         key = scenario, measure, axis, x
         old = self.points.get(key)
         values = [*(old.values if old else []), float(f"{value:.6g}")]
         notes = [note for note in dict.fromkeys([old.note if old else "", note]) if note]
         self.points[key] = Point(scenario, measure, unit, axis, x, values, "; ".join(notes))
 
-    def none(self, scenario: str, axis: str, x: float, why: str, measure: str = "served", unit: str = ""
-             ) -> None:
+    def none(
+        self, scenario: str, axis: str, x: float, why: str, measure: str = "served", unit: str = ""
+    ) -> None:
         """A point without values: none were to be had."""
         self.points[scenario, measure, axis, x] = Point(scenario, measure, unit, axis, x, [], why)
 
@@ -86,14 +88,21 @@
         if raw:
             old = msgspec.json.decode(raw, type=Results)
             if (old.subject, old.commit, old.machine) != (new.subject, new.commit, new.machine):
-                raise OtherRun(f"{path.name} holds {old.subject!r} at {old.commit} on {old.machine}, "
-                               f"this is {new.subject!r} at {new.commit} on {new.machine}")
+                raise OtherRun(
+                    f"{path.name} holds {old.subject!r} at {old.commit} on {old.machine}, "
+                    f"this is {new.subject!r} at {new.commit} on {new.machine}"
+                )
             held = {key_of(each): each for each in old.points}
-            new = msgspec.structs.replace(new, command="; ".join(dict.fromkeys(
-                [*old.command.split("; "), command])))
+            new = msgspec.structs.replace(
+                new, command="; ".join(dict.fromkeys([*old.command.split("; "), command]))
+            )
         held |= {key_of(each): each for each in points}
-        new = msgspec.structs.replace(new, points=sorted(held.values(), key=lambda each: (
-            ALL.index(each.scenario), each.measure, each.axis, each.x)))
+        new = msgspec.structs.replace(
+            new,
+            points=sorted(
+                held.values(), key=lambda each: (ALL.index(each.scenario), each.measure, each.axis, each.x)
+            ),
+        )
         file.seek(0)
         file.truncate()
         file.write(msgspec.json.format(msgspec.json.encode(new), indent=1) + b"\n")
@@ -103,7 +112,7 @@
 def spread(numbers: list[int], count: int, offset: int = 0) -> list[int]:
     """`count` of these, evenly over all of them."""
     step = max(1, len(numbers) // count)
-    return numbers[offset % step::step][:count]
+    return numbers[offset % step :: step][:count]
 
 
 class Measurement:
@@ -149,8 +158,13 @@
             return
         await self._rest(session, x, "rest" in chosen)
         steps: dict[str, Callable[[Session, float], Awaitable[None]]] = {
-            "text": self._text, "change": self._change, "burst": self._burst, "list": self._list,
-            "wake": self._wake, "folder": self._folder}
+            "text": self._text,
+            "change": self._change,
+            "burst": self._burst,
+            "list": self._list,
+            "wake": self._wake,
+            "folder": self._folder,
+        }
         for name in chosen:
             if name in steps:
                 try:
@@ -172,8 +186,12 @@
         add("clock until served", "s", served.clock, "on a shared machine")
         add("memory", "MB", seen.memory / 1e6)
         add("peak memory", "MB", seen.peak / 1e6)
-        add("memory a destination", "B", (seen.memory - self.base_memory) / max(1.0, x - BASE),
-            f"above a relay of {BASE}")
+        add(
+            "memory a destination",
+            "B",
+            (seen.memory - self.base_memory) / max(1.0, x - BASE),
+            f"above a relay of {BASE}",
+        )
         add("descriptors", "", seen.descriptors)
         add("control bytes", "B", session.control_bytes())
         add("folder", "B", session.relay.folder_bytes())
@@ -181,6 +199,7 @@
     def _adder(self, scenario: str, x: float, axis: str = DESTINATIONS) -> Callable[..., None]:
         def add(measure: str, unit: str, value: float, note: str = "") -> None:
             self.book.add(scenario, measure, unit, axis, x, value, note)
+
         return add
 
     async def _rest(self, session: Session, x: float, noted: bool) -> None:
@@ -231,8 +250,12 @@
             for place in busy:
                 session.move([place])
                 await asyncio.sleep(CHANGE_EACH / 2)
-        add("processor a change at work", "ms", at_work[0] / len(busy) * 1e3,
-            f"mean of {len(busy)}, each with an idle connection")
+        add(
+            "processor a change at work",
+            "ms",
+            at_work[0] / len(busy) * 1e3,
+            f"mean of {len(busy)}, each with an idle connection",
+        )
         add("in force at work", "hosts", await session.in_force(busy), f"of {len(busy)} moved")
 
     async def _burst(self, session: Session, x: float) -> None:
@@ -251,8 +274,12 @@
                 session.move([place])
             await asyncio.sleep(0.2)
         add("processor an object", "ms", spent[1] / len(single) * 1e3, f"{len(single)} of one row at once")
-        add("in force, objects", "hosts", await session.in_force(spread(single, CHANGES)),
-            f"of {CHANGES} looked at")
+        add(
+            "in force, objects",
+            "hosts",
+            await session.in_force(spread(single, CHANGES)),
+            f"of {CHANGES} looked at",
+        )
 
     async def _list(self, session: Session, x: float) -> None:
         add, spent, asked = self._adder("list", x), [], session.list.whole
@@ -295,8 +322,13 @@
         await session.relay.settle()
         add, whole, seen = self._adder("folder", x), session.relay.processor(), session.relay.gauges()
         if session.list.whole > asked:
-            self.book.none("folder", DESTINATIONS, x, f"no copy of the list that serves: the whole one was "
-                           f"asked for {session.list.whole - asked} times; the folder held {kept} B")
+            self.book.none(
+                "folder",
+                DESTINATIONS,
+                x,
+                f"no copy of the list that serves: the whole one was "
+                f"asked for {session.list.whole - asked} times; the folder held {kept} B",
+            )
             return
         add("processor until served", "s", served.processor)
         add("processor until at rest", "s", whole)
@@ -330,8 +362,9 @@
         """Texts on 16 destinations beside `down` that were told to wait and hold a text each."""
         self.progress(f"texts beside {down} shut destinations, run {run + 1}")
         first = BASE + 1
-        async with Session(self.tree, range(1, first), range(first, first + down),
-                           texts=2 * down + 2000) as session:
+        async with Session(
+            self.tree, range(1, first), range(first, first + down), texts=2 * down + 2000
+        ) as session:
             await session.serve()
             held = (await session.hold(down))["+OK"] if down else 0
             used, _ = await session.rest(REST / 2)
@@ -352,8 +385,9 @@
         have had all their submits."""
         self.progress(f"texts beside {down} destinations that refuse, run {run + 1}")
         first = BASE + 1
-        async with Session(self.tree, range(1, first), down=range(first, first + down),
-                           texts=2 * down + 2000) as session:
+        async with Session(
+            self.tree, range(1, first), down=range(first, first + down), texts=2 * down + 2000
+        ) as session:
             await session.serve()
             said = await session.wake(session.down_ones, 0.0)
             await asyncio.sleep(REST / 4)  # each has been tried and is known to be down
@@ -364,8 +398,12 @@
             came = session.delivered() - before
             add = self._adder("down", float(down), OUT)
             add("processor with no other text", "ms/s", used / REST * 1e3, f"trials, from {REST / 4:g} s on")
-            add("processor a text", "us", spent / STEADY * 1e6,
-                f"{STEADY_RATE:g} a second over {BASE}, above that")
+            add(
+                "processor a text",
+                "us",
+                spent / STEADY * 1e6,
+                f"{STEADY_RATE:g} a second over {BASE}, above that",
+            )
             add("delivered", "texts", came, f"of {STEADY}")
             add("held", "texts", held, f"still, after {REST * 5 / 4:g} s")
             add("held at the end", "texts", said[0]["+OK"] - session.list.notices)
@@ -393,22 +431,30 @@
             add, each = self._adder("pair", float(BASE)), BLOCKS * BLOCK / 1e6
             add("processor a text", "us", sum(spent["this"]) / each)
             add("processor a text, other tree", "us", sum(spent["other"]) / each, f"at {commit_of(other)}")
-            add("ratio", "", sum(spent["this"]) / sum(spent["other"]),
-                f"{BLOCKS} blocks of {BLOCK} texts each")
+            add(
+                "ratio",
+                "",
+                sum(spent["this"]) / sum(spent["other"]),
+                f"{BLOCKS} blocks of {BLOCK} texts each",
+            )
 
     async def backlog(self, texts: int, run: int) -> None:
         """`texts` held, 400 a shut destination; memory by difference to the same relay before."""
         self.progress(f"a backlog of {texts} texts, run {run + 1}")
         first, down = BASE + 1, max(1, texts // BACKLOG_EACH)
-        async with Session(self.tree, range(1, first), range(first, first + down),
-                           texts=2 * texts) as session:
+        async with Session(
+            self.tree, range(1, first), range(first, first + down), texts=2 * texts
+        ) as session:
             await session.serve()
             await session.rest(REST / 2)
             before, folder, spent = session.relay.gauges(), session.relay.folder_bytes(), []
             async with session.cost(spent):
                 said = await session.hold(texts)
-            seen, kept, add = session.relay.gauges(), session.relay.folder_bytes(), self._adder(
-                "backlog", float(texts), HELD)
+            seen, kept, add = (
+                session.relay.gauges(),
+                session.relay.folder_bytes(),
+                self._adder("backlog", float(texts), HELD),
+            )
             held = said["+OK"] - session.list.notices
             add("held", "texts", held, f"answered {dict(said)}; {down} shut destinations")
             add("memory", "MB", seen.memory / 1e6)
@@ -420,8 +466,12 @@
             spent.clear()
             async with session.cost(spent):
                 came = await session.steady(self._round(session), STEADY_RATE)
-            add("processor a text beside it", "us", spent[0] / STEADY * 1e6,
-                f"{STEADY_RATE:g} a second over {BASE}")
+            add(
+                "processor a text beside it",
+                "us",
+                spent[0] / STEADY * 1e6,
+                f"{STEADY_RATE:g} a second over {BASE}",
+            )
             add("delivered", "texts", came, f"of {STEADY}")
 
     # Where it stops working.
@@ -433,8 +483,9 @@
             async with Session(self.tree, [1, number]) as session:
                 try:
                     await session.serve(30.0)
-                    self.book.add("walls", "delivered", "texts", NUMBER, float(number),
-                                  session.delivered(), "of 2")
+                    self.book.add(
+                        "walls", "delivered", "texts", NUMBER, float(number), session.delivered(), "of 2"
+                    )
                 except NotServing as error:
                     self.book.none("walls", NUMBER, float(number), str(error), "delivered", "texts")
         good, bad = 0, 0
@@ -461,9 +512,15 @@
             return True
 
 
-async def measure(tree: Path, sizes: list[int], runs: int, scenarios: tuple[str, ...],
-                  progress: Callable[[str], None], keep: Callable[[list[Point]], None],
-                  other: Path | None = None) -> list[Point]:
+async def measure(
+    tree: Path,
+    sizes: list[int],
+    runs: int,
+    scenarios: tuple[str, ...],
+    progress: Callable[[str], None],
+    keep: Callable[[list[Point]], None],
+    other: Path | None = None,
+) -> list[Point]:
     """Measure a tree, in `pair` beside another one.
 
     `keep` is given all points so far after the walls and after each run."""
--- a/limelatch/lab/scale/page.py
+++ b/limelatch/lab/scale/page.py
@@ -56,17 +56,48 @@
 FIDELITY = """The same scenario with decision modules alone and with relay processes, at a size at which these
 fit. Medians of the runs, least and largest in brackets.
 """
-EVENTS = (("machine", "a machine fails"), ("restart", "a machine is restarted or replaced"),
-          ("rack", "a rack or switch goes"), ("zone", "a zone goes"),
-          ("region_cut", "regions lose each other"))
-ROLE_HEAD = ("quantity", "of", "at the target's size", "budget", "factor", "budget reached at", "how known",
-             "worked out from", "mechanism")
-SLOPE_HEAD = ("series", "what, unit", "range", "points x runs", "residual: line", "n log n", "n²", "taken",
-              "spread", "results")
+EVENTS = (
+    ("machine", "a machine fails"),
+    ("restart", "a machine is restarted or replaced"),
+    ("rack", "a rack or switch goes"),
+    ("zone", "a zone goes"),
+    ("region_cut", "regions lose each other"),
+)
+ROLE_HEAD = (
+    "quantity",
+    "of",
+    "at the target's size",
+    "budget",
+    "factor",
+    "budget reached at",
+    "how known",
+    "worked out from",
+    "mechanism",
+)
+SLOPE_HEAD = (
+    "series",
+    "what, unit",
+    "range",
+    "points x runs",
+    "residual: line",
+    "n log n",
+    "n²",
+    "taken",
+    "spread",
+    "results",
+)
 FILE_HEAD = ("file of results", "subject", "commit", "measured at", "machine", "command")
 COMPARED_HEAD = ("what", "at", "before", "after", "unit", "after, of before", "before is of", "aim")
-MISSING_HEAD = ("", "factor", "role: quantity", "at the target's size", "must reach", "today", "how known",
-                "likely carried by")
+MISSING_HEAD = (
+    "",
+    "factor",
+    "role: quantity",
+    "at the target's size",
+    "must reach",
+    "today",
+    "how known",
+    "likely carried by",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +142,7 @@
 
 # Words of figures.
 
+
 def number(value: float) -> str:
     """Three digits, whole numbers all of them, thousands apart; millions in words."""
     if abs(value) >= 1e6:
@@ -145,8 +177,13 @@
 
 def wrapped(words: str, first: str = "") -> str:
     """A paragraph, or an item of a list where it begins with "- "."""
-    return textwrap.fill(first + words, WIDTH, subsequent_indent=" " * len(first), break_long_words=False,
-                         break_on_hyphens=False)
+    return textwrap.fill(
+        first + words,
+        WIDTH,
+        subsequent_indent=" " * len(first),
+        break_long_words=False,
+        break_on_hyphens=False,
+    )
 
 
 def table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> list[str]:
@@ -158,6 +195,7 @@
 
 def filled(book: Book, words: str) -> str:
     """Words with the figures of their {expressions}; of one that is not measured it says so."""
+
     def figure(match: re.Match) -> str:
         try:
             return number(book.work_out(match[1]).value)
@@ -175,8 +213,13 @@
     files = ", ".join(f"`{name}`" for name in dict.fromkeys(use.file for use in known.uses))
     words = "measured"
     if not farthest.measured:
-        words = "fitted" if farthest.past <= 1 else (
-            f"extrapolated, {number(farthest.past)} times past the last point of `{farthest.series.name}`")
+        words = (
+            "fitted"
+            if farthest.past <= 1
+            else (
+                f"extrapolated, {number(farthest.past)} times past the last point of `{farthest.series.name}`"
+            )
+        )
         words += ", taken to be the same there" if farthest.same else ""
     body = ast.parse(expression, mode="eval").body
     alone = isinstance(body, ast.Call) and body.func.id in (farthest.series.name, "same")
@@ -185,19 +228,34 @@
 
 # Sections.
 
+
 def target(book: Book) -> Iterator[str]:
     yield "## Target\n"
-    yield from table(("figure", "value", "unit", "what it is"), [
-        (f"`{each.name}`", size(each.value), each.unit, each.about) for each in book.roles.target])
+    yield from table(
+        ("figure", "value", "unit", "what it is"),
+        [(f"`{each.name}`", size(each.value), each.unit, each.about) for each in book.roles.target],
+    )
     yield "Assumed beside it, not the operators' figures:\n"
-    yield from table(("figure", "value", "unit", "what it is, from where"), [
-        (f"`{each.name}`", size(each.value), each.unit, each.about) for each in book.roles.assumed])
+    yield from table(
+        ("figure", "value", "unit", "what it is, from where"),
+        [(f"`{each.name}`", size(each.value), each.unit, each.about) for each in book.roles.assumed],
+    )
     yield "How it is read where it is ambiguous:\n"
     yield from (wrapped(filled(book, words), "- ") for words in book.roles.readings)
     yield "\n## What follows by arithmetic\n"
-    yield from table(("figure", "value", "unit", "from", "what it is"), [
-        (f"`{each.name}`", number(book.work_out(each.name).value), each.unit, f"`{each.value}`",
-         filled(book, each.about)) for each in book.roles.arithmetic])
+    yield from table(
+        ("figure", "value", "unit", "from", "what it is"),
+        [
+            (
+                f"`{each.name}`",
+                number(book.work_out(each.name).value),
+                each.unit,
+                f"`{each.value}`",
+                filled(book, each.about),
+            )
+            for each in book.roles.arithmetic
+        ],
+    )
 
 
 def role_section(book: Book, role: Role, rows: list[Worked]) -> Iterator[str]:
@@ -207,8 +265,10 @@
     if notes := [each for each in rows if each.row.note]:
         yield from (wrapped(f"{each.row.quantity}: {filled(book, each.row.note)}", "- ") for each in notes)
         yield ""
-    yield from table(("failure", "what happens"), [
-        (words, filled(book, getattr(role.failures, name))) for name, words in EVENTS])
+    yield from table(
+        ("failure", "what happens"),
+        [(words, filled(book, getattr(role.failures, name))) for name, words in EVENTS],
+    )
 
 
 def role_row(book: Book, each: Worked) -> tuple[str, ...]:
@@ -216,8 +276,17 @@
     budget = budget_words(each) if row.budget else "none told"
     how = how_known(row.value, known) if known else each.why
     quantity = f"{row.quantity} ({row.aside})" if row.aside else row.quantity
-    return (quantity, row.aspect, figure_words(each), budget, factor_words(each.factor), reached(book, each),
-            how, f"`{row.value}`", mechanism(row))
+    return (
+        quantity,
+        row.aspect,
+        figure_words(each),
+        budget,
+        factor_words(each.factor),
+        reached(book, each),
+        how,
+        f"`{row.value}`",
+        mechanism(row),
+    )
 
 
 def figure_words(each: Worked) -> str:
@@ -284,8 +353,20 @@
         found = fitted(held.fit) if held.fit else unfitted(held, xs)
         rows.append((f"`{each.name}`", what, where, measured, *found, results_words(held)))
     yield from table(SLOPE_HEAD, rows)
-    yield from table(FILE_HEAD, [(f"[{name}](capacity/{name}.json)", each.subject, each.commit, each.at,
-                                  each.machine, f"`{each.command}`") for name, each in book.results.items()])
+    yield from table(
+        FILE_HEAD,
+        [
+            (
+                f"[{name}](capacity/{name}.json)",
+                each.subject,
+                each.commit,
+                each.at,
+                each.machine,
+                f"`{each.command}`",
+            )
+            for name, each in book.results.items()
+        ],
+    )
 
 
 def results_words(held: Held) -> str:
@@ -319,12 +400,25 @@
         for point in results.points:
             if not point.values or point.scenario == "walls":
                 values = f"{', '.join(map(number, point.values))} {point.unit}" if point.values else "none"
-                key = (f"{name}: {results.subject}", point.measure, f"{size(point.x)} {point.axis}",
-                       values.strip(), point.note)
+                key = (
+                    f"{name}: {results.subject}",
+                    point.measure,
+                    f"{size(point.x)} {point.axis}",
+                    values.strip(),
+                    point.note,
+                )
                 rows.setdefault(key, []).append(point.scenario)
-    yield from table(("results", "what", "at", "values", "note"), [
-        (where, f"{', '.join(dict.fromkeys(scenarios))}: {measure}", *rest)
-        for (where, measure, *rest), scenarios in rows.items()]) if rows else [f"{NOT_MEASURED}\n"]
+    yield from (
+        table(
+            ("results", "what", "at", "values", "note"),
+            [
+                (where, f"{', '.join(dict.fromkeys(scenarios))}: {measure}", *rest)
+                for (where, measure, *rest), scenarios in rows.items()
+            ],
+        )
+        if rows
+        else [f"{NOT_MEASURED}\n"]
+    )
 
 
 def fidelity(book: Book) -> Iterator[str]:
@@ -337,8 +431,9 @@
         for (scenario, measure, axis, x), hollow in places.items():
             base, _, kind = scenario.rpartition(" ")
             if kind == "hollow" and (real := places.get((f"{base} real", measure, axis, x))):
-                rows.append((f"{base}: {measure}", f"{size(x)} {axis}", cell(hollow), cell(real), hollow.unit,
-                             name))
+                rows.append(
+                    (f"{base}: {measure}", f"{size(x)} {axis}", cell(hollow), cell(real), hollow.unit, name)
+                )
     if not rows:
         yield f"{NOT_MEASURED}\n"
         return
@@ -365,8 +460,18 @@
             a, b = old.get(x), new.get(x)
             both = a is not None and b is not None and a.values and b.values and median(a.values)
             ratio = number(median(b.values) / median(a.values)) if both else ""
-            rows.append((each.about, f"{size(x)} {each.axis}", cell(a), cell(b),
-                         next(point.unit for point in (b, a) if point), ratio, first, aim))
+            rows.append(
+                (
+                    each.about,
+                    f"{size(x)} {each.axis}",
+                    cell(a),
+                    cell(b),
+                    next(point.unit for point in (b, a) if point),
+                    ratio,
+                    first,
+                    aim,
+                )
+            )
         if not old and not new:
             rows.append((each.about, "", NOT_MEASURED, NOT_MEASURED, "", "", "", aim))
     yield from table(COMPARED_HEAD, rows)
@@ -375,8 +480,11 @@
 def points_of(book: Book, name: str, each: Compared) -> dict[float, Point]:
     """A file's points of a series; those of its scenario that have no values stand where it has none."""
     results = book.results.get(name)
-    every = [point for point in results.points if (point.scenario, point.axis) == (each.scenario, each.axis)
-             ] if results else []
+    every = (
+        [point for point in results.points if (point.scenario, point.axis) == (each.scenario, each.axis)]
+        if results
+        else []
+    )
     none = {point.x: point for point in every if not point.values}
     return none | {point.x: point for point in every if point.values and point.measure == each.measure}
 
@@ -394,19 +502,34 @@
 
 def missing(rows: list[Worked]) -> Iterator[str]:
     yield "## What is missing next\n"
-    yield "By factor over the budget; \"must reach\" is the figure that the mechanism has to come under.\n"
+    yield 'By factor over the budget; "must reach" is the figure that the mechanism has to come under.\n'
     rows = [each for each in rows if not each.row.aside]
-    over = sorted((each for each in rows if each.factor is not None and each.factor > 1),
-                  key=lambda each: -each.factor)
-    yield from table(MISSING_HEAD, [
-        (str(place), number(each.factor), f"{each.role.name}: {each.row.quantity}",
-         figure_words(each), budget_words(each), mechanism(each.row),
-         how_known(each.row.value, each.known), each.row.carried_by) for place, each in enumerate(over, 1)])
+    over = sorted(
+        (each for each in rows if each.factor is not None and each.factor > 1), key=lambda each: -each.factor
+    )
+    yield from table(
+        MISSING_HEAD,
+        [
+            (
+                str(place),
+                number(each.factor),
+                f"{each.role.name}: {each.row.quantity}",
+                figure_words(each),
+                budget_words(each),
+                mechanism(each.row),
+                how_known(each.row.value, each.known),
+                each.row.carried_by,
+            )
+            for place, each in enumerate(over, 1)
+        ],
+    )
     if unranked := [each for each in rows if each.factor is None and each.row.mechanism == NONE_YET]:
         yield "No mechanism yet, and no factor (no budget told, or not measured):\n"
-        yield from (f"- {each.role.name}: {each.row.quantity}, {figure_words(each)}"
-                    + (f"; must reach {budget_words(each)}" if each.row.budget else "")
-                    for each in unranked)
+        yield from (
+            f"- {each.role.name}: {each.row.quantity}, {figure_words(each)}"
+            + (f"; must reach {budget_words(each)}" if each.row.budget else "")
+            for each in unranked
+        )
         yield ""
     if unknown := [each for each in rows if each.known is None and each.row.mechanism != NONE_YET]:
         yield "Not ranked, since not measured:\n"
--- a/limelatch/lab/scale/partners.py
+++ b/limelatch/lab/scale/partners.py
@@ -24,8 +24,10 @@
 
 def row_of(number: int, address: str, name: int | None = None) -> bytes:
     """One row of the list: the one host of destination `number`; some 130 bytes, as of a real agent."""
-    return (f'{{"name":"s-{number if name is None else name:08x}","address":"{address}","zone":"{FLOOR}",'
-            f'"type":"{KIND}","group":{number},"status":"active","weight":1.0,"since_ms":0}}').encode()
+    return (
+        f'{{"name":"s-{number if name is None else name:08x}","address":"{address}","zone":"{FLOOR}",'
+        f'"type":"{KIND}","group":{number},"status":"active","weight":1.0,"since_ms":0}}'
+    ).encode()
 
 
 class Counted(Connection):
@@ -72,8 +74,9 @@
     def list_bytes(self) -> bytes:
         """The whole list as an object, as of now."""
         if self._list is None:
-            self._list = (b'{"index":%d,"snapshot":true,"endpoints":[' % self.index + b",".join(self.rows)
-                          + b"]}\n")
+            self._list = (
+                b'{"index":%d,"snapshot":true,"endpoints":[' % self.index + b",".join(self.rows) + b"]}\n"
+            )
         return self._list
 
     def change(self, places: list[int], rows: list[bytes]) -> int:
@@ -117,7 +120,7 @@
     def _watch(self, connection: Connection, word: str) -> None:
         self.watched += 1
         since = int(word) if word.isdigit() else -1
-        missed = self.objects[since - 1:] if 1 <= since <= self.index else [b""]
+        missed = self.objects[since - 1 :] if 1 <= since <= self.index else [b""]
         if all(missed):
             connection.write(WATCH_HEAD)
             for told in missed:
@@ -125,8 +128,11 @@
             self._watches(connection)
         else:  # of another list, or none
             body = self.list_bytes()
-            self._write(connection, WATCH_HEAD + b"%x\r\n%s\r\n" % (len(body), body),
-                        lambda: self._watches(connection))
+            self._write(
+                connection,
+                WATCH_HEAD + b"%x\r\n%s\r\n" % (len(body), body),
+                lambda: self._watches(connection),
+            )
 
     def _watches(self, connection: Connection) -> None:
         self.watches.add(connection)
--- a/limelatch/lab/scale/process.py
+++ b/limelatch/lab/scale/process.py
@@ -74,10 +74,13 @@
     """The measured relay's configuration: room for `texts`, memory and disk that don't bind; else the relay's
     own defaults."""
     return Installation(
-        relay=Identity(listen=listen, state=state), catalog=CatalogTable(address=catalog),
+        relay=Identity(listen=listen, state=state),
+        catalog=CatalogTable(address=catalog),
         limits=Limits(memory=MEMORY, disk=DISK, texts=texts),
         products=[Product(name=PRODUCT, effect=Effect.RESENDABLE, sla_time=3 * SECOND)],
-        kinds=[Kind(name=KIND)], floors=[Floor(name=FLOOR)])
+        kinds=[Kind(name=KIND)],
+        floors=[Floor(name=FLOOR)],
+    )
 
 
 class RelayProcess:
@@ -87,8 +90,11 @@
         self.tree, self.folder, self.port = tree.resolve(), folder, free_port()
         self.state, self.path = folder / "state", folder / "relay.json"
         self.state.mkdir(parents=True, exist_ok=True)
-        self.path.write_text(json.dumps(write_platform(installation(
-            f"{LOOPBACK}:{self.port}", catalog, str(self.state), texts))))
+        self.path.write_text(
+            json.dumps(
+                write_platform(installation(f"{LOOPBACK}:{self.port}", catalog, str(self.state), texts))
+            )
+        )
         self.process: asyncio.subprocess.Process | None = None
         self.began = 0.0
 
@@ -113,8 +119,16 @@
         self.began = time.monotonic()
         with open(self.folder / "relay.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "limelatch.relay", cwd=self.tree, env=surroundings, stderr=log,
-                stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, start_new_session=True)
+                sys.executable,
+                "-m",
+                "limelatch.relay",
+                cwd=self.tree,
+                env=surroundings,
+                stderr=log,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.DEVNULL,
+                start_new_session=True,
+            )
         while True:
             if self.process.returncode is not None:
                 raise NotServing(f"the process ended with {self.process.returncode}")
@@ -196,14 +210,16 @@
     return f"-{word}" if isinstance(reply, hiredis.ReplyError) else f"+{word}"
 
 
-async def hand_in(port: int, destinations: list[int], hands: int = 16, seconds: float = 120.0
-                  ) -> Counter[str]:
+async def hand_in(
+    port: int, destinations: list[int], hands: int = 16, seconds: float = 120.0
+) -> Counter[str]:
     """Hand in a text for each destination, pipelined over `hands` connections; the answers, counted."""
+
     async def one(share: list[int]) -> Counter[str]:
         hand, said = await Hand.to(port), Counter()
         try:
             for at in range(0, len(share), 64):  # as many as a relay's ring of inbound bytes takes at once
-                part = share[at:at + 64]
+                part = share[at : at + 64]
                 hand.write(b"".join(submit(number) for number in part))
                 for _ in part:
                     said[words_of(await hand.answer(seconds))] += 1
--- a/limelatch/lab/scale/ready.py
+++ b/limelatch/lab/scale/ready.py
@@ -28,13 +28,23 @@
 LATE_MOST, CLOSED = 2.0, 0.3  # of an overbooked discovery: seconds to an answer; calls closed without one
 BODY, DISK_MB, VALID = b"x" * 600, 3, 300 * SECOND
 SETTINGS = {
-    "classes": [{"name": "report", "effect": "pure", "deadline": VALID // MS},
-                {"name": "charge", "effect": "side_effect", "oneAtATime": True, "deadline": VALID // MS}],
+    "classes": [
+        {"name": "report", "effect": "pure", "deadline": VALID // MS},
+        {"name": "charge", "effect": "side_effect", "oneAtATime": True, "deadline": VALID // MS},
+    ],
     "familyInfo": {"slots": 16, "batchByKind": [1], "routesApart": [False]},
-    "limits": {"maxOpen": 10_000, "maxAttempts": 8, "maxRetryAfter": 2000, "retryAfter": True,
-               "connIdle": 9000},
-    "projects": [{"name": "acme"}], "skus": ["single"], "zones": ["a"],
-    "rules": {"cold": 12000, "coldShare": 0.2, "fallMultiple": 2.5, "tipAfter": 2000, "turnGap": 300}}
+    "limits": {
+        "maxOpen": 10_000,
+        "maxAttempts": 8,
+        "maxRetryAfter": 2000,
+        "retryAfter": True,
+        "connIdle": 9000,
+    },
+    "projects": [{"name": "acme"}],
+    "skus": ["single"],
+    "zones": ["a"],
+    "rules": {"cold": 12000, "coldShare": 0.2, "fallMultiple": 2.5, "tipAfter": 2000, "turnGap": 300},
+}
 
 
 @dataclass
@@ -62,8 +72,16 @@
     now, count, held = int(time.time() * SECOND), 0, len(ledger.entries)
     while ledger.has_room(len(BODY)):
         text, once = b"%016x" % (now + count), count % 4 == 2
-        if not ledger.taken(text, BODY, key=f"k{count % 97}" if once else "", mark="", dest=1,
-                            product="charge" if once else "report", until=now + VALID, customer="acme"):
+        if not ledger.taken(
+            text,
+            BODY,
+            key=f"k{count % 97}" if once else "",
+            mark="",
+            dest=1,
+            product="charge" if once else "report",
+            until=now + VALID,
+            customer="acme",
+        ):
             break
         if count % 4:
             ledger.going(text, now, 0)
@@ -80,9 +98,24 @@
     def __init__(self, chance: Random) -> None:
         self.chance, self.silent, self.overbooked, self.address = chance, False, False, ""
         self.speaks = asyncio.Event()
-        self.list = json.dumps({"index": 2, "snapshot": True, "endpoints": [
-            {"name": "s-1", "address": "127.0.0.1:1", "zone": "a", "type": "single", "group": 1,
-             "status": "active", "weight": 50.0, "since_ms": 0}]}).encode()
+        self.list = json.dumps(
+            {
+                "index": 2,
+                "snapshot": True,
+                "endpoints": [
+                    {
+                        "name": "s-1",
+                        "address": "127.0.0.1:1",
+                        "zone": "a",
+                        "type": "single",
+                        "group": 1,
+                        "status": "active",
+                        "weight": 50.0,
+                        "since_ms": 0,
+                    }
+                ],
+            }
+        ).encode()
 
     async def serve(self) -> asyncio.Server:
         server = await asyncio.start_server(self._connection, "127.0.0.1", 0, backlog=256)
@@ -129,16 +162,28 @@
         address = "127.{}.{}.{}".format(*(1 + byte % 254 for byte in os.urandom(3)))  # its own ports
         with socket.create_server((address, 0)) as spare:
             port = spare.getsockname()[1]
-        plan = {"listen": f"{address}:{port}", "discovery": discovery, "seed": "7", "state": str(self.state),
-                "limits": {"disk_mb": DISK_MB, "memory_mb": 64}, "settings": SETTINGS}
+        plan = {
+            "listen": f"{address}:{port}",
+            "discovery": discovery,
+            "seed": "7",
+            "state": str(self.state),
+            "limits": {"disk_mb": DISK_MB, "memory_mb": 64},
+            "settings": SETTINGS,
+        }
         self.file.write_text(json.dumps(plan | ({} if list_ms is None else {"list_ms": list_ms})))
 
     async def start(self) -> Start:
         """Until it serves; TimeoutError where it does not in time, RuntimeError where it ends."""
         start, began, line = Start(), time.monotonic(), ""
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "limelatch.relay", stderr=asyncio.subprocess.PIPE, limit=1 << 20,
-            env=os.environ | {"RELAY_CONFIG": str(self.file)}, cwd=Path(__file__).parents[3])
+            sys.executable,
+            "-m",
+            "limelatch.relay",
+            stderr=asyncio.subprocess.PIPE,
+            limit=1 << 20,
+            env=os.environ | {"RELAY_CONFIG": str(self.file)},
+            cwd=Path(__file__).parents[3],
+        )
         async with asyncio.timeout(LONGEST):
             while raw := await self.process.stderr.readline():
                 line = raw.decode()
@@ -174,8 +219,9 @@
             await self.process.wait()
 
 
-async def restarts(relays: int, killed: int, silent: float, seed: int,
-                   list_ms: int | None = None) -> list[Start]:
+async def restarts(
+    relays: int, killed: int, silent: float, seed: int, list_ms: int | None = None
+) -> list[Start]:
     """Start all, kill so many at once, fill their folders and start them anew; their second starts."""
     with tempfile.TemporaryDirectory() as folder:
         discovery = Discovery(Random(seed))
@@ -203,12 +249,18 @@
     """The measured distributions, a value a start."""
     waits = sorted({wait for start in starts for wait in start.waits})
     fresh = sum(bool(start.fresh_list) for start in starts)
-    note = (f"{len(starts)} of {relays} killed at once; {min(s.texts for s in starts)} to"
-            f" {max(s.texts for s in starts)} texts in the folder; logged as waited for:"
-            f" {', '.join(waits) or 'nothing'}; {fresh} had the list; at {share} of a core")
-    rows = [("time to ready", [start.at_share(share) for start in starts]),
-            ("processor time to ready", [start.processor for start in starts]),
-            ("wait for the list", [start.waited for start in starts]),
-            ("wall time to ready", [start.wall for start in starts])]
-    return [Point("restart", measure, "s", "relays", relays, [round(each, 3) for each in sorted(values)],
-                  note) for measure, values in rows]
+    note = (
+        f"{len(starts)} of {relays} killed at once; {min(s.texts for s in starts)} to"
+        f" {max(s.texts for s in starts)} texts in the folder; logged as waited for:"
+        f" {', '.join(waits) or 'nothing'}; {fresh} had the list; at {share} of a core"
+    )
+    rows = [
+        ("time to ready", [start.at_share(share) for start in starts]),
+        ("processor time to ready", [start.processor for start in starts]),
+        ("wait for the list", [start.waited for start in starts]),
+        ("wall time to ready", [start.wall for start in starts]),
+    ]
+    return [
+        Point("restart", measure, "s", "relays", relays, [round(each, 3) for each in sorted(values)], note)
+        for measure, values in rows
+    ]
--- a/limelatch/lab/scale/results.py
+++ b/limelatch/lab/scale/results.py
@@ -38,9 +38,11 @@
 
 def commit_of(folder: str | Path = ".") -> str:
     """The commit of the tree, with a + where files differ from it; "unknown" outside a repository."""
+
     def git(*words: str) -> str:
-        return subprocess.run(["git", "-C", str(folder), *words], capture_output=True, text=True,
-                              check=False).stdout.strip()
+        return subprocess.run(
+            ["git", "-C", str(folder), *words], capture_output=True, text=True, check=False
+        ).stdout.strip()
 
     commit = git("rev-parse", "--short", "HEAD")
     return commit + ("+" if git("status", "--porcelain", "--", "limelatch") else "") if commit else "unknown"
