--- a/limelatch/lab/subjects.py
+++ b/limelatch/lab/subjects.py
@@ -119,8 +119,12 @@
 
     def may_go(self, now: int, text: li.TextId, host: li.HostId) -> bool:
         entry, held = self.hosts.get(host), self.texts.get(text)
-        return (entry is not None and entry.listing is Listing.READY and held is not None
-                and self.waits.get(entry.destination, 0) <= now)
+        return (
+            entry is not None
+            and entry.listing is Listing.READY
+            and held is not None
+            and self.waits.get(entry.destination, 0) <= now
+        )
 
     def decide(self, now: int) -> list[li.Action]:
         actions: list[li.Action] = []
@@ -134,8 +138,9 @@
                 self.waiting.pop(text, None)
             elif self._done(now, held):
                 self._end(held, actions)
-            elif self.used < self.terms.slots and held.due <= now < self.stop_at and self._turn(now,
-                                                                                                held.text):
+            elif (
+                self.used < self.terms.slots and held.due <= now < self.stop_at and self._turn(now, held.text)
+            ):
                 self._submit(now, held, actions)
         if self.waiting:
             actions.append(li.Wake(20 * MS))
@@ -172,8 +177,12 @@
     def _end(self, held: PlainText, actions: list[li.Action]) -> None:
         text = held.text
         product = self.terms.products[text.product]
-        safe = (held.ran_at is None or product.effect is Effect.RESENDABLE
-                or product.effect is Effect.REFERENCED and product.repeats_anywhere)
+        safe = (
+            held.ran_at is None
+            or product.effect is Effect.RESENDABLE
+            or product.effect is Effect.REFERENCED
+            and product.repeats_anywhere
+        )
         actions.append(li.Nack(text.id, self.terms.max_advice) if safe else li.Undeliverable(text.id))
         self.over[text.id] = self.texts.pop(text.id).text
         self.waiting.pop(text.id, None)
--- a/limelatch/logs.py
+++ b/limelatch/logs.py
@@ -36,8 +36,11 @@
 def pairs_of(record: logging.LogRecord, trace: str) -> dict[str, object]:
     """A line's pairs, in their order."""
     stamp = datetime.fromtimestamp(record.created, UTC).isoformat(timespec="milliseconds")
-    pairs = {"time": stamp.replace("+00:00", "Z"), "level": record.levelname.lower(),
-             "part": record.name.rpartition(".")[2]}
+    pairs = {
+        "time": stamp.replace("+00:00", "Z"),
+        "level": record.levelname.lower(),
+        "part": record.name.rpartition(".")[2],
+    }
     if hasattr(record, "pairs"):
         pairs["event"] = record.msg
         pairs |= {name: plain(value) for name, value in record.pairs.items() if value is not None}
--- a/limelatch/membership/codec.py
+++ b/limelatch/membership/codec.py
@@ -32,8 +32,15 @@
 WIDE_DISTANCES = MEMBERS_MOST // 128
 AGE_MOST, WITNESS = 127, 128  # tenths of a second, and the bit beside them
 PING, ACK, GOSSIP, INDIRECT_PING, INDIRECT_ACK, PAGE_DIGESTS, PAGE = range(1, 8)
-KINDS = {Ping: PING, Ack: ACK, Gossip: GOSSIP, IndirectPing: INDIRECT_PING, IndirectAck: INDIRECT_ACK,
-         PageDigests: PAGE_DIGESTS, Page: PAGE}
+KINDS = {
+    Ping: PING,
+    Ack: ACK,
+    Gossip: GOSSIP,
+    IndirectPing: INDIRECT_PING,
+    IndirectAck: INDIRECT_ACK,
+    PageDigests: PAGE_DIGESTS,
+    Page: PAGE,
+}
 PLAIN = {PING: Ping, ACK: Ack, GOSSIP: Gossip}
 
 
@@ -120,18 +127,29 @@
     def __init__(self, key: int, members: int, me: int, pages: int) -> None:
         self.key, self.members, self.me, self.pages = key, members, me, pages
         self._readers: dict[int, Callable[[Header, _Cursor], Message]] = {
-            INDIRECT_PING: self._indirect_ping, INDIRECT_ACK: self._indirect_ack,
-            PAGE_DIGESTS: self._page_digests, PAGE: self._page}
+            INDIRECT_PING: self._indirect_ping,
+            INDIRECT_ACK: self._indirect_ack,
+            PAGE_DIGESTS: self._page_digests,
+            PAGE: self._page,
+        }
 
     def write(self, message: Message) -> bytes:
         """The datagram; ValueError where it would be over DATAGRAM_MOST, a fault of the caller."""
         header = message.header
-        head = HEADER.pack(VERSION, KINDS[type(message)], header.sender, 0, header.incarnation,
-                           header.sequence, header.digest, header.held)
+        head = HEADER.pack(
+            VERSION,
+            KINDS[type(message)],
+            header.sender,
+            0,
+            header.incarnation,
+            header.sequence,
+            header.digest,
+            header.held,
+        )
         data = head + self._tail(message)
         if len(data) > DATAGRAM_MOST:
             raise ValueError(f"a datagram of {len(data)} bytes")
-        return data[:CHECKSUM_AT] + CHECKSUM.pack(self._checksum(data)) + data[CHECKSUM_AT + CHECKSUM.size:]
+        return data[:CHECKSUM_AT] + CHECKSUM.pack(self._checksum(data)) + data[CHECKSUM_AT + CHECKSUM.size :]
 
     def _tail(self, message: Message) -> bytes:
         if isinstance(message, PageDigests):
@@ -147,7 +165,7 @@
 
     def _checksum(self, data: bytes) -> int:
         begun = zlib.crc32(data[:CHECKSUM_AT], self.key)
-        return zlib.crc32(data[CHECKSUM_AT + CHECKSUM.size:], begun)
+        return zlib.crc32(data[CHECKSUM_AT + CHECKSUM.size :], begun)
 
     def read(self, data: bytes) -> Message:
         """The message. Raises BadDatagram with the reason; nothing of a bad one is used."""
--- a/limelatch/membership/member.py
+++ b/limelatch/membership/member.py
@@ -47,8 +47,16 @@
 
     registry_of = Registry
 
-    def __init__(self, peers: Sequence[str], me: int, incarnation: int, random: Random, now: int,
-                 timing: Timing | None = None, zones: Sequence[int] = ()) -> None:
+    def __init__(
+        self,
+        peers: Sequence[str],
+        me: int,
+        incarnation: int,
+        random: Random,
+        now: int,
+        timing: Timing | None = None,
+        zones: Sequence[int] = (),
+    ) -> None:
         count, self.me, self.now = len(peers), me, now
         self.timing = timing or Timing()
         self.registry = self.registry_of(count, me, self.timing)
@@ -258,7 +266,8 @@
         if fact.member != self.me:
             self.registry.learn(self.now, fact, teller)
         elif fact.incarnation > self.incarnation or (
-                fact.incarnation == self.incarnation and fact.state is not State.ALIVE):
+            fact.incarnation == self.incarnation and fact.state is not State.ALIVE
+        ):
             self._go_over(fact.incarnation)
 
     def _answered(self, sequence: int, target: int, incarnation: int) -> None:
--- a/limelatch/membership/outbox.py
+++ b/limelatch/membership/outbox.py
@@ -43,8 +43,16 @@
         """Whether a datagram that may be left out leaves the reserve, from which pings and answers go."""
         return self.allowance >= RESERVE + size + PACKET_HEADERS
 
-    def send(self, to: int, form: Callable[..., Message], header: Header, *parts: object, tail: int = 1,
-             first: Fact | None = None, alone: bool = False) -> None:
+    def send(
+        self,
+        to: int,
+        form: Callable[..., Message],
+        header: Header,
+        *parts: object,
+        tail: int = 1,
+        first: Fact | None = None,
+        alone: bool = False,
+    ) -> None:
         """Send a message with `first` and, unless that is to go alone, as many queued facts as fit.
         `tail`: the message's bytes behind the header without facts.
 
--- a/limelatch/membership/prober.py
+++ b/limelatch/membership/prober.py
@@ -21,8 +21,17 @@
 class Prober:
     """Sends pings and learns which of them are answered; `zones`: of each member, if they are told."""
 
-    def __init__(self, me: int, start: int, random: Random, timing: Timing, registry: Registry,
-                 outbox: Outbox, header: Callable[..., Header], zones: Sequence[int]) -> None:
+    def __init__(
+        self,
+        me: int,
+        start: int,
+        random: Random,
+        timing: Timing,
+        registry: Registry,
+        outbox: Outbox,
+        header: Callable[..., Header],
+        zones: Sequence[int],
+    ) -> None:
         self.me, self.random, self.timing, self.zones = me, random, timing, zones
         self.registry, self.view, self.outbox, self.header = registry, registry.view, outbox, header
         self.rounds, self.probes = Rounds(me, self.view, random), Probes(random)
@@ -50,8 +59,9 @@
         self._ping(now, probe.target, sequence)
         for helper in self._helpers(probe.target):
             if self.outbox.affords(2 * TARGET_ACK_BYTES + DATAGRAM_LEAST):
-                self.outbox.send(helper, IndirectPing, self.header(helper, sequence), probe.target,
-                                 tail=TARGET_BYTES)
+                self.outbox.send(
+                    helper, IndirectPing, self.header(helper, sequence), probe.target, tail=TARGET_BYTES
+                )
 
     def _helpers(self, target: int) -> list[int]:
         found = self.rounds.some_alive(2 * HELPERS if self.zones else HELPERS, self.me, target)
@@ -142,5 +152,6 @@
         if self.probes.answered(sequence, target) is not None and incarnation:
             asker, asked, _ = self._relayed.pop(sequence)
             self.hearing.answered(now)
-            self.outbox.send(asker, IndirectAck, self.header(asker, asked), target, incarnation,
-                             tail=TARGET_ACK_BYTES)
+            self.outbox.send(
+                asker, IndirectAck, self.header(asker, asked), target, incarnation, tail=TARGET_ACK_BYTES
+            )
--- a/limelatch/membership/registry.py
+++ b/limelatch/membership/registry.py
@@ -113,8 +113,11 @@
 
     def next_own_probe(self, now: int) -> int | None:
         """The suspect that has waited longest for another probe of this member, if one is due."""
-        due = [(each.next_probe, member) for member, each in self.suspicions.items()
-               if each.own and each.next_probe <= now]
+        due = [
+            (each.next_probe, member)
+            for member, each in self.suspicions.items()
+            if each.own and each.next_probe <= now
+        ]
         due += [(each.next_probe, member) for member, each in self.refusals.items() if each.next_probe <= now]
         if not due:
             return None
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -31,8 +31,15 @@
         if not isinstance(name, str) or not isinstance(kind, str):
             raise TypeError("name and type are words")
         int(address.rpartition(":")[2])
-        return Row(name, address, zone if isinstance(zone, str) else "", kind, int(raw["group"]),
-                   STATUSES.get(raw["status"], GONE), float(raw.get("weight") or 0.0))
+        return Row(
+            name,
+            address,
+            zone if isinstance(zone, str) else "",
+            kind,
+            int(raw["group"]),
+            STATUSES.get(raw["status"], GONE),
+            float(raw.get("weight") or 0.0),
+        )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise BadList(f"{type(error).__name__}: {error}") from None
 
@@ -40,8 +47,9 @@
 def entry_of(row: Row, names: Names) -> HostEntry:
     """A row in the module's numbers; its kind is one of the configuration's."""
     zone = names.zones.index(row.zone) if row.zone in names.zones else -1
-    return HostEntry(row.name.encode(), row.destination, zone, names.kinds.index(row.kind), row.rate,
-                     LISTINGS[row.status])
+    return HostEntry(
+        row.name.encode(), row.destination, zone, names.kinds.index(row.kind), row.rate, LISTINGS[row.status]
+    )
 
 
 def address_of(row: Row) -> Address:
@@ -113,10 +121,19 @@
 
     noisy = False
 
-    def __init__(self, reactor, deadlines, address: Address, names: Names, silence: int, again: int,
-                 told: Callable[[list[HostEntry], bool], None],
-                 failed: Callable[[], None] | None = None, copy: ListCopy | None = None,
-                 wanted: Callable[[int], bool] = lambda destination: True) -> None:
+    def __init__(
+        self,
+        reactor,
+        deadlines,
+        address: Address,
+        names: Names,
+        silence: int,
+        again: int,
+        told: Callable[[list[HostEntry], bool], None],
+        failed: Callable[[], None] | None = None,
+        copy: ListCopy | None = None,
+        wanted: Callable[[int], bool] = lambda destination: True,
+    ) -> None:
         """`wanted`: whether news of a destination are to be told; the others are held, and not told."""
         self.reactor, self.deadlines, self.address, self.names = reactor, deadlines, address, names
         self.silence, self.again, self.told = silence, again, told
@@ -250,8 +267,11 @@
 
     def entries(self, destination: int) -> list[HostEntry]:
         """The destination's hosts; those of kinds that the configuration has not are left out."""
-        return [entry_of(row, self.names) for row in self.directory.rows(destination)
-                if row.kind in self.names.kinds]
+        return [
+            entry_of(row, self.names)
+            for row in self.directory.rows(destination)
+            if row.kind in self.names.kinds
+        ]
 
     def reached(self, host: HostId) -> Address | None:
         """Where the host is reached, None where it is not on the list."""
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -70,8 +70,16 @@
         raise BadCommand("k takes 1 to 64 letters and digits")
     if not SIZE.match(dest) or not re.fullmatch(rb"-?[0-9]{1,9}(\.[0-9]{1,6})?", span):
         raise BadCommand("dest and d are wanted as numbers")
-    return Handed(text, b"" if not order.strip(b"0") else order, values.get(b"c", b""), values.get(b"t", b""),
-                  int(dest), int(float(span) * MS), mark, body)
+    return Handed(
+        text,
+        b"" if not order.strip(b"0") else order,
+        values.get(b"c", b""),
+        values.get(b"t", b""),
+        int(dest),
+        int(float(span) * MS),
+        mark,
+        body,
+    )
 
 
 @implementer(interfaces.IHalfCloseableProtocol)
@@ -116,7 +124,8 @@
             self.end(Ending.SILENT)
         else:
             self.deadline = self.listener.driver.deadlines.at(
-                min(max(due, now + SECOND // 10), now + LOOK_MOST), self._look)
+                min(max(due, now + SECOND // 10), now + LOOK_MOST), self._look
+            )
 
     def end(self, ending: Ending) -> None:
         if self.ending is None:
@@ -124,7 +133,8 @@
             if self.deadline is not None:
                 self.deadline.cancel()
             self.deadline = self.listener.driver.deadlines.after(  # if it reads no more
-                LINGER, self.transport.abortConnection)
+                LINGER, self.transport.abortConnection
+            )
 
     def between_requests(self) -> bool:
         return not self.waiting and not self.missing and not self.inbound
@@ -203,8 +213,13 @@
                 self.waiting = True
                 self.listener.driver.handed_in(handed, self)
             elif name == b"PING":
-                self.reply("-ERR stopping" if self.listener.stopping
-                           else "-ERR paused" if self.listener.paused else "+PONG")
+                self.reply(
+                    "-ERR stopping"
+                    if self.listener.stopping
+                    else "-ERR paused"
+                    if self.listener.paused
+                    else "+PONG"
+                )
             elif name == b"QUIT":
                 self.reply("+OK")
                 self.end(Ending.CLOSED_BY_PEER)
@@ -407,8 +422,11 @@
     def comes(self) -> bool:
         """Whether a request is not answered, not even read, or may come on a connection just made."""
         new = self.driver.clock.now() - SECOND // 10
-        return any(each.waiting or waits(each.transport) or not each.asked and each.heard_at > new
-                   for each in self.connections if each.ending is None)
+        return any(
+            each.waiting or waits(each.transport) or not each.asked and each.heard_at > new
+            for each in self.connections
+            if each.ending is None
+        )
 
     def last_words(self) -> None:
         """Nothing more is read; what is answered is still written."""
--- a/limelatch/relay/directory.py
+++ b/limelatch/relay/directory.py
@@ -21,8 +21,10 @@
 LEFT_MOST = 1024  # hosts gone whose destinations stay known, since others of them are on their way
 SPARE_LEAST = 64 * 1024  # bytes of rows replaced or gone before the buffer is written anew
 READY, DRAINING, GONE = "a", "d", "g"  # a row's status, one letter, so that a change of it goes in its place
-LINE = re.compile(rf"[^\0-\x1f\x7f]{{1,{NAME_MOST}}}\t[^\0-\x1f\x7f]{{1,{NAME_MOST}}}"
-                  rf"(?:\t[^\0-\x1f\x7f]{{0,{WORD_MOST}}}){{2}}\t([0-9]{{1,10}})\t[adg]\t[-+.0-9e]+\n")
+LINE = re.compile(
+    rf"[^\0-\x1f\x7f]{{1,{NAME_MOST}}}\t[^\0-\x1f\x7f]{{1,{NAME_MOST}}}"
+    rf"(?:\t[^\0-\x1f\x7f]{{0,{WORD_MOST}}}){{2}}\t([0-9]{{1,10}})\t[adg]\t[-+.0-9e]+\n"
+)
 LISTED = re.compile(rb"([^\t\n]+)(?:\t[^\t\n]*){3}\t([0-9]{1,10})\t[ad]\t[-+.0-9e]+\n")  # a line of a copy
 LOAD_PIECE = 64 * 1024  # bytes of a copy that are looked through at once
 
@@ -44,8 +46,10 @@
 
     def packed(self) -> bytes:
         """The row's line; BadRow where a word or a number of it is beyond its bounds."""
-        line = (f"{self.name}\t{self.address}\t{self.zone}\t{self.kind}\t{self.destination}\t{self.status}\t"
-                f"{self.rate!r}\n")
+        line = (
+            f"{self.name}\t{self.address}\t{self.zone}\t{self.kind}\t{self.destination}\t{self.status}\t"
+            f"{self.rate!r}\n"
+        )
         if not LINE.fullmatch(line) or self.destination > NUMBER_MOST:
             raise BadRow(f"beyond what a row holds: {line[:80]!r}")
         return line.encode()
@@ -79,8 +83,13 @@
     @property
     def size(self) -> int:
         """Bytes of the buffer and its look-ups, as a measure of what a row costs."""
-        return (len(self._text) + 3 * 4 * len(self._at) + len(self._seen) + self._by_name.size
-                + self._by_destination.size)
+        return (
+            len(self._text)
+            + 3 * 4 * len(self._at)
+            + len(self._seen)
+            + self._by_name.size
+            + self._by_destination.size
+        )
 
     @staticmethod
     def _key(destination: int) -> int:
@@ -88,7 +97,7 @@
 
     def _line(self, row: int) -> bytes:
         at = self._at[row]
-        return bytes(self._text[at:self._text.index(b"\n", at)])
+        return bytes(self._text[at : self._text.index(b"\n", at)])
 
     def _stale(self, row: int) -> bool:
         """Left out by the last whole list, and not swept yet."""
@@ -114,8 +123,11 @@
 
     def rows(self, destination: int) -> list[Row]:
         """The rows of a destination that are on the list, in the order of their names."""
-        return sorted(unpacked(self._line(row)) for row in self._numbers(destination)
-                      if row not in self._left and not self._stale(row))
+        return sorted(
+            unpacked(self._line(row))
+            for row in self._numbers(destination)
+            if row not in self._left and not self._stale(row)
+        )
 
     def knows(self, destination: int) -> bool:
         """Whether the destination has a host, or had one of those gone last."""
@@ -172,7 +184,7 @@
     def _replace(self, number: int, held: bytes, line: bytes) -> None:
         at = self._at[number]
         if len(line) == len(held):
-            self._text[at:at + len(line)] = line
+            self._text[at : at + len(line)] = line
         else:
             self._spare += len(held)
             self._at[number] = len(self._text)
@@ -230,7 +242,7 @@
             at = self._at[number]
             end = self._text.index(b"\n", at)
             state = self._text.rindex(b"\t", at, self._text.rindex(b"\t", at, end)) + 1
-            self._text[state:state + 1] = GONE.encode()
+            self._text[state : state + 1] = GONE.encode()
             self._list(number, False, GONE)
         return not self.reading and self._seen.find(0, self._swept) >= 0
 
@@ -241,15 +253,18 @@
         number = 0
         while number < len(self._at):
             upto = min(number + PIECE, len(self._at))
-            yield b"".join(self._line(each) + b"\n" for each in range(number, upto)
-                           if self._at[each] != END and each not in self._left and not self._stale(each))
+            yield b"".join(
+                self._line(each) + b"\n"
+                for each in range(number, upto)
+                if self._at[each] != END and each not in self._left and not self._stale(each)
+            )
             number = upto
 
     def load(self, text: bytearray) -> None:
         """Take a copy's lines as they are; the directory is empty before. ValueError where one is no row."""
         at, names, destinations = 0, self._name_key, self._destination
         while at < len(text):
-            piece = bytes(text[at:at + LOAD_PIECE])
+            piece = bytes(text[at : at + LOAD_PIECE])
             whole = 0
             for found in LISTED.finditer(piece):
                 if found.start() != whole:
--- a/limelatch/relay/door.py
+++ b/limelatch/relay/door.py
@@ -24,8 +24,14 @@
 LOOK_EVERY = SECOND // 2
 FILE = "out"  # in the folder that lasts: the hosts out by hand
 OUT_MOST = 4096  # hosts out at once, as a bound on the file
-CALLS = {b"STATUS": 0, b"SUSPEND": 1, b"RESTORE": 1, b"PAUSE": 0, b"RESUME": 0,
-         b"MEMBERS": 0}  # and their arguments
+CALLS = {
+    b"STATUS": 0,
+    b"SUSPEND": 1,
+    b"RESTORE": 1,
+    b"PAUSE": 0,
+    b"RESUME": 0,
+    b"MEMBERS": 0,
+}  # and their arguments
 
 
 class HostsOut:
@@ -38,8 +44,11 @@
         try:
             with open(self.path, "rb") as file:
                 told = json.loads(file.read(OUT_MOST * 300))
-            self.counts = {host.encode(): int(count) for host, count in told.items()
-                           if isinstance(host, str) and isinstance(count, int) and count > 0}
+            self.counts = {
+                host.encode(): int(count)
+                for host, count in told.items()
+                if isinstance(host, str) and isinstance(count, int) and count > 0
+            }
         except FileNotFoundError:
             pass
         except (OSError, ValueError, AttributeError) as error:  # torn: written anew at the next call
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -62,15 +62,24 @@
         self.held_down = HeldDown(log, clock)
         self._turn_due, self.ready, self._stop_at, self._stop_least_at = False, False, None, 0
         self.failed, self._ended, self._port_until = False, False, None
-        self.pool = HostPool(reactor, self.deadlines, clock, self, plan.shares.hosts, plan.connect_wait,
-                             plan.probe_wait)
-        self.notifier = Notifier(reactor, self.deadlines, plan.discovery, plan.notice_wait,
-                                 plan.reconnect_wait, self.notice_heard)
-        self.catalog = Catalog(reactor, self.deadlines, plan.discovery, plan.names, plan.silence,
-                               plan.reconnect_wait, self.listed,
-                               self.list_failed if plan.terms.list_asked else None,
-                               ListCopy(plan.state, self.deadlines, self.ledger),
-                               lambda destination: destination in self.policy.dests)
+        self.pool = HostPool(
+            reactor, self.deadlines, clock, self, plan.shares.hosts, plan.connect_wait, plan.probe_wait
+        )
+        self.notifier = Notifier(
+            reactor, self.deadlines, plan.discovery, plan.notice_wait, plan.reconnect_wait, self.notice_heard
+        )
+        self.catalog = Catalog(
+            reactor,
+            self.deadlines,
+            plan.discovery,
+            plan.names,
+            plan.silence,
+            plan.reconnect_wait,
+            self.listed,
+            self.list_failed if plan.terms.list_asked else None,
+            ListCopy(plan.state, self.deadlines, self.ledger),
+            lambda destination: destination in self.policy.dests,
+        )
         self.listener = Listener(self, plan.shares.clients, plan.client_bytes, plan.shares.clients_most)
         self.door = Door(self, plan.shares.operators)
         self.peers = None
@@ -94,8 +103,13 @@
             self._resume(now, entry)
         if self.ledger.beside:
             self.deadlines.after(HAND_OVER_LOOK, self._take_over)
-        say(log, "started", owed=len(self.owed), hosts=len(self.catalog.directory),
-            ledger_bytes=self.ledger.size)
+        say(
+            log,
+            "started",
+            owed=len(self.owed),
+            hosts=len(self.catalog.directory),
+            ledger_bytes=self.ledger.size,
+        )
         if self.plan.operator is not None:  # at once: STATUS says whether clients are served yet
             self.door.listen(self.reactor, self.plan.operator.host, self.plan.operator.port)
         if self.peers is not None:
@@ -125,9 +139,13 @@
     def _keys_before(self) -> None:
         """In the seat: keys whose texts the process before still holds go after those, in order."""
         products, names = self.plan.terms.products, self.plan.names.products
-        self.policy.elsewhere = {entry.pairs["key"].encode() for entry in self.ledger.open_before()
-                                 if entry.pairs["product"] in names and entry.pairs["key"]
-                                 and products[names.index(entry.pairs["product"])].in_order}
+        self.policy.elsewhere = {
+            entry.pairs["key"].encode()
+            for entry in self.ledger.open_before()
+            if entry.pairs["product"] in names
+            and entry.pairs["key"]
+            and products[names.index(entry.pairs["product"])].in_order
+        }
 
     def _resume(self, now: int, entry: Entry, earlier: bool = False) -> None:
         """A text that an earlier process took on: an end it still owes, or the module decides anew."""
@@ -158,8 +176,13 @@
                 self._port_taken(error)
                 return
             self.ready = True
-            say(log, "serving", listen=listen, hosts=len(self.catalog.directory),
-                fresh_list=self.catalog.fresh)
+            say(
+                log,
+                "serving",
+                listen=listen,
+                hosts=len(self.catalog.directory),
+                fresh_list=self.catalog.fresh,
+            )
             self.soon()
 
     def _port_taken(self, error: CannotListenError) -> None:
@@ -179,15 +202,29 @@
         """SIGHUP: take the keys that can change while texts are held; the others need a restart."""
         later = [each.path for each in changes(self.started_with, plan.told) if each.reload is Reload.RESTART]
         terms = replace(self.plan.terms, products=plan.terms.products, max_submits=plan.terms.max_submits)
-        self.plan = replace(self.plan, discovery=plan.discovery, log=plan.log, known=plan.known,
-                            stop_least=plan.stop_least, stop_wait=plan.stop_wait, terms=terms,
-                            names=replace(self.plan.names, products=plan.names.products))
+        self.plan = replace(
+            self.plan,
+            discovery=plan.discovery,
+            log=plan.log,
+            known=plan.known,
+            stop_least=plan.stop_least,
+            stop_wait=plan.stop_wait,
+            terms=terms,
+            names=replace(self.plan.names, products=plan.names.products),
+        )
         self.policy.terms = terms  # what it holds keeps the rows it came with
         self.catalog.move(plan.discovery)
         self.notifier.move(plan.discovery)
         start_logs(plan.log)
-        say(log, "configured", catalog=plan.discovery, owed=len(self.owed), products=len(terms.products),
-            submits=terms.max_submits, restart_for=",".join(later))
+        say(
+            log,
+            "configured",
+            catalog=plan.discovery,
+            owed=len(self.owed),
+            products=len(terms.products),
+            submits=terms.max_submits,
+            restart_for=",".join(later),
+        )
         self.soon()
 
     def stop(self) -> None:
@@ -316,9 +353,11 @@
             return "-ERR stopping"
         if not self.ready:
             return "-ERR starting"
-        return (f"+OK serving owed={len(self.owed)} hosts={len(self.catalog.directory)} "
-                f"out={len(self.out.counts)}"
-                f" paused={'yes' if self.listener.paused else 'no'}")
+        return (
+            f"+OK serving owed={len(self.owed)} hosts={len(self.catalog.directory)} "
+            f"out={len(self.out.counts)}"
+            f" paused={'yes' if self.listener.paused else 'no'}"
+        )
 
     def pause(self) -> str:
         self.listener.pause()
@@ -364,8 +403,20 @@
         if owed is None:
             return
         left, rate = li.limit_told(outcome.report)
-        self.policy.submit_ended(now, li.SubmitReport(parcel.text, call.host, outcome.result, now - call.sent,
-                                                      outcome.over, outcome.told_wait, left, rate, call.idle))
+        self.policy.submit_ended(
+            now,
+            li.SubmitReport(
+                parcel.text,
+                call.host,
+                outcome.result,
+                now - call.sent,
+                outcome.over,
+                outcome.told_wait,
+                left,
+                rate,
+                call.idle,
+            ),
+        )
         if outcome.over:
             self.ledger.over(parcel.text)
             self._release(owed)
@@ -455,9 +506,16 @@
         """First the ledger, then the client's answer, and only then a call."""
         row, client, names = owed.text, owed.client, self.plan.names.customers
         owed.client = None
-        if self.ledger.taken(text, owed.body, key=row.key.decode(), mark=owed.mark.decode(),
-                             dest=row.destination, product=owed.product, until=row.valid_until,
-                             customer=names[row.customer] if names else ""):  # a number does not outlast them
+        if self.ledger.taken(
+            text,
+            owed.body,
+            key=row.key.decode(),
+            mark=owed.mark.decode(),
+            dest=row.destination,
+            product=owed.product,
+            until=row.valid_until,
+            customer=names[row.customer] if names else "",
+        ):  # a number does not outlast them
             client.answer("+OK")
         else:  # a disk that takes no more
             self.policy.text_over(self.clock.now(), text)
--- a/limelatch/relay/ending.py
+++ b/limelatch/relay/ending.py
@@ -42,11 +42,19 @@
 
 # What a host's answer says; an answer not named here may have run.
 RESULT_OF_STATUS = {
-    200: Result.DELIVERED, 429: Result.FULL, 500: Result.ERROR, 503: Result.FULL, 504: Result.MOOT,
-    410: Result.MOOT, 413: Result.MOOT,
+    200: Result.DELIVERED,
+    429: Result.FULL,
+    500: Result.ERROR,
+    503: Result.FULL,
+    504: Result.MOOT,
+    410: Result.MOOT,
+    413: Result.MOOT,
 }
 RESULT_OF_STATE = {
-    "delivered": Result.DELIVERED, "failed": Result.ERROR, "refused": Result.FULL, "over": Result.MOOT,
+    "delivered": Result.DELIVERED,
+    "failed": Result.ERROR,
+    "refused": Result.FULL,
+    "over": Result.MOOT,
     "spent": Result.MOOT,
 }
 OVER_STATUS, OVER_STATE = (200, 410), ("delivered", "over")
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -90,8 +90,10 @@
     wait, report = told_wait(answer.headers), report_of(answer.headers)
     if call.batched and answer.status == 200:
         states = {row["id"].encode(): row["state"] for row in json.loads(body)}
-        return [Outcome(RESULT_OF_STATE[states[each.text]], states[each.text] in OVER_STATE, wait, report)
-                for each in call.parcels]
+        return [
+            Outcome(RESULT_OF_STATE[states[each.text]], states[each.text] in OVER_STATE, wait, report)
+            for each in call.parcels
+        ]
     result = RESULT_OF_STATUS.get(answer.status, Result.ERROR)
     if call.batched and answer.status in (410, 504):  # these speak of one text
         result = Result.ERROR
@@ -201,8 +203,16 @@
 class HostPool:
     """All connections to hosts, in numbered slots; the idle ones by host, the last used first."""
 
-    def __init__(self, reactor, deadlines: Deadlines, clock: Clock, driver, most: int, connect_wait: int,
-                 probe_wait: int) -> None:
+    def __init__(
+        self,
+        reactor,
+        deadlines: Deadlines,
+        clock: Clock,
+        driver,
+        most: int,
+        connect_wait: int,
+        probe_wait: int,
+    ) -> None:
         self.reactor, self.deadlines, self.clock, self.driver = reactor, deadlines, clock, driver
         self.connect_wait, self.probe_wait = connect_wait, probe_wait
         self.connections: Slots[Connection] = Slots(most)
@@ -238,9 +248,11 @@
             self.deadlines.after(0, lambda: self.lost(connection, ending))
             return
         connection.deadline = self.deadlines.after(
-            self.connect_wait, lambda: connection.give_up(Ending.UNREACHED))
-        connection.connector = self.reactor.connectTCP(address.host, address.port, Dial(connection),
-                                                       timeout=None)
+            self.connect_wait, lambda: connection.give_up(Ending.UNREACHED)
+        )
+        connection.connector = self.reactor.connectTCP(
+            address.host, address.port, Dial(connection), timeout=None
+        )
 
     def _close_oldest_idle(self) -> None:
         resting = [waiting[0] for waiting in self.idle.values() if waiting]
@@ -257,8 +269,11 @@
         if call is None:  # it was given up as it came up
             connection.give_up(Ending.IDLE)
             return
-        held = [each for each in call.parcels if not (self.driver.may_go(now, each.text, call.host)
-                                                      and self.driver.going(call, each))]
+        held = [
+            each
+            for each in call.parcels
+            if not (self.driver.may_go(now, each.text, call.host) and self.driver.going(call, each))
+        ]
         if held:
             call.parcels = [each for each in call.parcels if each not in held]
             for each in held:
--- a/limelatch/relay/http.py
+++ b/limelatch/relay/http.py
@@ -24,8 +24,9 @@
     keeps: bool = True
 
 
-def request_head(method: str, target: str, host: str, length: int | None,
-                 headers: list[tuple[str, str]]) -> bytes:
+def request_head(
+    method: str, target: str, host: str, length: int | None, headers: list[tuple[str, str]]
+) -> bytes:
     """A request up to its body."""
     lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"] + [f"{name}: {value}" for name, value in headers]
     if length is not None:
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -56,7 +56,7 @@
 def append(file: int, raw: bytes) -> None:
     """Write all of it: a disk that is nearly full may take a part."""
     while raw:
-        raw = raw[os.write(file, raw):]
+        raw = raw[os.write(file, raw) :]
 
 
 def lock_seat(seat: str) -> int:
@@ -209,8 +209,9 @@
             try:
                 self.book.apply(one)
             except BadRecord as error:  # whole, and yet not of this version: to cut it would lose texts
-                raise ForeignLedger(errno.EINVAL, f"a record at byte {at} is not of this version: {error}",
-                                    self.path) from None
+                raise ForeignLedger(
+                    errno.EINVAL, f"a record at byte {at} is not of this version: {error}", self.path
+                ) from None
             at += len(one)
         self.cut = len(raw) - at
         if self.cut:  # a record that the end of the process tore, and whatever follows it
--- a/limelatch/relay/list_copy.py
+++ b/limelatch/relay/list_copy.py
@@ -32,7 +32,7 @@
     """The catalog's address, the index, the rows; BadCopy where it is torn or foreign, FileNotFoundError."""
     with open(path, "rb") as file:
         text = bytearray(os.fstat(file.fileno()).st_size)
-        del text[file.readinto(text):]
+        del text[file.readinto(text) :]
     try:
         head_end = text.index(b"\n", 0, HEAD_MOST) + 1
         end_at = text.rindex(b"\n", 0, len(text) - 1) + 1
@@ -127,7 +127,7 @@
                     self.soon(self._again)
                 return
             while piece:
-                piece = piece[os.write(self._file, piece):]
+                piece = piece[os.write(self._file, piece) :]
         except OSError as error:  # a full disk: the copy before stays
             say(log, "copy-not-written", why=error)
             self._end_writing()
--- a/limelatch/relay/list_reader.py
+++ b/limelatch/relay/list_reader.py
@@ -55,11 +55,11 @@
     @property
     def between(self) -> bool:
         """Whether the last object is whole and none has begun since."""
-        return self._step == self._between and not self._text[self._at:].strip()
+        return self._step == self._between and not self._text[self._at :].strip()
 
     def feed(self, part: bytes) -> None:
         try:
-            self._text = self._text[self._at:] + self._decode(part)
+            self._text = self._text[self._at :] + self._decode(part)
         except UnicodeDecodeError as error:
             raise BadList(f"no text: {error.reason}") from None
         self._at = 0
@@ -71,14 +71,14 @@
     def _space(self) -> str:
         """Go over white space; the next character, none if it has not come."""
         self._at = SPACE.match(self._text, self._at).end()
-        return self._text[self._at:self._at + 1]
+        return self._text[self._at : self._at + 1]
 
     def _value(self) -> tuple[object] | None:
         """The value that begins here, once something behind it shows that it is whole."""
         try:
             value, end = DECODER.raw_decode(self._text, self._at)
         except json.JSONDecodeError as error:
-            left = self._text[error.pos:]
+            left = self._text[error.pos :]
             cut = len(left) <= CUT_MOST and not left.startswith(OUTSIDE)
             if cut or error.msg.startswith("Unterminated string"):
                 return None
@@ -101,7 +101,7 @@
             self._comma_before = self._had_rows = False
             return True
         if found:
-            raise BadList(f"no object: {self._text[self._at:self._at + 20]!r}")
+            raise BadList(f"no object: {self._text[self._at : self._at + 20]!r}")
         return False
 
     def _key(self) -> bool:
@@ -112,7 +112,7 @@
             self._whole()
             return True
         if found and found != '"':
-            raise BadList(f"no name: {self._text[self._at:self._at + 20]!r}")
+            raise BadList(f"no name: {self._text[self._at : self._at + 20]!r}")
         start = self._at
         if not found or (name := self._value()) is None:
             return False
@@ -145,14 +145,14 @@
         if self._comma_before:
             self._at += 1
         elif found != end:
-            raise BadList(f"neither a comma nor an end: {self._text[self._at:self._at + 20]!r}")
+            raise BadList(f"neither a comma nor an end: {self._text[self._at : self._at + 20]!r}")
         return True
 
     def _rows(self) -> bool:
         many = self._early is None and len(self._text) - self._at > MANY
         if many and (end := self._text.rfind("}") + 1) > self._at:
             try:  # all that are whole, in one go; whatever is not as usual is read one by one
-                rows = DECODER.decode(f"[{self._text[self._at:end]}]")
+                rows = DECODER.decode(f"[{self._text[self._at : end]}]")
             except (ValueError, RecursionError):
                 rows = []
             if rows and SPACE.match(self._text, end).end() < len(self._text):
--- a/limelatch/relay/peers.py
+++ b/limelatch/relay/peers.py
@@ -54,8 +54,9 @@
 class Peers(DatagramProtocol):
     """One member of the fleet, behind a UDP socket."""
 
-    def __init__(self, plan: MembershipPlan, reactor, deadlines: Deadlines, clock: Clock, state: str,
-                 seed: int) -> None:
+    def __init__(
+        self, plan: MembershipPlan, reactor, deadlines: Deadlines, clock: Clock, state: str, seed: int
+    ) -> None:
         self.plan, self.reactor, self.deadlines, self.clock = plan, reactor, deadlines, clock
         self.file, self.random = IncarnationFile(state), Random(seed)
         self.addresses = [(each.host, each.port) for each in plan.peers]
@@ -78,9 +79,15 @@
             self.deadlines.after(BIND_WAIT, self.start)
             return
         self._stored = self.file.read()
-        self.member = Member([str(each) for each in self.plan.peers], self.plan.number,
-                             self._stored + 1 if self._stored else 0, self.random, self.clock.now(),
-                             self.plan.timing, self.plan.zones)
+        self.member = Member(
+            [str(each) for each in self.plan.peers],
+            self.plan.number,
+            self._stored + 1 if self._stored else 0,
+            self.random,
+            self.clock.now(),
+            self.plan.timing,
+            self.plan.zones,
+        )
         self._acted()
 
     def stop(self) -> None:
@@ -178,8 +185,12 @@
             why = event.why.value if event.why else "answered"
             self.held_down("membership-isolated", why=why, after_ms=event.after // MS)
         elif isinstance(event, Joined):
-            say(log, "membership-joined", member=self.plan.peers[self.plan.number],
-                incarnation=event.incarnation)
+            say(
+                log,
+                "membership-joined",
+                member=self.plan.peers[self.plan.number],
+                incarnation=event.incarnation,
+            )
 
     def _log_change(self, event: MemberChanged) -> None:
         peer, incarnation = self.plan.peers[event.member], event.incarnation
--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -42,8 +42,9 @@
 
     noisy = False
 
-    def __init__(self, reactor, deadlines, address: Address, wait: int, again: int,
-                 settled: Callable[[bytes], None]) -> None:
+    def __init__(
+        self, reactor, deadlines, address: Address, wait: int, again: int, settled: Callable[[bytes], None]
+    ) -> None:
         self.reactor, self.deadlines, self.address = reactor, deadlines, address
         self.wait, self.again, self.settled = wait, again, settled
         self.owed: dict[bytes, dict] = {}
@@ -79,8 +80,9 @@
         self.out = list(self.owed)[:NOTICES_MOST]
         rows = [json.dumps({"ref": text.decode()} | self.owed[text]) + "\n" for text in self.out]
         body = "".join(rows).encode()
-        head = request_head("POST", "/reports", str(self.address), len(body),
-                            [("Content-Type", "application/x-ndjson")])
+        head = request_head(
+            "POST", "/reports", str(self.address), len(body), [("Content-Type", "application/x-ndjson")]
+        )
         self._clear()
         self._deadline = self.deadlines.after(self.wait, self._too_long)
         self.connection.ask(head + body)
--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -60,7 +60,7 @@
 
 
 def body_of(raw: bytes) -> bytes:
-    return raw[HEAD.size + NAMES.size + NAMES.unpack_from(raw, HEAD.size)[1]:]
+    return raw[HEAD.size + NAMES.size + NAMES.unpack_from(raw, HEAD.size)[1] :]
 
 
 def split(raw: bytes) -> Iterator[bytes]:
@@ -68,10 +68,10 @@
     at = 0
     while at + HEAD.size <= len(raw):
         length, checksum = HEAD.unpack_from(raw, at)
-        payload = raw[at + HEAD.size:at + HEAD.size + length]
+        payload = raw[at + HEAD.size : at + HEAD.size + length]
         if len(payload) < max(length, NAMES.size) or zlib.crc32(payload) != checksum:
             return
-        yield raw[at:at + HEAD.size + length]
+        yield raw[at : at + HEAD.size + length]
         at += HEAD.size + length
 
 
@@ -80,7 +80,7 @@
     kind, length = NAMES.unpack_from(raw, HEAD.size)
     at = HEAD.size + NAMES.size
     try:
-        pairs = msgspec.json.decode(raw[at:at + length])
+        pairs = msgspec.json.decode(raw[at : at + length])
         return kind, pairs["id"].encode(), pairs
     except (msgspec.DecodeError, KeyError, TypeError, AttributeError, UnicodeEncodeError) as error:
         raise BadRecord(f"{type(error).__name__}: {error}") from None
@@ -140,7 +140,15 @@
 
 def kept(entry: Entry) -> bytes:
     """What still matters of a text: as it was taken, its state in one record, the notice it is owed."""
-    state = {"submits": entry.submits, "out": entry.out, "ran": entry.ran, "at": entry.ran_at,
-             "zone": entry.ran_zone}
-    return (entry.taken + (record(Kind.STATE, entry.id, state) if entry.submits else b"")
-            + (record(Kind.OWED, entry.id, {"notice": entry.notice}) if entry.notice else b""))
+    state = {
+        "submits": entry.submits,
+        "out": entry.out,
+        "ran": entry.ran,
+        "at": entry.ran_at,
+        "zone": entry.ran_zone,
+    }
+    return (
+        entry.taken
+        + (record(Kind.STATE, entry.id, state) if entry.submits else b"")
+        + (record(Kind.OWED, entry.id, {"notice": entry.notice}) if entry.notice else b"")
+    )
--- a/limelatch/relay/ring.py
+++ b/limelatch/relay/ring.py
@@ -33,8 +33,8 @@
             self._grow(self._held + len(data))
         at = (self._head + self._held) % len(self._cells)
         first = min(len(data), len(self._cells) - at)
-        self._cells[at:at + first] = data[:first]
-        self._cells[:len(data) - first] = data[first:]
+        self._cells[at : at + first] = data[:first]
+        self._cells[: len(data) - first] = data[first:]
         self._held += len(data)
 
     def _grow(self, least: int) -> None:
@@ -43,7 +43,7 @@
             size *= 2
         held = self.peek(self._held)
         self._cells = bytearray(min(size, self.bound))
-        self._cells[:len(held)] = held
+        self._cells[: len(held)] = held
         self._head = 0
 
     def peek(self, count: int) -> bytes:
@@ -51,8 +51,8 @@
         count = min(count, self._held)
         end = self._head + count
         if end <= len(self._cells):
-            return bytes(self._cells[self._head:end])
-        return bytes(self._cells[self._head:]) + bytes(self._cells[:end - len(self._cells)])
+            return bytes(self._cells[self._head : end])
+        return bytes(self._cells[self._head :]) + bytes(self._cells[: end - len(self._cells)])
 
     def read(self, count: int) -> bytes:
         """Take the next `count` bytes, or fewer if fewer are held."""
--- a/limelatch/standin/demo.py
+++ b/limelatch/standin/demo.py
@@ -173,12 +173,15 @@
                 server = Server(face, LOOPBACK)
                 await server.start()
                 partner.servers.append(server)
-                self.agent.put(Row(f"host-{partner.number}{name}", server.address, "ground", "partner",
-                                   partner.number))
+                self.agent.put(
+                    Row(f"host-{partner.number}{name}", server.address, "ground", "partner", partner.number)
+                )
         address = await self.start_relay(folder, agent.address)
         host, _, port = address.partition(":")
-        self.say(f"relay at {address}, catalog and platform at {agent.address}, "
-                 f"{len(self.partners)} partners with two hosts each")
+        self.say(
+            f"relay at {address}, catalog and platform at {agent.address}, "
+            f"{len(self.partners)} partners with two hosts each"
+        )
         async with Pool(host, int(port)) as pool:
             await self.ready(pool)
             self.began = asyncio.get_running_loop().time()
@@ -200,8 +203,18 @@
         with open(path, "w", encoding="utf-8") as file:
             file.write(CONFIGURATION.format(listen=listen, state=state, agent=agent))
         self.relay = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "limelatch", "relay", "run", "--config", path, "--tied",
-            stdin=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE, start_new_session=True)
+            sys.executable,
+            "-m",
+            "limelatch",
+            "relay",
+            "run",
+            "--config",
+            path,
+            "--tied",
+            stdin=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+            start_new_session=True,
+        )
         self.reader = asyncio.create_task(self.read_log())
         return listen
 
@@ -287,24 +300,38 @@
         repeated = sum(max(0, fate.arrivals - 1) for fate in fates)
         ends = [end for fate in fates for end in fate.notices]
         held = sum(not fate.ends for fate in fates)
-        return (str(partner.number), partner.habit.value, "up" if partner.up else "DOWN", str(len(fates)),
-                str(delivered), str(repeated), str(ends.count("nacked")), str(ends.count("undeliverable")),
-                str(held))
+        return (
+            str(partner.number),
+            partner.habit.value,
+            "up" if partner.up else "DOWN",
+            str(len(fates)),
+            str(delivered),
+            str(repeated),
+            str(ends.count("nacked")),
+            str(ends.count("undeliverable")),
+            str(held),
+        )
 
     def rows(self) -> list[tuple[str, ...]]:
         return [self.row(partner) for partner in self.partners.values()]
 
     def summary(self) -> Iterator[str]:
         taken = [fate for fate in self.fates.values() if fate.taken]
-        yield (f"{self.handed} texts handed in: {len(taken)} taken on, {self.busy} nacked at once, "
-               f"{self.other} otherwise answered")
+        yield (
+            f"{self.handed} texts handed in: {len(taken)} taken on, {self.busy} nacked at once, "
+            f"{self.other} otherwise answered"
+        )
         for row in self.rows():
-            yield (f"partner {row[0]} ({row[1]}): {row[3]} taken on, {row[4]} delivered, {row[5]} repeated "
-                   f"calls, {row[6]} nacked, {row[7]} undeliverable")
+            yield (
+                f"partner {row[0]} ({row[1]}): {row[3]} taken on, {row[4]} delivered, {row[5]} repeated "
+                f"calls, {row[6]} nacked, {row[7]} undeliverable"
+            )
         wrong = sum(fate.ends != 1 for fate in taken)
         twice = sum(fate.delivered > 1 for fate in taken)
-        yield (f"each text got its one end: {'yes' if not wrong else f'NO, {wrong} did not'}"
-               + (f"; {twice} were delivered again, by a mark that the partner knows" if twice else ""))
+        yield (
+            f"each text got its one end: {'yes' if not wrong else f'NO, {wrong} did not'}"
+            + (f"; {twice} were delivered again, by a mark that the partner knows" if twice else "")
+        )
 
 
 COLUMNS = ("partner", "habit", "", "taken on", "delivered", "repeated", "nacked", "undeliverable", "held")
@@ -321,8 +348,9 @@
         table.add_column(name, justify="left" if name in ("partner", "habit", "") else "right")
     for row in demo.rows():
         table.add_row(*row, style="red" if row[2] == "DOWN" else "")
-    return Group(table, Text("the relay's log:", style="dim"),
-                 *[Text(line[:150], style="dim") for line in demo.lines])
+    return Group(
+        table, Text("the relay's log:", style="dim"), *[Text(line[:150], style="dim") for line in demo.lines]
+    )
 
 
 async def show(demo: Demo, terminal: bool) -> None:
--- a/limelatch/standin/host.py
+++ b/limelatch/standin/host.py
@@ -56,8 +56,13 @@
     connection: Connection
     probe: bool = False
 
-    def answer(self, states: list[State], wait: float | None = None, report: dict[str, float] | None = None,
-               status: int | None = None) -> None:
+    def answer(
+        self,
+        states: list[State],
+        wait: float | None = None,
+        report: dict[str, float] | None = None,
+        status: int | None = None,
+    ) -> None:
         """End it: a state for each text, in order; `wait` in seconds is told, `status` stands for all."""
         headers = {} if wait is None else {"Retry-After": f"{wait:.3f}"}
         if report:
@@ -106,10 +111,13 @@
 class HostFace:
     """A host: `called` is told each call, `lost` of each connection's end, `bad` of what is no call."""
 
-    def __init__(self, called: Callable[[Call], None],
-                 lost: Callable[[Connection], None] = lambda connection: None,
-                 opened: Callable[[Connection], None] = lambda connection: None,
-                 bad: Callable[[str], None] = lambda why: None) -> None:
+    def __init__(
+        self,
+        called: Callable[[Call], None],
+        lost: Callable[[Connection], None] = lambda connection: None,
+        opened: Callable[[Connection], None] = lambda connection: None,
+        bad: Callable[[str], None] = lambda why: None,
+    ) -> None:
         self.called, self.lost, self.came, self.bad = called, lost, opened, bad
 
     def opened(self, connection: Connection) -> None:
