--- a/limelatch/configuration/files.py
+++ b/limelatch/configuration/files.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import os
 import stat
 import tomllib
@@ -18,6 +19,7 @@
 
 JSON_MOST, TOML_MOST = 8_000_000, 500_000  # bytes of a file; the parsers' time grows with it
 LINES_MOST = 500_000  # bytes of a file whose lines are looked up
+QUOTED_ADDRESS = re.compile(r'"\d{1,3}(?:\.\d{1,3}){3}:\d{1,5}"')  # a list of peers has its dots in these
 KEY_MOST = 2000  # dots in a key of TOML, whose parser goes as deep
 VARIABLES = {
     "name": "RELAY_NAME",
@@ -121,7 +123,7 @@
 
 
 def parse_toml(path: str, text: str) -> object:
-    if any(line.count(".") > KEY_MOST for line in text.split("\n")):
+    if any(QUOTED_ADDRESS.sub("", line).count(".") > KEY_MOST for line in text.split("\n")):
         raise ConfigurationError([Fault(path, "nested too deeply")])
     try:
         return tomllib.loads(text)
