--- a/tests/test_membership_fleets.py
+++ b/tests/test_membership_fleets.py
@@ -3,7 +3,7 @@
 import pytest
 
 from limelatch.interface import SECOND
-from limelatch.lab.membership.fleet import Broken, Fleet
+from limelatch.lab.membership.fleet import WINDOW, Broken, Fleet
 from limelatch.lab.membership.network import Conditions
 from limelatch.membership.member import Member
 from limelatch.membership.messages import IsolationChanged, Isolation, MemberChanged, State
@@ -192,3 +192,16 @@
     one._check(2, IsolationChanged(Isolation.DEAF))
     with pytest.raises(Broken, match="gives a verdict while it is isolated"):
         one._check(2, MemberChanged(3, State.DEAD, 1, "unanswered"))
+
+
+@EACH
+def test_one_that_is_dead_is_tried_by_turns_and_its_address_is_not_flooded(seed):
+    """Every member tried the only dead one each second: 27 kB/s at the address of one of 700."""
+    one = fleet(40, seed)
+    one.kill(3, machine=True)
+    assert one.until_agreed([3], State.DEAD, 15 * SECOND)
+    one.run((one.now // WINDOW + 1) * WINDOW)
+    window = one.now // WINDOW
+    one.run(one.now + WINDOW)
+    tries_a_second = one.processes[3].bytes_windows.get(window, 0) * SECOND / WINDOW / 60
+    assert 0.5 < tries_a_second < 6
--- a/tests/test_membership_relay.py
+++ b/tests/test_membership_relay.py
@@ -12,9 +12,12 @@
 from limelatch.configuration.files import load
 from limelatch.configuration.plan import plan_of
 from limelatch.interface import MS, SECOND
+from limelatch.membership.messages import Drop, Fact, State
 from limelatch.membership.view import MEMBERS_MOST
 from limelatch.relay.closed_ports import ANSWER_WAIT, ASKED_MOST, ClosedPorts
+from limelatch.relay.deadlines import Deadline
 from limelatch.relay.incarnation import IncarnationFile
+from limelatch.relay.peers import READ_MOST, READ_SPAN, Peers
 
 SMALL = """[relay]
 listen = "127.0.0.1:6379"
@@ -146,3 +149,63 @@
             ports.ask(3, member, silent.getsockname())
         assert len(ports._asked) == ASKED_MOST
         assert ports.refused(ANSWER_WAIT + 3) == [] and not ports._asked
+
+
+class Moment:
+    """The clock, the timer and the socket of a Peers, which this test moves."""
+
+    def __init__(self):
+        self.time, self.due, self.reading, self.sent, self.cancelled = SECOND, [], True, [], 0
+
+    def now(self):
+        return self.time
+
+    def at(self, when, call):
+        self.due.append((when, call))
+        return Deadline(when, call, self)
+
+    def listenUDP(self, port, protocol, host, most):
+        protocol.transport = self
+        return self
+
+    def write(self, data, address):
+        self.sent.append((data, address))
+
+    def stopReading(self):
+        self.reading = False
+
+    def startReading(self):
+        self.reading = True
+
+    def stopListening(self):
+        self.reading = False
+
+
+def test_what_is_beyond_a_span_s_share_of_a_flood_is_not_looked_at(tmp_path):
+    moment = Moment()
+    plan = plan_of(written(tmp_path)).membership
+    peers = Peers(plan, moment, moment, moment, str(tmp_path), 7)
+    peers.start()
+    looked = []
+    peers.member.received = lambda now, data, sender: looked.append(sender)
+    for number in range(10_000):
+        peers.datagramReceived(b"x" * 40, ("10.0.0.3", 7946) if number % 2 else ("10.9.9.9", 1))
+    assert len(looked) == READ_MOST and set(looked) == {None, 0} and not moment.reading
+    assert peers.member.drops[Drop.FLOOD] == 10_000 - READ_MOST
+    moment.time += READ_SPAN
+    [call for when, call in moment.due if when <= moment.time][-1]()
+    peers.datagramReceived(b"x" * 40, ("10.0.0.3", 7946))
+    assert moment.reading and len(looked) == READ_MOST + 1
+
+
+def test_a_clean_end_says_so_to_the_others(tmp_path):
+    (tmp_path / "incarnation").write_text("4 4088798008\n")
+    moment = Moment()
+    plan = plan_of(written(tmp_path)).membership
+    peers = Peers(plan, moment, moment, moment, str(tmp_path), 7)
+    peers.start()
+    for number in (0, 2):
+        peers.member.registry.learn(moment.time, Fact(number, 1, State.ALIVE), number)
+    peers.stop()
+    assert {address for _, address in moment.sent} == {("10.0.0.3", 7946), ("10.0.0.5", 7946)}
+    assert not moment.reading and peers.members().isolated == "not listening"
