Membership: an incarnation at its bound stays one that others read

Found by reading: a member told of 2^30 went one over it, and all others would have dropped what it sent (Member._go_over). It stays at the bound.

--- a/limelatch/membership/member.py
+++ b/limelatch/membership/member.py
@@ -14,6 +14,7 @@
 from limelatch.membership.dissemination import FactQueue
 from limelatch.membership.exchange import Exchange
 from limelatch.membership.messages import (
+    INCARNATION_MOST,
     Ack,
     Datagram,
     Drop,
@@ -147,17 +148,17 @@
         """Guards against passing for an earlier process: others say what they hold of it."""
         half = self._asking_until - self.timing.asking
         if self.now >= self._asking_until or self.now >= half and self._answers_while_asking:
-            self._join(max(1, self.registry.held_of_self + 1))
+            self._join(min(self.registry.held_of_self + 1, INCARNATION_MOST))
 
     def _hold_self(self, state: State) -> None:
         self.view.put(self.me, self.incarnation, state)
         self.queue.add(self.me)
 
     def _go_over(self, incarnation: int) -> None:
-        """Somebody holds this of the member itself: refute it."""
+        """Somebody holds this of the member itself: refute it, up to the bound beyond which nobody listens."""
         self.registry.held_of_self = max(self.registry.held_of_self, incarnation)
         if self.incarnation and not self.has_left:
-            self.incarnation = incarnation + 1
+            self.incarnation = min(incarnation + 1, INCARNATION_MOST)
             self._hold_self(State.ALIVE)
             self._tell_at_once()
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -344,7 +344,17 @@
     assert hand.member.incarnation == 12
 
 
-@pytest.mark.parametrize("held, taken", [(0, 1), (6, 7)])
+def test_an_incarnation_at_its_bound_stays_one_that_others_read():
+    """Else one member that tells nonsense would have this one sending what everybody drops."""
+    hand = Hand().know()
+    hand.tell(3, Gossip, held=INCARNATION_MOST)
+    hand.tell(3, Gossip, (Fact(0, INCARNATION_MOST, State.DEAD),))
+    assert hand.member.incarnation == INCARNATION_MOST
+    hand.run(2 * SECOND, others(hand))  # each datagram of it is read by its receiver's codec
+    assert any(isinstance(message, Ping) for _, message in hand.sent)
+
+
+@pytest.mark.parametrize("held, taken", [(0, 1), (6, 7), (INCARNATION_MOST, INCARNATION_MOST)])
 def test_without_a_folder_the_others_are_asked_for_the_incarnation(held, taken):
     hand = Hand(incarnation=0)
     for _ in range(40):
