--- a/limelatch/membership/member.py
+++ b/limelatch/membership/member.py
@@ -155,7 +155,7 @@
         self.queue.add(self.me)
 
     def _go_over(self, incarnation: int) -> None:
-        """Somebody holds this of the member itself: refute it, up to the bound beyond which nobody listens."""
+        """Somebody holds this of the member itself: refute it, up to the bound of what others read."""
         self.registry.held_of_self = max(self.registry.held_of_self, incarnation)
         if self.incarnation and not self.has_left:
             self.incarnation = min(incarnation + 1, INCARNATION_MOST)
