--- a/limelatch/membership/prober.py
+++ b/limelatch/membership/prober.py
@@ -82,6 +82,8 @@
         period = self.timing.hurried_period if hurried else self.timing.period
         self.probe_at = max(self.probe_at + period, now + period // 2)
         target, counts = self.rounds.next_present(unsuspected=hurried), True
+        if target is None and hurried:  # all are suspect: their silence tells that this member is isolated
+            target = self.rounds.next_present()
         if target is None:  # nobody is known yet
             target, counts = self.rounds.next_absent(), False
         if target is not None:
