Log lines on stepped clocks, late timers, late ends, and each text's way by its id

New events: clock-stepped (WallWatch, a look a second), timer-late (Deadlines, over 0.5 s), ended-late; at debug level text-taken, text-refused with its reason, submit-going, submit-ended, text-ended. The reasons for turning a text back at once stand in a function of their own (Driver._refusal) with a word each.

Failed try: the watch made in __main__, which a test's stand-in for the driver could not serve; it belongs to the driver. Nothing is mended yet.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -17,7 +17,7 @@
 
 
 HOST, OWED, CALLS = "the host, as the catalog names it", "texts whose end is still owed", "calls that are out"
-WHY, PEER = "the reason", "the client's address"
+WHY, PEER, TEXT = "the reason", "the client's address", "its id"
 HELD_DOWN = "so many more were left out in the second before"  # of events that anybody outside can cause
 MEMBER = {
     "member": "its address in `membership.peers`",
@@ -103,6 +103,48 @@
         "an owed text's product is not in the configuration any more; it ends undeliverable",
         {"product": "its name"},
     ),
+    "text-taken": Event(
+        "driver",
+        DEBUG,
+        "a text was taken on",
+        {"text": TEXT, "destination": "its number", "valid_ms": "for how long it may be delivered"},
+    ),
+    "text-refused": Event(
+        "driver",
+        DEBUG,
+        "a text was not taken on",
+        {"text": TEXT, "why": WHY, "wait_ms": "after which to come again, where told"},
+    ),
+    "submit-going": Event(
+        "driver",
+        DEBUG,
+        "a submit is written to a host",
+        {"text": TEXT, "host": HOST, "submit": "its number for the text, the first is 1"},
+    ),
+    "submit-ended": Event(
+        "driver",
+        DEBUG,
+        "a submit has its outcome",
+        {
+            "text": TEXT,
+            "host": HOST,
+            "result": "how it ended",
+            "took_ms": "since it was sent",
+            "wait_ms": "told by the host",
+        },
+    ),
+    "text-ended": Event(
+        "driver",
+        DEBUG,
+        "a text that was taken on ends undelivered: its notice is owed",
+        {"text": TEXT, "result": "dead or bounced", "left_ms": "of its validity period"},
+    ),
+    "ended-late": Event(
+        "driver",
+        WARNING,
+        "the platform took a text's notice after the text's validity period",
+        {"text": TEXT, "by_ms": "how much later", "left_out": HELD_DOWN},
+    ),
     "probe-ended": Event(
         "driver",
         INFO,
@@ -275,6 +317,18 @@
     "incarnation-not-written": Event(
         "membership", WARNING, "the folder does not keep the incarnation", {"why": WHY}
     ),
+    "clock-stepped": Event(
+        "deadlines",
+        WARNING,
+        "the machine's wall clock was set; the relay's own spans run on",
+        {"by_ms": "forward, or back where negative", "ahead_ms": "of the relay's own clock by now"},
+    ),
+    "timer-late": Event(
+        "deadlines",
+        WARNING,
+        "the relay came to a due time late",
+        {"by_ms": "how late, by the monotonic clock", "left_out": HELD_DOWN},
+    ),
     "fault": Event("deadlines", ERROR, "a fault in the program itself; please report it", {"trace": "where"}),
     "note": Event("twisted", WARNING, "a line of a library", {"text": "the line"}),
 }
--- a/limelatch/relay/deadlines.py
+++ b/limelatch/relay/deadlines.py
@@ -6,11 +6,13 @@
 import time
 from collections.abc import Callable
 
-from limelatch.interface import SECOND
-from limelatch.logs import logger, say
+from limelatch.interface import MS, SECOND
+from limelatch.logs import HeldDown, logger, say
 
 log = logger("deadlines")
 
+LATE_LEAST = SECOND // 2  # a due time met later than this is worth a line
+
 
 class Clock:
     """The wall's time at the start plus the monotonic time since, in tenths of a millisecond."""
@@ -21,6 +23,10 @@
     def now(self) -> int:
         return int((self._offset + time.monotonic()) * SECOND)
 
+    def wall_ahead(self) -> int:
+        """How far the machine's wall clock is ahead of this one, in tenths of a millisecond."""
+        return int((time.time() - time.monotonic() - self._offset) * SECOND)
+
 
 class Deadline:
     """One due time; its call is made once, unless it is cancelled before."""
@@ -44,6 +50,7 @@
         self._heap: list[tuple[int, int, Deadline]] = []
         self._count, self.cancelled = 0, 0
         self._timer, self._timer_at, self._running = None, 0, False
+        self.held_down = HeldDown(log, clock)
 
     def at(self, when: int, call: Callable[[], None]) -> Deadline:
         deadline = Deadline(when, call, self)
@@ -73,6 +80,8 @@
     def _fire(self) -> None:
         """Make the calls that are due; those that they add wait for the next turn of the reactor."""
         self._running, due, now = True, [], self._clock.now()
+        if self._heap and now - self._heap[0][0] > LATE_LEAST:
+            self.held_down("timer-late", by_ms=(now - self._heap[0][0]) // MS)
         while self._heap and self._heap[0][0] <= now:
             due.append(heapq.heappop(self._heap)[2])
         for deadline in due:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from logging import DEBUG
 
 from twisted.internet.error import CannotListenError
 
@@ -23,6 +24,7 @@
 from limelatch.relay.records import Entry
 from limelatch.relay.platform import Notifier
 from limelatch.relay.slots import Slots
+from limelatch.relay.wall_watch import WallWatch
 
 log, policy_log = logger("driver"), logger("policy")
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.MOOT)
@@ -45,6 +47,14 @@
     number: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A text turned back: the reason in a word, and the client's answer."""
+
+    why: str
+    answer: str
+
+
 class Driver:
     """One relay: the module, the ledger and the parties around it."""
 
@@ -52,6 +62,7 @@
         self.plan, self.reactor, self.clock = plan, reactor, clock
         self.started_with = plan.told
         self.deadlines = Deadlines(reactor, clock)
+        self.wall_watch = WallWatch(clock, self.deadlines)
         self.policy = Policy(plan.terms, clock.now())
         self.ledger = Ledger(plan.state, plan.disk_bytes, plan.memory_bytes)
         self.slots: Slots[Owed] = Slots(max(plan.terms.max_texts, len(self.ledger.entries)))
@@ -114,6 +125,7 @@
             self.door.listen(self.reactor, self.plan.operator.host, self.plan.operator.port)
         if self.peers is not None:
             self.peers.start()
+        self.wall_watch.start()
         say(log, "waiting", on="list", most_ms=self.plan.list_wait // li.MS)
         self.deadlines.after(self.plan.list_wait, self.serve)
         if not self.plan.terms.list_asked:
@@ -270,19 +282,10 @@
         """A client hands in a text; the answer comes with this turn."""
         names, now = self.plan.names, self.clock.now()
         product, customer = handed.product.decode(errors="replace"), handed.customer.decode(errors="replace")
-        if product not in names.products:
-            client.answer(f"-ERR unknown class {product[:40]!r}")
-        elif names.customers and customer and customer not in names.customers:
-            client.answer(f"-ERR unknown tenant {customer[:40]!r}")
-        elif self.catalog.fresh and not self._has_hosts(handed.destination):
-            client.answer("-ERR unknown destination")  # else it would be held until its validity ends
-        elif not self.catalog.holds_a_list:
-            self.held_down("no-list", why="no list of hosts has been read yet")
-            client.answer("-BUSY")
-        elif handed.id in self.owed:
-            client.answer("-ERR this id was handed in before")
-        elif self._stop_at is not None or self.slots.full or not self.ledger.has_room(len(handed.body)):
-            client.answer("-BUSY")
+        refusal = self._refusal(handed, product, customer)
+        if refusal is not None:
+            say(log, "text-refused", text=handed.id, why=refusal.why)
+            client.answer(refusal.answer)
         else:
             number = names.customers.index(customer) if customer in names.customers else 0
             row = names.products.index(product)
@@ -295,6 +298,29 @@
             self.policy.text_taken(now, text)
             self.soon()
 
+    def _refusal(self, handed: Handed, product: str, customer: str) -> Refusal | None:
+        """Why a text is turned back before the module hears of it; None where it is not."""
+        names = self.plan.names
+        if product not in names.products:
+            return Refusal("product", f"-ERR unknown class {product[:40]!r}")
+        if names.customers and customer and customer not in names.customers:
+            return Refusal("customer", f"-ERR unknown tenant {customer[:40]!r}")
+        if self.catalog.fresh and not self._has_hosts(handed.destination):
+            # else it would be held until its validity ends
+            return Refusal("destination", "-ERR unknown destination")
+        if not self.catalog.holds_a_list:
+            self.held_down("no-list", why="no list of hosts has been read yet")
+            return Refusal("no-list", "-BUSY")
+        if handed.id in self.owed:
+            return Refusal("id-known", "-ERR this id was handed in before")
+        if self._stop_at is not None:
+            return Refusal("stopping", "-BUSY")
+        if self.slots.full:
+            return Refusal("texts-most", "-BUSY")
+        if not self.ledger.has_room(len(handed.body)):
+            return Refusal("disk-most", "-BUSY")
+        return None
+
     def _has_hosts(self, destination: int) -> bool:
         """Whether the list has the destination; one at work is not looked up for each text."""
         at_work = self.policy.dests.get(destination)
@@ -402,6 +428,9 @@
             return False
         zone = self.hosts[call.host].zone if call.host in self.hosts else -1
         owed.submit_out = self.ledger.going(parcel.text, call.sent, zone)
+        if owed.submit_out and log.isEnabledFor(DEBUG):
+            submits = self.ledger.entries[parcel.text].submits
+            say(log, "submit-going", text=parcel.text, host=call.host, submit=submits)
         return owed.submit_out
 
     def ended(self, call: Call, parcel: Parcel, outcome: Outcome) -> None:
@@ -409,6 +438,16 @@
         owed, now = self.owed.get(parcel.text), self.clock.now()
         if owed is None:
             return
+        if log.isEnabledFor(DEBUG):
+            say(
+                log,
+                "submit-ended",
+                text=parcel.text,
+                host=call.host,
+                result=outcome.result.value,
+                took_ms=(now - call.sent) // li.MS,
+                wait_ms=outcome.told_wait // li.MS or None,
+            )
         left, rate = li.limit_told(outcome.report)
         self.policy.submit_ended(
             now,
@@ -438,8 +477,11 @@
     def notice_heard(self, text: bytes) -> None:
         """The platform has answered the notice: only now is the text over."""
         if owed := self.owed.get(text):
+            now = self.clock.now()
+            if now > owed.text.valid_until:
+                self.held_down("ended-late", text=text, by_ms=(now - owed.text.valid_until) // li.MS)
             self.ledger.over(text)
-            self.policy.text_over(self.clock.now(), text)
+            self.policy.text_over(now, text)
             self._release(owed)
             self.soon()
 
@@ -504,8 +546,10 @@
         """The final answer in the turn of its arrival: the text was never taken on."""
         self._release(owed)
         if isinstance(answer, li.Nack):
+            say(log, "text-refused", text=owed.text.id, why="nack", wait_ms=answer.advice // li.MS or None)
             owed.client.answer(f"-BUSY {answer.advice // li.MS}" if answer.advice else "-BUSY")
         else:
+            say(log, "text-refused", text=owed.text.id, why="undeliverable")
             owed.client.answer("-ERR undeliverable")
         self.policy.text_over(self.clock.now(), owed.text.id)
 
@@ -523,10 +567,14 @@
             until=row.valid_until,
             customer=names[row.customer] if names else "",
         ):  # a number does not outlast them
+            if log.isEnabledFor(DEBUG):
+                valid_for = row.valid_until - self.clock.now()
+                say(log, "text-taken", text=text, destination=row.destination, valid_ms=valid_for // li.MS)
             client.answer("+OK")
         else:  # a disk that takes no more
             self.policy.text_over(self.clock.now(), text)
             self._release(owed)
+            say(log, "text-refused", text=text, why="disk")
             client.answer("-BUSY")
 
     def _pack(self, calls: dict, host: li.HostId, text: bytes, due: int, keep: int) -> None:
@@ -542,5 +590,8 @@
 
     def _end_later(self, owed: Owed, notice: dict) -> None:
         """The final answer of a text that was taken on is a notice, owed until it is answered."""
+        if log.isEnabledFor(DEBUG):
+            left = (owed.text.valid_until - self.clock.now()) // li.MS
+            say(log, "text-ended", text=owed.text.id, result=notice["result"], left_ms=left)
         self.ledger.owed(owed.text.id, notice)
         self.notifier.notice(owed.text.id, notice)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -122,6 +122,9 @@
     def now(self):
         return int(self.seconds() * SECOND)
 
+    def wall_ahead(self):
+        return 0
+
 
 @pytest.fixture
 def clock():
