--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 
 import pytest
+from faults.shim import Faults, build
 
 from limelatch.interface import (
     Effect,
@@ -293,7 +294,8 @@
             "stop_least_ms": 50,
         } | more
         self.file.write_text(json.dumps(plan))
-        self.process = None
+        self.process, self.environment = None, {}
+        self.said = []  # every line of its log, over all its processes
 
     def start(self):
         """Start it and wait until it says that it serves."""
@@ -306,7 +308,7 @@
             [sys.executable, "-m", "limelatch.relay"],
             stderr=subprocess.PIPE,
             text=True,
-            env=os.environ | {"RELAY_CONFIG": str(self.file)},
+            env=os.environ | {"RELAY_CONFIG": str(self.file)} | self.environment,
             cwd=Path(__file__).parent.parent,
         )
         self.log = queue.Queue()
@@ -317,6 +319,7 @@
 
     def _read(self, process):
         for line in process.stderr:
+            self.said.append(f"{time.monotonic():.3f} {line}")
             self.log.put(line)
 
     def says(self, words):
@@ -379,6 +382,34 @@
             each.kill()
 
 
+@pytest.fixture(scope="session")
+def faults_library(tmp_path_factory):
+    """The preloaded library of tests/faults, compiled once."""
+    return build(tmp_path_factory.mktemp("faults"))
+
+
+@pytest.fixture
+def faults(faults_library, tmp_path):
+    """The machine faults of the relay under test; what was done is printed where the test fails."""
+    made = Faults(faults_library, tmp_path / "faults")
+    yield made
+    print("\n".join(made.record))
+
+
+@pytest.fixture
+def faulty(plan, faults):
+    """Makes the test's program on a machine whose faults the test steers; its log is printed on failure."""
+    made = []
+
+    def make(**more):
+        made.append(plan(**more))
+        made[-1].environment = faults.environment
+        return made[-1]
+
+    yield make
+    print("".join(line for each in made for line in each.said))
+
+
 @pytest.fixture
 def program(plan):
     return plan()
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults of a relay's machine for tests: stepped clocks, failing and short calls."""
