The relay's reactor runs on the monotonic clock: a stepped wall clock stops no timer

Cause: Twisted's reactors time callLater by time.time (twisted.python.runtime.seconds, ReactorBase.seconds); the relay's one timer (Deadlines._arm, deadlines.py) hangs on it. After a step back by S the call that is set fires S late, and once its due time has passed no event sets it anew. Ruled out by the evidence: a process that stood still (n4's wall clock moved 0.99 s in 18 s), the relay's own clock (n3 and n5 went forward and serve on), hosts (others reach them), restarts (none).

--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from twisted.internet import reactor
 from twisted.internet.protocol import Protocol
 
 from limelatch import logs
@@ -19,6 +18,7 @@
 from limelatch.configuration.plan import SOCKETS_LEAST, Shares
 from limelatch.relay.deadlines import Clock
 from limelatch.relay.driver import Driver
+from limelatch.relay.reactor import reactor
 
 DONE, FAILED, BAD_USE = 0, 1, 2  # exit codes, the same for every command
 
