The relay's timeline outlasts the process: texts keep real spans over restarts on a stepped clock

Change: relay/clock.py owns time (anchor, resumption, timeline; free of the reactor), relay/anchor_file.py keeps it in the folder, WallWatch renews it. After a reboot, and where the file can't be read, the wall clock tells, and windows of texts that may have run are over. The ledger commands tell by the same timeline. relay/whole_file.py replaces small files for the clock, the incarnation and the hosts out by hand, which are now answered as not done where the folder does not keep them. MEMBERS says not-listening in one word. Looked at for the same mistake, nothing found: membership (timeline), laboratory (asyncio, monotonic), client and stand-ins (time.monotonic), list copy, held-down lines (timeline), log stamps (the wall clock, as wanted), the catalog's since_ms (not read).

Failed tries: a client kept over a restart (its connection had been closed for silence), steps compared to the millisecond.

--- a/limelatch/command/ledger.py
+++ b/limelatch/command/ledger.py
@@ -5,12 +5,12 @@
 import base64
 import json
 import sys
-import time
 from datetime import UTC, datetime
 
 import click
 
 from limelatch.command import BadUse, Wrong
+from limelatch.interface import MS
 
 BODY_SHOWN = 200  # bytes of a body that `show` prints
 FOLDER = click.argument("folder", metavar="FOLDER")
@@ -34,17 +34,32 @@
         raise BadUse(str(error)) from None
 
 
-def moment(units: int | None) -> str | None:
-    """A time of the ledger, in tenths of a millisecond since 1970, as ISO 8601 in UTC."""
+def clock_of(folder: str):
+    """The timeline that the folder's texts are on; a bad folder is a bad use."""
+    from limelatch.relay.anchor_file import AnchorFile
+
+    try:
+        return AnchorFile(folder).clock()
+    except OSError as error:
+        raise BadUse(str(error)) from None
+
+
+def wall_ahead(clock) -> int:
+    """How far the wall clock is ahead of the timeline, in whole milliseconds of its units."""
+    return round(clock.wall_ahead() / MS) * MS
+
+
+def moment(units: int | None, wall_ahead: int) -> str | None:
+    """A time of the ledger, in tenths of a millisecond, by the machine's wall clock: ISO 8601 in UTC."""
     if units is None:
         return None
     try:
-        return datetime.fromtimestamp(units / 10_000, UTC).isoformat(timespec="milliseconds")
+        return datetime.fromtimestamp((units + wall_ahead) / 10_000, UTC).isoformat(timespec="milliseconds")
     except (ValueError, OverflowError, OSError):
         return f"{units} (no time)"
 
 
-def row(entry) -> dict:
+def row(entry, wall_ahead: int) -> dict:
     """A text as the commands tell it."""
     from limelatch.relay.inspection import may_have_run, state_of
 
@@ -59,9 +74,9 @@
         "mark": pairs.get("mark") or None,
         "submits": entry.submits,
         "may_have_run": may_have_run(entry),
-        "first_may_have_run_at": moment(entry.ran_at),
+        "first_may_have_run_at": moment(entry.ran_at, wall_ahead),
         "first_may_have_run_floor": entry.ran_zone,
-        "valid_until": moment(pairs.get("until")),
+        "valid_until": moment(pairs.get("until"), wall_ahead),
         "notice": entry.notice,
         "body_bytes": len(entry.body),
     }
@@ -92,7 +107,8 @@
     from limelatch.relay.inspection import may_have_run as ran
     from limelatch.relay.inspection import state_of
 
-    view, now = look(folder), int(time.time() * 10_000)
+    view, clock = look(folder), clock_of(folder)
+    now = clock.now()
     entries = [
         each
         for each in view.entries.values()
@@ -102,7 +118,7 @@
     ]
     if as_json:
         for each in entries:
-            click.echo(json.dumps(row(each)))
+            click.echo(json.dumps(row(each, wall_ahead(clock))))
         return
     form = "{:<18} {:<6} {:<16} {:>6} {:>7} {:<4} {:>14} {:>7}"
     click.echo(form.format("id", "state", "product", "dest", "submits", "ran?", "valid for", "bytes"))
@@ -130,16 +146,16 @@
 @click.option("--body", is_flag=True, help="Write the body to standard output, and nothing else.")
 def show(folder: str, text: str, as_json: bool, body: bool) -> None:
     """Show one owed text; exit 1 where the ledger has none of this id."""
-    entry = look(folder).entries.get(text.encode())
+    entry, ahead = look(folder).entries.get(text.encode()), wall_ahead(clock_of(folder))
     if entry is None:
         raise Wrong(f"{text}: no owed text of this id")
     if body:
         sys.stdout.buffer.write(entry.body)
         sys.stdout.buffer.flush()
     elif as_json:
-        click.echo(json.dumps(row(entry) | {"body": base64.b64encode(entry.body).decode()}))
+        click.echo(json.dumps(row(entry, ahead) | {"body": base64.b64encode(entry.body).decode()}))
     else:
-        for name, value in row(entry).items():
+        for name, value in row(entry, ahead).items():
             click.echo(f"{name + ':':<26} {'-' if value is None else value}")
         more = "" if len(entry.body) <= BODY_SHOWN else f" and {len(entry.body) - BODY_SHOWN} bytes more"
         click.echo(f"{'body:':<26} {entry.body[:BODY_SHOWN]!r}{more}")
@@ -194,7 +210,8 @@
 )
 def export(folder: str, output) -> None:
     """Write every owed text with its body (Base64), one JSON object a line."""
-    view = look(folder)
+    view, ahead = look(folder), wall_ahead(clock_of(folder))
     for entry in view.entries.values():
-        output.write(json.dumps(row(entry) | {"body": base64.b64encode(entry.body).decode()}) + "\n")
+        body = base64.b64encode(entry.body).decode()
+        output.write(json.dumps(row(entry, ahead) | {"body": body}) + "\n")
     click.echo(f"{len(view.entries)} texts", err=True)
--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -323,6 +323,22 @@
         "the machine's wall clock was set; the relay's own spans run on",
         {"by_ms": "forward, or back where negative", "ahead_ms": "of the relay's own clock by now"},
     ),
+    "clock-resumed": Event(
+        "deadlines",
+        INFO,
+        "the relay's timeline goes on from the one that the folder's texts are on",
+        {
+            "by": "first: there was none; same-boot: by the monotonic clock; other-boot: by the wall clock; "
+            "unknown: what the folder kept can't be read",
+            "ahead_ms": "how far the wall clock is ahead of it",
+        },
+    ),
+    "clock-not-read": Event(
+        "deadlines", WARNING, "the folder's file `clock` can't be read: the wall clock is taken", {"why": WHY}
+    ),
+    "clock-not-written": Event(
+        "deadlines", WARNING, "the folder keeps no new file `clock`; it is tried again", {"why": WHY}
+    ),
     "timer-late": Event(
         "deadlines",
         WARNING,
--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -16,7 +16,7 @@
 from limelatch.configuration import ConfigurationError, Form, RelayPlan, relay_plan, retuned_plan
 from limelatch.configuration.files import fault_lines, form_of
 from limelatch.configuration.plan import SOCKETS_LEAST, Shares
-from limelatch.relay.deadlines import Clock
+from limelatch.relay.anchor_file import AnchorFile
 from limelatch.relay.driver import Driver
 from limelatch.relay.reactor import reactor
 
@@ -57,7 +57,7 @@
         logs.take_twisteds()
         logs.start(plan.log)
         plan = within(plan, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        driver = Driver(plan, reactor, Clock())
+        driver = Driver(plan, reactor, AnchorFile(plan.state).clock())
     except ConfigurationError as error:
         path = path or os.environ.get("RELAY_CONFIG") or "RELAY_CONFIG"
         for line in fault_lines(error, path, form or form_of(path)):
--- a/limelatch/relay/deadlines.py
+++ b/limelatch/relay/deadlines.py
@@ -3,31 +3,17 @@
 from __future__ import annotations
 
 import heapq
-import time
 from collections.abc import Callable
 
 from limelatch.interface import MS, SECOND
 from limelatch.logs import HeldDown, logger, say
+from limelatch.relay.clock import Clock
 
 log = logger("deadlines")
 
 LATE_LEAST = SECOND // 2  # a due time met later than this is worth a line
 
 
-class Clock:
-    """The wall's time at the start plus the monotonic time since, in tenths of a millisecond."""
-
-    def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
-
-    def now(self) -> int:
-        return int((self._offset + time.monotonic()) * SECOND)
-
-    def wall_ahead(self) -> int:
-        """How far the machine's wall clock is ahead of this one, in tenths of a millisecond."""
-        return int((time.time() - time.monotonic() - self._offset) * SECOND)
-
-
 class Deadline:
     """One due time; its call is made once, unless it is cancelled before."""
 
--- a/limelatch/relay/door.py
+++ b/limelatch/relay/door.py
@@ -15,6 +15,7 @@
 from limelatch.interface import SECOND, HostEntry, HostId, Listing
 from limelatch.logs import HeldDown, logger, say
 from limelatch.relay.slots import Slots
+from limelatch.relay.whole_file import replace_whole
 
 log = logger("door")
 
@@ -61,25 +62,28 @@
         return entry
 
     def suspend(self, host: HostId) -> bool:
-        """Whether the host has gone out by this call."""
+        """Whether the host has gone out by this call. DoorError where the folder can't keep it."""
         if host not in self.counts and len(self.counts) >= OUT_MOST:
             raise DoorError(f"{OUT_MOST} hosts are out already")
-        self.counts[host] = self.counts.get(host, 0) + 1
-        self._write()
-        return self.counts[host] == 1
+        count = self.counts.get(host, 0) + 1
+        self._keep(self.counts | {host: count})
+        return count == 1
 
     def restore(self, host: HostId) -> bool:
-        """Whether the host was out; one call undoes all."""
-        was = self.counts.pop(host, None) is not None
-        if was:
-            self._write()
-        return was
-
-    def _write(self) -> None:
-        passing = f"{self.path}.{os.getpid()}"
-        with open(passing, "w", encoding="utf-8") as file:
-            json.dump({host.decode(): count for host, count in sorted(self.counts.items())}, file)
-        os.replace(passing, self.path)
+        """Whether the host was out; one call undoes all. DoorError where the folder can't keep it."""
+        if host not in self.counts:
+            return False
+        self._keep({each: count for each, count in self.counts.items() if each != host})
+        return True
+
+    def _keep(self, counts: dict[HostId, int]) -> None:
+        """First the folder, then in force: what a restart would not know is not answered as done."""
+        told = {host.decode(): count for host, count in sorted(counts.items())}
+        try:
+            replace_whole(self.path, json.dumps(told).encode())
+        except OSError as error:
+            raise DoorError(f"not done, the folder does not keep it: {error.strerror}") from None
+        self.counts = counts
 
 
 class DoorError(Exception):
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -14,9 +14,11 @@
 from limelatch.logs import HeldDown, logger, say
 from limelatch.logs import start as start_logs
 from limelatch.policy import Policy
+from limelatch.relay.anchor_file import AnchorFile
 from limelatch.relay.catalog import BadList, Catalog
 from limelatch.relay.clients import Client, Listener, Handed
-from limelatch.relay.deadlines import Clock, Deadlines
+from limelatch.relay.clock import Clock
+from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.door import Door, DoorError, HostsOut
 from limelatch.relay.hosts import Call, Outcome, Parcel, HostPool
 from limelatch.relay.ledger import Ledger
@@ -62,9 +64,11 @@
         self.plan, self.reactor, self.clock = plan, reactor, clock
         self.started_with = plan.told
         self.deadlines = Deadlines(reactor, clock)
-        self.wall_watch = WallWatch(clock, self.deadlines)
         self.policy = Policy(plan.terms, clock.now())
         self.ledger = Ledger(plan.state, plan.disk_bytes, plan.memory_bytes)
+        self.wall_watch = WallWatch(
+            clock, self.deadlines, AnchorFile(plan.state), lambda: not self.ledger.beside
+        )
         self.slots: Slots[Owed] = Slots(max(plan.terms.max_texts, len(self.ledger.entries)))
         self.owed: dict[bytes, Owed] = {}
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
@@ -169,7 +173,10 @@
         row = self.plan.terms.products[product]
         owed = self._own(Owed(text, pairs["mark"].encode(), entry.body, row, pairs["product"]))
         answered = entry.notice is not None or not known
-        past = li.Past(entry.submits, entry.ran_at, entry.ran_zone, entry.out, answered, earlier)
+        ran_at = entry.ran_at
+        if ran_at is not None and ran_at < self.clock.certain_from:
+            ran_at = min(ran_at, now - row.repeat_window)  # nobody knows how long ago: its window is over
+        past = li.Past(entry.submits, ran_at, entry.ran_zone, entry.out, answered, earlier)
         self._meet(now, text.destination)
         self.policy.text_taken(now, text, past)
         if entry.notice is not None:
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -13,7 +13,8 @@
 from limelatch.configuration import Address
 from limelatch.interface import MS, SECOND, HostId, Result
 from limelatch.logs import HeldDown, logger, say
-from limelatch.relay.deadlines import Clock, Deadline, Deadlines
+from limelatch.relay.clock import Clock
+from limelatch.relay.deadlines import Deadline, Deadlines
 from limelatch.relay.ending import (
     OVER_STATE,
     OVER_STATUS,
--- a/limelatch/relay/incarnation.py
+++ b/limelatch/relay/incarnation.py
@@ -7,6 +7,7 @@
 
 from limelatch.logs import logger, say
 from limelatch.membership.messages import INCARNATION_MOST
+from limelatch.relay.whole_file import replace_whole
 
 log = logger("membership")
 FILE = "incarnation"
@@ -34,10 +35,8 @@
 
     def write(self, incarnation: int) -> None:
         """Keep it; where the disk refuses, the other members tell it at the next start."""
-        word, passing = str(incarnation), f"{self.path}.{os.getpid()}"
+        word = b"%d" % incarnation
         try:
-            with open(passing, "w", encoding="ascii") as file:
-                file.write(f"{word} {zlib.crc32(word.encode())}\n")
-            os.replace(passing, self.path)
+            replace_whole(self.path, b"%s %d\n" % (word, zlib.crc32(word)))
         except OSError as error:
             say(log, "incarnation-not-written", why=error)
--- a/limelatch/relay/peers.py
+++ b/limelatch/relay/peers.py
@@ -25,13 +25,15 @@
     State,
 )
 from limelatch.relay.closed_ports import ClosedPorts
-from limelatch.relay.deadlines import Clock, Deadline, Deadlines
+from limelatch.relay.clock import Clock
+from limelatch.relay.deadlines import Deadline, Deadlines
 from limelatch.relay.incarnation import IncarnationFile
 
 log = logger("membership")
 
 PACKET_MOST = DATAGRAM_MOST + 1  # what is read of a datagram, so that a longer one shows
 READ_SPAN, READ_MOST = 100 * MS, 200  # datagrams that are looked at in a span; the others are dropped unread
+NOT_LISTENING = "not-listening"  # in the place of an isolation; one word, as all values of the line are
 BIND_WAIT = SECOND  # until a socket that could not be bound is tried again
 
 
@@ -104,7 +106,8 @@
     def members(self) -> Members:
         """What is held of all of them now."""
         if self.member is None:
-            return Members({}, 0, "not listening", "")
+            counts = {state.name.lower(): 0 for state in State} | {"unknown": len(self.addresses)}
+            return Members(counts, 0, NOT_LISTENING, "")
         view = self.member.view
         counts = {state.name.lower(): view.counts[state] for state in State}
         counts["unknown"] = len(self.addresses) - sum(counts.values())
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,6 +20,7 @@
 from limelatch.interface import SECOND, Nack, Past, Result, Text
 from limelatch.policy import Policy
 from limelatch.relay import __main__ as entry
+from limelatch.relay.clock import Anchor, Resumption
 from limelatch.relay.catalog import Catalog
 from limelatch.relay.clients import Listener
 from limelatch.relay.deadlines import Deadlines
@@ -122,9 +123,14 @@
     def now(self):
         return int(self.seconds() * SECOND)
 
+    certain_from, resumption = 0, Resumption.FIRST
+
     def wall_ahead(self):
         return 0
 
+    def anchor(self):
+        return Anchor("", 0, 0, 0)
+
 
 @pytest.fixture
 def clock():
--- a/tests/test_membership_relay.py
+++ b/tests/test_membership_relay.py
@@ -17,7 +17,7 @@
 from limelatch.relay.closed_ports import ANSWER_WAIT, ASKED_MOST, ClosedPorts
 from limelatch.relay.deadlines import Deadline
 from limelatch.relay.incarnation import IncarnationFile
-from limelatch.relay.peers import READ_MOST, READ_SPAN, Peers
+from limelatch.relay.peers import NOT_LISTENING, Peers, READ_MOST, READ_SPAN
 
 SMALL = """[relay]
 listen = "127.0.0.1:6379"
@@ -208,4 +208,6 @@
         peers.member.registry.learn(moment.time, Fact(number, 1, State.ALIVE), number)
     peers.stop()
     assert {address for _, address in moment.sent} == {("10.0.0.3", 7946), ("10.0.0.5", 7946)}
-    assert not moment.reading and peers.members().isolated == "not listening"
+    assert not moment.reading and peers.members().isolated == NOT_LISTENING
+    words = dict(word.split("=") for word in peers.members().line().split())  # as a reader splits it
+    assert words["isolated"] == "not-listening" and words["alive"] == "0" and int(words["unknown"]) > 0
