Sockets bear a kernel without buffers or descriptors: ports and connections rest and go on

Causes in the tree: a read or write that fails with ENOMEM ended its connection, and with it a request that was read or a call that may have run (twisted.internet.tcp Connection.doRead, writeSomeData); a port that can't accept was asked again without a pause and logged a trace for each error beyond five that Twisted knows (Port.doRead); TCP_NODELAY refused was logged as critical; a socket() that fails at the start was a fault in a deadline (Listener.listen made it outside its try); a start gave up after 1 s without buffers. Others were the tests' own (rules used up, one try where hosts rest).

Change: relay/transport.py, used by the reactor for all TCP; Listener.listen; a start waits 20 s where the machine lacks buffers.

Failed try: a bound on accept's calls for ECONNABORTED, which accept(2) wants tried again at once: up to 32 a rest.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -187,6 +187,15 @@
         "a client's connection was closed by the relay",
         {"why": "garbled, crowded or silent", "peer": PEER, "left_out": HELD_DOWN},
     ),
+    "accept-failed": Event(
+        "clients",
+        WARNING,
+        "new connections can't be accepted; they wait, and it is tried again after 10 ms",
+        {"why": WHY, "left_out": HELD_DOWN},
+    ),
+    "connection-not-served": Event(
+        "clients", ERROR, "a new connection was closed by a fault in the program itself", {"trace": "where"}
+    ),
     "answer-not-read": Event(
         "hosts",
         WARNING,
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -320,23 +320,21 @@
 
         Only a process `beside` the one that holds its folder joins a port in use; any other is refused, as
         it would share the clients of another relay."""
-        shared = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
-            if not beside:
-                with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as alone:
-                    alone.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                    alone.bind((host, port))
-            shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            shared.bind((host, port))
-            shared.listen(BACKLOG)
-            shared.setblocking(False)
-            self.port = reactor.adoptStreamPort(shared.fileno(), socket.AF_INET, self)
-            self._measure()
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as shared:
+                if not beside:
+                    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as alone:
+                        alone.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                        alone.bind((host, port))
+                shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+                shared.bind((host, port))
+                shared.listen(BACKLOG)
+                shared.setblocking(False)
+                self.port = reactor.adoptStreamPort(shared.fileno(), socket.AF_INET, self)  # on a copy
+                self._measure()
         except OSError as error:
             raise CannotListenError(host, port, error) from None
-        finally:
-            shared.close()  # the port holds a copy of its own
 
     def count(self, client: Client) -> None:
         """Count a client's bytes of commands not whole yet; over the bound the largest of these ends.
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -26,12 +26,14 @@
 from limelatch.relay.records import Entry
 from limelatch.relay.platform import Notifier
 from limelatch.relay.slots import Slots
+from limelatch.relay.transport import ACCEPT_SHORTAGES
 from limelatch.relay.wall_watch import WallWatch
 
 log, policy_log = logger("driver"), logger("policy")
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.MOOT)
 HAND_OVER_LOOK = li.SECOND // 10  # between two looks whether the process before has ended
 PORT_WAIT, PORT_LOOK = li.SECOND, li.SECOND // 20  # for a port that is in use at the start
+SHORTAGE_WAIT = 20 * li.SECOND  # for a machine without buffers or descriptors at the start
 LAST_LOOK = 20 * li.MS  # between two looks whether clients still ask, before an early end
 
 
@@ -208,7 +210,8 @@
         """Guards against a process before that has given back the folder and, ending, not yet the port."""
         now, listen = self.clock.now(), self.plan.listen
         if self._port_until is None:
-            self._port_until = now + PORT_WAIT
+            short = error.socketError.errno in ACCEPT_SHORTAGES
+            self._port_until = now + (SHORTAGE_WAIT if short else PORT_WAIT)
             say(log, "port-taken", listen=listen, why=error.socketError)
         if now < self._port_until:
             self.deadlines.after(PORT_LOOK, self.serve)
--- a/limelatch/relay/reactor.py
+++ b/limelatch/relay/reactor.py
@@ -1,4 +1,4 @@
-"""The reactor that the relay runs on: Twisted's epoll reactor with the monotonic clock.
+"""The reactor that the relay runs on: Twisted's epoll reactor on the monotonic clock, with patient sockets.
 
 Twisted's own reactors time their calls by the wall clock (`twisted.python.runtime`). Where that is stepped
 back, a call that was set before waits for the wall clock to come back to where it was, and with it all that
@@ -12,12 +12,29 @@
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.main import installReactor
 
+from limelatch.relay.transport import PatientConnector, PatientPort
 
-class MonotonicReactor(EPollReactor):
-    """Due times and waits are spans of real time, whatever the wall clock is set to."""
+
+class RelayReactor(EPollReactor):
+    """Due times and waits are spans of real time; its TCP sockets are those of `transport`."""
 
     seconds = staticmethod(time.monotonic)
 
+    def connectTCP(self, host, port, factory, timeout=None, bindAddress=None) -> PatientConnector:
+        connector = PatientConnector(host, port, factory, timeout, bindAddress, self)
+        connector.connect()
+        return connector
+
+    def listenTCP(self, port, factory, backlog=50, interface="") -> PatientPort:
+        listening = PatientPort(port, factory, backlog, interface, self)
+        listening.startListening()
+        return listening
+
+    def adoptStreamPort(self, fileDescriptor, addressFamily, factory) -> PatientPort:
+        listening = PatientPort._fromListeningDescriptor(self, fileDescriptor, addressFamily, factory)
+        listening.startListening()
+        return listening
+
 
-reactor = MonotonicReactor()
+reactor = RelayReactor()
 installReactor(reactor)
--- a/tests/faults/shim.py
+++ b/tests/faults/shim.py
@@ -63,7 +63,7 @@
 
     def __init__(self, library: Path, path: Path) -> None:
         self.library, self.path = library, path
-        self._shift, self._rules = 0, 0
+        self._shift = 0
         self.record: list[str] = []  # what was done and when, for a failed test's report
         path.write_bytes(bytes(SHIFT.size + RULES * RULE.size))
         with path.open("r+b") as file:
@@ -103,9 +103,9 @@
         peer, or its own; `path`: part of the file's path."""
         if call not in CALLS:
             raise ValueError(f"no such call: {call}")
-        if self._rules == RULES:
-            raise ValueError(f"{RULES} rules at most")
-        number, self._rules = self._rules, self._rules + 1
+        number = next((each for each in range(RULES) if not self.numbers(each)[0]), None)
+        if number is None:
+            raise ValueError(f"{RULES} rules at most at a time")
         until = time.monotonic_ns() + int(seconds * NANOSECONDS) if seconds else 0
         numbers = [
             0,
