A failing folder: one gate decides what waits, and no repair that fails itself loses a text

Causes found by reading and forced by tests on real relays: ftruncate after a part of a record was raised out of the turn, whose clients got no answer, and left the torn record before the next ones, which a restart cuts off with it (Ledger._flush); a submit that could not be recorded used up an attempt each 0.6 s until the text ended untried; a final answer before a text's time went out unrecorded, and a kill then sent the text after its end; a take-over whose lock or read failed was never tried again, and a seat's file that could not be removed after it took its texts with it; open_before raised out of the turn; a successor's seat that could not be taken in at a start was left for good; a rename that reports EIO and is done left the ledger writing to a file without a name.

Failed tries: one write let through after 250 ms, which still used up attempts; -BUSY without a try at the disk, which kept texts off for 250 ms after it worked again; a try for each failure, which added up.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -88,11 +88,17 @@
         "the end of an earlier process tore a record, and the tail was cut",
         {"bytes": "that were cut"},
     ),
-    "ledger-behind": Event(
-        "ledger",
+    "folder-failing": Event(
+        "driver",
         ERROR,
-        "the disk takes no more: no text is taken on and no call goes out until it does",
-        {"why": WHY, "bytes": "still to write"},
+        "the folder takes no more: no text is taken on and no call goes out until it does",
+        {"why": "call, errno and path", "bytes": "that wait to be written", "left_out": HELD_DOWN},
+    ),
+    "folder-mended": Event(
+        "driver",
+        WARNING,
+        "what waited has been written; texts are taken on and calls go out again",
+        {"after_ms": "since the first failure"},
     ),
     "known-list-not-read": Event(
         "driver", WARNING, "the known list of the configuration is passed over", {"why": WHY}
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -272,9 +272,11 @@
         ready = held and host and host.listing is Listing.READY
         return bool(ready) and host.route.wait_until <= now < held.until
 
-    def decide(self, now: int) -> list[Action]:
+    def decide(self, now: int, submits: bool = True) -> list[Action]:
+        """All that is to be done now; without `submits` texts wait, and only what ends is told."""
         self._give_up(now)
-        self._plan(now)
+        if submits:
+            self._plan(now)
         self._let_go(now)
         return self._emit(now)
 
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -11,6 +11,7 @@
 from limelatch.configuration import RelayPlan
 from limelatch.configuration.changes import changes
 from limelatch.configuration.model import Reload
+from limelatch.folder_gate import RETRY_AFTER, FolderGate
 from limelatch.logs import HeldDown, logger, say
 from limelatch.logs import start as start_logs
 from limelatch.policy import Policy
@@ -18,7 +19,7 @@
 from limelatch.relay.catalog import BadList, Catalog
 from limelatch.relay.clients import Client, Listener, Handed
 from limelatch.relay.clock import Clock
-from limelatch.relay.deadlines import Deadlines
+from limelatch.relay.deadlines import Deadline, Deadlines
 from limelatch.relay.door import Door, DoorError, HostsOut
 from limelatch.relay.hosts import Call, Outcome, Parcel, HostPool
 from limelatch.relay.ledger import Ledger
@@ -32,6 +33,7 @@
 log, policy_log = logger("driver"), logger("policy")
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.MOOT)
 HAND_OVER_LOOK = li.SECOND // 10  # between two looks whether the process before has ended
+SEAT_LOOK = li.SECOND  # between two tries to take in what a successor left
 PORT_WAIT, PORT_LOOK = li.SECOND, li.SECOND // 20  # for a port that is in use at the start
 SHORTAGE_WAIT = 20 * li.SECOND  # for a machine without buffers or descriptors at the start
 LAST_LOOK = 20 * li.MS  # between two looks whether clients still ask, before an early end
@@ -67,7 +69,10 @@
         self.started_with = plan.told
         self.deadlines = Deadlines(reactor, clock)
         self.policy = Policy(plan.terms, clock.now())
-        self.ledger = Ledger(plan.state, plan.disk_bytes, plan.memory_bytes)
+        self.folder_gate = FolderGate()
+        self._folder_try: Deadline | None = None
+        self._unrecorded: dict[bytes, dict] = {}  # notices whose record the folder has not taken yet
+        self.ledger = Ledger(plan.state, plan.disk_bytes, plan.memory_bytes, self._folder_told)
         self.wall_watch = WallWatch(
             clock, self.deadlines, AnchorFile(plan.state), lambda: not self.ledger.beside
         )
@@ -120,6 +125,8 @@
             self._resume(now, entry)
         if self.ledger.beside:
             self.deadlines.after(HAND_OVER_LOOK, self._take_over)
+        elif self.ledger.seat_left:
+            self.deadlines.after(HAND_OVER_LOOK, self._take_seat)
         say(
             log,
             "started",
@@ -146,14 +153,55 @@
                 self.soon()  # a key that the process before has freed meanwhile is taken up
             self.deadlines.after(HAND_OVER_LOOK, self._take_over)
             return
-        self.slots.size = max(self.slots.size, len(self.owed) + len(adopted))
-        now = self.clock.now()
         self.policy.elsewhere = set()
-        for entry in reversed(adopted):  # each goes ahead of those in its key
-            self._resume(now, entry, earlier=True)
-        say(log, "taken-over", owed=len(self.owed), adopted=len(adopted))
+        self._adopt(adopted[::-1], earlier=True)  # each goes ahead of those in its key
+
+    def _take_seat(self) -> None:
+        """What a successor that has ended left in its seat: the folder could not be written at the start, or
+        the successor still lived."""
+        if adopted := self.ledger.take_seat():
+            self._adopt(adopted)
+        if self.ledger.seat_left:
+            self.deadlines.after(SEAT_LOOK, self._take_seat)
+
+    def _adopt(self, entries: list[Entry], earlier: bool = False) -> None:
+        self.slots.size = max(self.slots.size, len(self.owed) + len(entries))
+        now = self.clock.now()
+        for entry in entries:
+            self._resume(now, entry, earlier)
+        say(log, "taken-over", owed=len(self.owed), adopted=len(entries))
         self.soon()
 
+    # The folder that lasts.
+
+    def _folder_told(self, error: OSError | None) -> None:
+        """A write of the ledger has failed, or worked again."""
+        now = self.clock.now()
+        if error is None:
+            if (span := self.folder_gate.worked(now)) is not None:
+                say(log, "folder-mended", after_ms=span // li.MS)
+                self._send_recorded()
+        else:
+            self.folder_gate.failed(now)
+            self.held_down("folder-failing", why=error, bytes=len(self.ledger.behind))
+            if self._folder_try is None:
+                self._folder_try = self.deadlines.after(RETRY_AFTER, self._try_folder)
+
+    def _try_folder(self) -> None:
+        """What waits in memory is written before anything new."""
+        self._folder_try = None
+        if self.folder_gate.failing_since is not None and self.ledger.try_again():
+            self.soon()
+
+    def _send_recorded(self) -> None:
+        """All records are in the folder: the notices that waited for theirs go now."""
+        for text in list(self._unrecorded):
+            self._send_notice(text)
+
+    def _send_notice(self, text: bytes) -> None:
+        if (notice := self._unrecorded.pop(text, None)) is not None:
+            self.notifier.notice(text, notice)
+
     def _keys_before(self) -> None:
         """In the seat: keys whose texts the process before still holds go after those, in order."""
         products, names = self.plan.terms.products, self.plan.names.products
@@ -400,6 +448,7 @@
             f"+OK serving owed={len(self.owed)} hosts={len(self.catalog.directory)} "
             f"out={len(self.out.counts)}"
             f" paused={'yes' if self.listener.paused else 'no'}"
+            f" folder={'ok' if self.folder_gate.failing_since is None else 'failing'}"
         )
 
     def pause(self) -> str:
@@ -514,7 +563,7 @@
         if self.ledger.beside:
             self._keys_before()
         now = self.clock.now()
-        actions = self.policy.decide(now)
+        actions = self.policy.decide(now, self.folder_gate.may_submit)
         arrived, self.arrived = self.arrived, {}  # an answer may bring a client's next text, for a later turn
         for action in actions:
             if isinstance(action, (li.Nack, li.Undeliverable)) and action.text in arrived:
@@ -584,7 +633,7 @@
         else:  # a disk that takes no more
             self.policy.text_over(self.clock.now(), text)
             self._release(owed)
-            say(log, "text-refused", text=text, why="disk")
+            say(log, "text-refused", text=text, why="folder")
             client.answer("-BUSY")
 
     def _pack(self, calls: dict, host: li.HostId, text: bytes, due: int, keep: int) -> None:
@@ -603,5 +652,11 @@
         if log.isEnabledFor(DEBUG):
             left = (owed.text.valid_until - self.clock.now()) // li.MS
             say(log, "text-ended", text=owed.text.id, result=notice["result"], left_ms=left)
-        self.ledger.owed(owed.text.id, notice)
-        self.notifier.notice(owed.text.id, notice)
+        text, now = owed.text, self.clock.now()
+        recorded = self.ledger.owed(text.id, notice)
+        due = self.folder_gate.notice_due(now, text.valid_until, recorded)
+        if due <= now:
+            self.notifier.notice(text.id, notice)
+        else:
+            self._unrecorded[text.id] = notice
+            self.deadlines.at(due, lambda: self._send_notice(text.id))
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -13,18 +13,18 @@
 import fcntl
 import os
 import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 
-from limelatch.logs import logger, say
 from limelatch.relay.records import LATER, BadRecord, Book, Entry, Kind, kept, record, split
 
-log = logger("ledger")
-
 FILE, NEW_FILE, SEAT = "ledger", "ledger.new", "next"
 BLOCK = 512  # files count in whole blocks
 LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest: growth, the new file
 BESIDE_SHARE = 0.125  # of the disk at the most, for the copy of the list and the new one beside it
 MEMORY_SHARE = 0.1  # of the memory, for the same records, which are kept there too
 SEAT_LOOKS, SEAT_PAUSE = 20, 0.01  # seconds: the old process takes the seat's lock for a look at times
+OTHER_FILES = 4  # in blocks: the hosts out, the clock, and a new one of either
 NO_LOCKS = (errno.ENOLCK, errno.EOPNOTSUPP, errno.ENOSYS)  # a file system without locks
 
 
@@ -36,23 +36,46 @@
     """The file holds whole records that this version can't read; it is left as it is."""
 
 
+@contextmanager
+def named(call: str, path: str) -> Iterator[None]:
+    """An OSError inside is raised on with the call and the path, whatever it had of them."""
+    try:
+        yield
+    except OSError as error:
+        raise OSError(error.errno, f"{call}: {error.strerror}", path) from None
+
+
 def lock(folder: str) -> int:
-    """Hold the folder until this process ends, however it ends; FolderInUse where another does.
+    """Hold the folder until this process ends, however it ends; FolderInUse where another does, OSError.
 
     The lock is the open folder's own, so it needs no file, and one that was killed leaves none behind."""
-    held = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    with named("open", folder):
+        held = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
     try:
-        fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except BlockingIOError:
-        os.close(held)
-        raise FolderInUse(errno.EBUSY, "another relay uses this folder", folder) from None
+        with named("flock", folder):
+            fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)
     except OSError as error:
+        if error.errno in (errno.EAGAIN, errno.EACCES):
+            close_quietly(held)
+            raise FolderInUse(errno.EBUSY, "another relay uses this folder", folder) from None
         if error.errno not in NO_LOCKS:
-            os.close(held)
+            close_quietly(held)
             raise
     return held
 
 
+def close_quietly(file: int) -> None:
+    """Close a descriptor, which is gone whatever close(2) reports."""
+    with suppress(OSError):
+        os.close(file)
+
+
+def read_whole(path: str) -> bytes:
+    """All bytes of a file; OSError names the call and the path."""
+    with named("read", path), open(path, "rb") as file:
+        return file.read()
+
+
 def append(file: int, raw: bytes) -> None:
     """Write all of it: a disk that is nearly full may take a part."""
     while raw:
@@ -75,29 +98,41 @@
     """The ledger of one relay: `entries` are the texts that it owes their end.
 
     What can't be written, as on a full disk, waits in `behind` for the next record; until it is written no
-    text is taken on and no submit goes out, since a restart would know nothing of them."""
-
-    def __init__(self, folder: str, disk_bytes: int, memory_bytes: int) -> None:
-        self.folder, self.seat, self._before = folder, folder, None
-        self._whole, self._memory = disk_bytes // BLOCK * BLOCK - 2 * BLOCK, memory_bytes
+    text is taken on and no submit goes out, since a restart would know nothing of them. `told` hears of each
+    write: the error, or None where it has worked."""
+
+    def __init__(
+        self,
+        folder: str,
+        disk_bytes: int,
+        memory_bytes: int,
+        told: Callable[[OSError | None], None] = lambda error: None,
+    ) -> None:
+        self.folder, self.seat, self._before, self._told = folder, folder, None, told
+        self._whole, self._memory = disk_bytes // BLOCK * BLOCK - OTHER_FILES * BLOCK, memory_bytes
         self.leave_room(0, at_once=True)
         self.book, self.size, self.cut, self.behind = Book(), 0, 0, b""
+        self._torn = False  # a record written in part stands at the file's end
+        self._failing = False  # since a call that failed, until a write works
+        self._emptied_later: list[str] = []  # files taken in that could not be removed
         try:
             self._lock = lock(folder)
         except FolderInUse:  # an upgrade: the process before still holds it; a third one is refused
             self.seat = os.path.join(folder, SEAT)
-            os.makedirs(self.seat, exist_ok=True)
+            with named("mkdir", self.seat):
+                os.makedirs(self.seat, exist_ok=True)
             self._lock = lock_seat(self.seat)
         self._open()
         self._replay()
-        if self.seat == folder:
-            self._take_seat(os.path.join(folder, SEAT))  # left by a successor that ended before it took over
+        if self.seat_left:
+            self.take_seat()
 
     def _open(self) -> None:
         self.path, self._new = os.path.join(self.seat, FILE), os.path.join(self.seat, NEW_FILE)
-        if os.path.exists(self._new):
-            os.remove(self._new)  # a compaction that the end of the process cut short
-        self._file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        with suppress(OSError):  # a compaction that the end of the process cut short; the next one empties it
+            os.remove(self._new)
+        with named("open", self.path):
+            self._file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
 
     @property
     def beside(self) -> bool:
@@ -115,66 +150,102 @@
         return False
 
     def open_before(self) -> list[Entry]:
-        """In the seat: the texts that the process before still holds, as its ledger tells them by now."""
+        """In the seat: the texts that the process before still holds, as its ledger tells them by now; as it
+        told them last where it can't be read."""
+        path = os.path.join(self.folder, FILE)
         try:
-            status = os.stat(os.path.join(self.folder, FILE))
+            with open(path, "rb") as file:
+                status = os.fstat(file.fileno())
+                if self._before is None or status.st_ino != self._before[1]:  # a first look, or a new file
+                    self._before = [Book(), status.st_ino, 0]
+                file.seek(self._before[2])
+                raw = file.read()
         except OSError:
-            return []
-        if self._before is None or status.st_ino != self._before[1]:  # a first look, or a new file of its
-            self._before = [Book(), status.st_ino, 0]
-        book, _, at = self._before
-        if status.st_size > at:
-            with open(os.path.join(self.folder, FILE), "rb") as file:
-                file.seek(at)
-                raw = file.read(status.st_size - at)
-            for one in split(raw):
-                self._before[2] += len(one)
-                try:
-                    book.apply(one)
-                except BadRecord:  # of another version: it says nothing of keys
-                    continue
+            return [] if self._before is None else list(self._before[0].entries.values())
+        book = self._before[0]
+        for one in split(raw):
+            self._before[2] += len(one)
+            try:
+                book.apply(one)
+            except BadRecord:  # of another version: it says nothing of keys
+                continue
         return list(book.entries.values())
 
     def take_over(self) -> list[Entry] | None:
-        """In the seat: once the process before has ended, its folder and all it still owes; else None."""
+        """In the seat: once the process before has ended, its folder and all it still owes; else None.
+
+        Where the folder can't be read or written it stays in the seat, whole, and tries again at the next
+        look."""
         try:
             held = lock(self.folder)
         except FolderInUse:
             return None
-        seat, seat_lock, paths = self.seat, self._lock, (self.path, self._new)
+        except OSError as error:
+            self._failed(error)
+            return None
+        seat_file, seat_lock, paths = self.path, self._lock, (self.path, self._new)
         self.path, self._new = os.path.join(self.folder, FILE), os.path.join(self.folder, NEW_FILE)
-        adopted = self._absorb(self.path)
-        if not self.compact():  # it stays in the seat, whole, and tries again at the next look
-            self._leave(adopted)
+        adopted = self._adopt(self.path)
+        if adopted is None:
             self.path, self._new = paths
-            os.close(held)
+            close_quietly(held)
             return None
         self._lock, self.seat, self._before = held, self.folder, None
-        os.remove(os.path.join(seat, FILE))
-        os.close(seat_lock)
+        self._empty(seat_file)
+        close_quietly(seat_lock)
         return adopted
 
-    def _take_seat(self, seat: str) -> None:
-        """The records that a successor left in its seat are this process's now."""
-        path = os.path.join(seat, FILE)
-        if not os.path.exists(path):
-            return
+    @property
+    def seat_left(self) -> bool:
+        """Whether a successor that ended before it took over has left texts in its seat."""
+        return not self.beside and os.path.exists(os.path.join(self.folder, SEAT, FILE))
+
+    def take_seat(self) -> list[Entry] | None:
+        """The texts that a successor left in its seat are this process's now; None where that has to be tried
+        again, and none where the successor lives: it takes this folder over itself."""
+        path = os.path.join(self.folder, SEAT, FILE)
         try:
-            held = lock(seat)
-        except FolderInUse:  # it still lives: it takes this folder over itself
-            return
-        adopted = self._absorb(path, first=False)
-        if adopted and not self.compact():
+            held = lock(os.path.join(self.folder, SEAT))
+        except FolderInUse:
+            return []
+        except OSError as error:
+            self._failed(error)
+            return None
+        adopted = self._adopt(path, first=False)
+        if adopted is not None:
+            self._empty(path)
+        close_quietly(held)
+        return adopted
+
+    def _adopt(self, path: str, first: bool = True) -> list[Entry] | None:
+        """Take in another file's texts and write them to this ledger's; None where either fails, and then
+        they stay with the other file."""
+        try:
+            adopted = self._absorb(path, first)
+        except OSError as error:
+            self._failed(error)
+            return None
+        if not self.compact():
             self._leave(adopted)
-        else:
+            return None
+        return adopted
+
+    def _empty(self, path: str) -> None:
+        """A file that was taken in must not be read again: it would bring back texts that have ended."""
+        try:
             os.remove(path)
-        os.close(held)
+        except FileNotFoundError:
+            pass
+        except OSError:
+            try:
+                os.truncate(path, 0)
+            except OSError as error:
+                self._failed(error)
+                self._emptied_later.append(path)
 
     def _absorb(self, path: str, first: bool = True) -> list[Entry]:
         """Take in the texts of another file, `first` before those held; a torn tail is left out."""
-        with open(path, "rb") as file:
-            raw = file.read()
-        theirs = Book()
+        raw, theirs = read_whole(path), Book()
         for one in split(raw):
             try:
                 theirs.apply(one)
@@ -198,13 +269,11 @@
 
     def close(self) -> None:
         """Give the folder back."""
-        os.close(self._file)
-        os.close(self._lock)
+        close_quietly(self._file)
+        close_quietly(self._lock)
 
     def _replay(self) -> None:
-        with open(self.path, "rb") as file:
-            raw = file.read()
-        at = 0
+        raw, at = read_whole(self.path), 0
         for one in split(raw):
             try:
                 self.book.apply(one)
@@ -213,10 +282,10 @@
                     errno.EINVAL, f"a record at byte {at} is not of this version: {error}", self.path
                 ) from None
             at += len(one)
-        self.cut = len(raw) - at
-        if self.cut:  # a record that the end of the process tore, and whatever follows it
-            os.ftruncate(self._file, at)
-        self.size = at
+        self.cut, self.size = len(raw) - at, at
+        self._torn = self.cut > 0  # by the end of the process: cut off, with whatever follows it
+        with suppress(OSError):  # else before the first write
+            self._cut_tail()
 
     def leave_room(self, size: int, at_once: bool = False) -> bool:
         """Leave so many bytes of the disk to another file of the folder; not where the ledger needs them."""
@@ -242,8 +311,9 @@
         """The submit has ended; `ran` unless it is proved never to have run."""
         self._write(Kind.ENDED, text, {"ran": ran})
 
-    def owed(self, text: bytes, notice: dict) -> None:
-        self._write(Kind.OWED, text, {"notice": notice})
+    def owed(self, text: bytes, notice: dict) -> bool:
+        """The final answer is given; whether its record is in the folder."""
+        return self._write(Kind.OWED, text, {"notice": notice})
 
     def over(self, text: bytes) -> None:
         if text in self.entries:
@@ -263,33 +333,85 @@
         return written
 
     def _flush(self) -> bool:
-        """Write what is behind; of a record written in part nothing stays."""
+        """Write what is behind; of a record written in part nothing stays before the next one."""
         if not self.behind:
             return True
         try:
-            append(self._file, self.behind)
+            self._cut_tail()
+            with named("write", self.path):
+                append(self._file, self.behind)
         except OSError as error:
-            say(log, "ledger-behind", why=error, bytes=len(self.behind))
-            os.ftruncate(self._file, self.size)
+            self._torn = True
+            with suppress(OSError):  # else before the next write
+                self._cut_tail()
+            self._failed(error)
             return False
         self.size, self.behind = self.size + len(self.behind), b""
+        self._worked()
         return True
 
+    def try_again(self) -> bool:
+        """Write what has waited since a failure, or a record that tells nothing; whether that has worked."""
+        if not self.behind:
+            self.behind = record(Kind.BLANK, b"", {})
+        return self._flush()
+
+    def _failed(self, error: OSError) -> None:
+        self._failing = True
+        self._told(error)
+
+    def _worked(self) -> None:
+        if not self._failing:
+            return
+        self._failing = False
+        waiting, self._emptied_later = self._emptied_later, []
+        for path in waiting:
+            self._empty(path)
+        if not self._failing:
+            self._told(None)
+
+    def _cut_tail(self) -> None:
+        if self._torn:
+            with named("ftruncate", self.path):
+                os.ftruncate(self._file, self.size)
+            self._torn = False
+
     def compact(self) -> bool:
         """Write what still matters to a new file, in the order of the texts; put it in place.
 
         Where it can't be written the old file stays."""
         records, new = b"".join(kept(entry) for entry in self.entries.values()), None
         try:
-            new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
-            append(new, records)
-            os.replace(self._new, self.path)
+            with named("open", self._new):
+                new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+            with named("write", self._new):
+                append(new, records)
+            self._put_in_place(new)
         except OSError as error:
-            say(log, "ledger-behind", why=error, bytes=len(self.behind))
             if new is not None:
-                os.close(new)
-                os.remove(self._new)
+                close_quietly(new)
+                with suppress(OSError):  # the next one empties it
+                    os.remove(self._new)
+            self._failed(error)
             return False
-        os.close(self._file)
-        self._file, self.size, self.behind = new, len(records), b""  # what was behind is in it
+        close_quietly(self._file)
+        self._file, self.size, self.behind, self._torn = new, len(records), b"", False  # the rest is in it
+        self._worked()
         return True
+
+    def _put_in_place(self, new: int) -> None:
+        """Rename the new file; one that failed and was done all the same counts as done.
+
+        Guards against records that are written to a file which no folder has any more."""
+        try:
+            with named("rename", self.path):
+                os.replace(self._new, self.path)
+        except OSError:
+            if not self._is_in_place(new):
+                raise
+
+    def _is_in_place(self, new: int) -> bool:
+        try:
+            return os.path.samestat(os.stat(self.path), os.fstat(new))
+        except OSError:
+            return False
--- a/limelatch/relay/list_copy.py
+++ b/limelatch/relay/list_copy.py
@@ -10,6 +10,7 @@
 import json
 import os
 from collections.abc import Iterator
+from contextlib import suppress
 from zlib import crc32
 
 from limelatch.interface import SECOND
@@ -68,13 +69,13 @@
         """What the last process left, or None; one that can't be used is logged."""
         try:
             found = read_copy(self.path)
+            if not self._ledger.beside and not self._ledger.leave_room(2 * os.path.getsize(self.path)):
+                os.remove(self.path)  # guards against a disk over its limit once the ledger is full
         except FileNotFoundError:
             return None
         except (OSError, BadCopy) as error:
             say(log, "copy-not-read", why=error)
             return None
-        if not self._ledger.beside and not self._ledger.leave_room(2 * os.path.getsize(self.path)):
-            os.remove(self.path)  # guards against a disk over its limit once the ledger takes its whole room
         return found
 
     def soon(self, source) -> None:
@@ -135,7 +136,8 @@
         self._deadlines.after(0, self._write)
 
     def _end_writing(self, done: bool = False) -> None:
-        os.close(self._file)
+        with suppress(OSError):  # the descriptor is gone all the same
+            os.close(self._file)
         self._file, self._slices = None, None
         if not done:
             try:
--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -28,6 +28,7 @@
     OWED = 4  # the text's final answer is given, its notice is owed
     OVER = 5  # nothing more is owed
     STATE = 6  # in a new file: what the left out records said
+    BLANK = 7  # nothing: written to see whether the folder takes writes again
 
 
 class BadRecord(Exception):
@@ -105,6 +106,8 @@
 
     def _apply(self, kind: int, text: bytes, pairs: dict, raw: bytes) -> str | None:
         entry = self.entries.get(text)
+        if kind == Kind.BLANK:
+            return None
         if kind == Kind.TAKEN:
             self.entries[text] = Entry(text, pairs, taken=raw)
             self.live += len(raw) + LATER
--- a/tests/faults/flow.py
+++ b/tests/faults/flow.py
@@ -56,6 +56,10 @@
         self.client = self.program.start()
         self._listening.start()
 
+    def restart(self) -> None:
+        """Start the program again, on its folder."""
+        self.client = self.program.start()
+
     def _called(self, request):
         text = self.texts[request.headers["X-Txn"]]
         text.calls.append(time.monotonic())
--- a/tests/faults/shim.py
+++ b/tests/faults/shim.py
@@ -133,6 +133,12 @@
         SHIFT.pack_into(self._map, self._place(number), 0)
         self._say(f"rule {number} ends after {self.numbers(number)[HITS]} hits")
 
+    def clear_all(self) -> None:
+        """No rule is in force any more; the wall clock stays as it was stepped."""
+        for number in range(RULES):
+            if self.numbers(number)[0]:
+                self.clear(number)
+
     def _place(self, number: int) -> int:
         return SHIFT.size + number * RULE.size
 
