Requests on their way are answered before a close; a repeat's window bears 0.15 s; UDP reads may fail

Found by reading, forced by tests: a half-sent command whose rest lay unread was closed for silence (Client._look asked waits() only between requests); an error or refusal was lost to a reset where the peer had sent more (Client.end closed over unread bytes); a client that gave way for memory heard nothing; an early end closed over a command on its way (Listener.comes). A repeat went until the last 0.1 ms of its window (Policy.may_go); a relay held up for 0.15 s would send it outside: HELD_UP. A UDP read that fails closed the members' socket for good (twisted.internet.udp Port.doRead): relay/datagrams.py.

Failed tries: rebinding the members' socket, which Twisted still logged as critical; a test of early ends that ended before the repeat.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -317,6 +317,12 @@
             "left_out": HELD_DOWN,
         },
     ),
+    "datagram-not-read": Event(
+        "membership",
+        WARNING,
+        "a datagram could not be read; it is tried again after 10 ms",
+        {"why": WHY, "left_out": HELD_DOWN},
+    ),
     "datagram-not-sent": Event(
         "membership",
         WARNING,
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -41,6 +41,7 @@
 PACE_FREE, PACE_LEARN, PACE_ROOM, PACE_SAVED = 4.0, 0.2, 0.02, 2.0  # no limit told; many relays: room
 ASK_PART, ASK_CAP, ASK_BY = 4, 3, 55 * SECOND // 10  # of the time to ask within; from the catalog's last word
 TRIAL_PART, SEEN_BEFORE, RATE_AT_FIRST = 0.7, 5 * SECOND, 2.0  # of what a cold one bears; age; unknown limit
+HELD_UP = 150 * MS  # what a relay may lose between its clock and a repeat's last byte, within the window
 SCARCE, ROOM_LEFT = 0.9, 0.92  # share of the slots for shorter time-outs, of the room for nacks of held texts
 NEW = Past()  # of a text that no process had before
 ANSWERED, UNANSWERED = (Result.ERROR, Result.SPOILT), (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
@@ -270,7 +271,7 @@
         """Asked as the connection for a submit has come up: guards against a drain or wait told since."""
         held, host = self.texts.get(text), self.hosts.get(host)
         ready = held and host and host.listing is Listing.READY
-        return bool(ready) and host.route.wait_until <= now < held.until
+        return bool(ready) and host.route.wait_until <= now < held.until - (held.ran_at is not None) * HELD_UP
 
     def decide(self, now: int, submits: bool = True) -> list[Action]:
         """All that is to be done now; without `submits` texts wait, and only what ends is told."""
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -94,6 +94,7 @@
         self.arguments: list[bytes] = []
         self.missing = self.size = 0  # arguments of the command still to come, bytes of those that came
         self.too_large, self.skip, self.waiting, self.all_said = False, 0, False, False
+        self.lingers = False  # closed for writing; what still comes is read past
         self.asked, self.bad, self.held = False, 0, 0  # held: bytes that the listener counts for it
         self.heard_at = self.begun_at = listener.driver.clock.now()  # begun: the command that is coming
         self.deadline = None
@@ -120,7 +121,10 @@
     def _look(self) -> None:
         """Guards against connections that say nothing, or half a command, and hold a descriptor for good."""
         now, due = self.listener.driver.clock.now(), self.due()
-        if now >= due and not self.waiting and not (self.between_requests() and waits(self.transport)):
+        comes = waits(self.transport) and (self.between_requests() or now < due + LOOK_MOST)
+        if now >= due and not self.waiting and not comes:
+            if not self.between_requests():
+                self.reply("-ERR the command did not come whole in its time")
             self.end(Ending.SILENT)
         else:
             self.deadline = self.listener.driver.deadlines.at(
@@ -128,13 +132,28 @@
             )
 
     def end(self, ending: Ending) -> None:
-        if self.ending is None:
+        if self.ending is not None:
+            return
+        if self.between_requests():
             self.close(ending, finish_writing=True)
-            if self.deadline is not None:
-                self.deadline.cancel()
-            self.deadline = self.listener.driver.deadlines.after(  # if it reads no more
-                LINGER, self.transport.abortConnection
-            )
+        else:
+            self._close_lingering(ending)
+        if self.deadline is not None:
+            self.deadline.cancel()
+        self.deadline = self.listener.driver.deadlines.after(  # if it reads no more
+            LINGER, self.transport.abortConnection
+        )
+
+    def _close_lingering(self, ending: Ending) -> None:
+        """Close for writing, and read past what still comes until the client closes as well.
+
+        Guards against a close over unread bytes: it resets the connection, and the last answer may be lost
+        with it."""
+        self.ending, self.lingers = ending, True
+        self.outflow.finish()
+        self.transport.unregisterProducer()
+        self.transport.loseWriteConnection()
+        self.transport.resumeProducing()
 
     def between_requests(self) -> bool:
         return not self.waiting and not self.missing and not self.inbound
@@ -248,7 +267,9 @@
     def readConnectionLost(self) -> None:
         """The client has said all and may still read: it gets the answer that it waits for."""
         self.all_said = True
-        if not self.waiting:
+        if self.lingers:
+            self.transport.loseConnection()
+        elif not self.waiting:
             self.end(Ending.CLOSED_BY_PEER)
 
     def writeConnectionLost(self) -> None:
@@ -345,6 +366,7 @@
         while self.held > self.bytes_most:
             largest = max(self.connections, key=lambda each: each.held)
             self.held, largest.held = self.held - largest.held, 0
+            largest.reply("-BUSY")
             largest.end(Ending.CROWDED)
 
     @property
@@ -418,10 +440,16 @@
         self._close_resting()
 
     def comes(self) -> bool:
-        """Whether a request is not answered, not even read, or may come on a connection just made."""
-        new = self.driver.clock.now() - SECOND // 10
+        """Whether a request is not answered, not even read, comes just now, or may come on a connection just
+        made."""
+        now = self.driver.clock.now()
         return any(
-            each.waiting or waits(each.transport) or not each.asked and each.heard_at > new
+            each.waiting
+            or waits(each.transport)
+            or not each.asked
+            and each.heard_at > now - SECOND // 10
+            or not each.between_requests()
+            and each.heard_at > now - LOOK_MOST
             for each in self.connections
             if each.ending is None
         )
--- a/limelatch/relay/peers.py
+++ b/limelatch/relay/peers.py
@@ -70,14 +70,15 @@
         self._stored, self._read, self._read_until, self._ended = 0, 0, 0, False
 
     def start(self) -> None:
-        """Bind the socket and take part; where it is in use, try again, for the relay serves without."""
+        """Bind the socket and take part; where it can't be bound, try again, for the relay serves without."""
         if self._ended:
             return
         listen = self.plan.listen
         try:
             self.port = self.reactor.listenUDP(listen.port, self, listen.host, PACKET_MOST)
-        except CannotListenError as error:
-            self.held_down("membership-not-listening", listen=listen, why=error.socketError)
+        except (CannotListenError, OSError) as error:
+            why = getattr(error, "socketError", error)
+            self.held_down("membership-not-listening", listen=listen, why=why)
             self.deadlines.after(BIND_WAIT, self.start)
             return
         self._stored = self.file.read()
--- a/limelatch/relay/reactor.py
+++ b/limelatch/relay/reactor.py
@@ -12,11 +12,12 @@
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.main import installReactor
 
+from limelatch.relay.datagrams import PatientDatagramPort
 from limelatch.relay.transport import PatientConnector, PatientPort
 
 
 class RelayReactor(EPollReactor):
-    """Due times and waits are spans of real time; its TCP sockets are those of `transport`."""
+    """Due times and waits are spans of real time; its sockets are those of `transport`."""
 
     seconds = staticmethod(time.monotonic)
 
@@ -30,6 +31,11 @@
         listening.startListening()
         return listening
 
+    def listenUDP(self, port, protocol, interface="", maxPacketSize=8192) -> PatientDatagramPort:
+        listening = PatientDatagramPort(port, protocol, interface, maxPacketSize, self)
+        listening.startListening()
+        return listening
+
     def adoptStreamPort(self, fileDescriptor, addressFamily, factory) -> PatientPort:
         listening = PatientPort._fromListeningDescriptor(self, fileDescriptor, addressFamily, factory)
         listening.startListening()
--- a/limelatch/relay/transport.py
+++ b/limelatch/relay/transport.py
@@ -1,4 +1,4 @@
-"""TCP ports and connections that bear a kernel which lacks memory, buffers or descriptors for a while.
+"""Ports and connections that bear a kernel which lacks memory, buffers or descriptors for a while.
 
 Twisted's own end a connection on ENOMEM or ENOBUFS of a read, and ask again without a pause while accept
 fails. Here the one socket rests for `REST_SECONDS` and is tried again; the errors that end a connection
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -1,11 +1,13 @@
 """System calls fail in the ways that their man pages name, for a moment and for a span, while texts flow."""
 
 import errno
+import os
+import socket
 import time
 
 import pytest
 from conftest import WAIT
-from faults.flow import Flow
+from faults.flow import Flow, drain
 
 from limelatch.relay.clients import ACCEPTS_MOST
 
@@ -131,3 +133,37 @@
     made.hand_in()
     made.settle()
     assert made.check() == []
+
+
+@pytest.mark.parametrize("name", "ENETUNREACH EHOSTUNREACH ETIMEDOUT ENOMEM ENOBUFS ECONNREFUSED EIO".split())
+def test_a_membership_socket_whose_read_or_write_fails_hears_and_speaks_again(
+    faulty, faults, agent, party, name
+):
+    """A datagram that nobody could have sent is dropped with a line: it has been read."""
+    host = "127.{}.{}.{}".format(*(1 + number % 254 for number in os.urandom(3)))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as spare:
+        spare.bind((host, 0))
+        port = spare.getsockname()[1]
+    own, other = f"{host}:{port}", f"{host}:1"
+    membership = {"on": True, "address": own}
+    flow = Flow(faulty(peers=[own, other], peer_listen=own, membership=membership), agent, party)
+    flow.start()
+    flow.program.says("event=membership-joined")
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        stranger.sendto(b"noise", (host, port))
+        flow.program.says("event=datagram-dropped")
+        rule = faults.fail("recv", getattr(errno, name), times=3, port=port)
+        faults.fail("send", getattr(errno, name), times=3, port=port)
+        until = time.monotonic() + WAIT
+        while rule.hits < 3 and time.monotonic() < until:
+            stranger.sendto(b"noise", (host, port))
+            flow.hand_in(within=BACK)
+        drain(flow.program.log)
+        heard = time.monotonic()
+        while "datagram-dropped" not in "".join(flow.program.said[-20:]) or time.monotonic() < heard + 1.2:
+            stranger.sendto(b"noise", (host, port))
+            flow.hand_in(within=BACK)
+            assert time.monotonic() < heard + WAIT
+        flow.program.says("event=datagram-dropped")
+    flow.settle()
+    assert flow.check() == []
--- a/tests/test_failing_folder.py
+++ b/tests/test_failing_folder.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from conftest import WAIT
+from conftest import SETTINGS, WAIT
 from faults.flow import Flow
 
 from limelatch.folder_gate import FolderGate
@@ -36,6 +36,17 @@
             threading.Event().wait(0.02)
 
 
+def held_over_a_kill(flow):
+    """A text that is open at a kill has its end after the restart: its records can be read."""
+    flow.host.reply = lambda request: request.hang()
+    held = flow.hand_in(within=BACK)
+    flow.program.kill()
+    flow.host.reply = flow._called
+    flow.restart()
+    flow.settle()
+    assert held.ended, "a text that was held is gone with the kill"
+
+
 @pytest.mark.parametrize("span", SPANS)
 @pytest.mark.parametrize("call, name, most", WRITE_CELLS)
 def test_a_ledger_that_cannot_be_written_for_a_span(flow, faults, call, name, most, span):
@@ -48,9 +59,9 @@
     hand_in_for(flow, span)
     for _ in range(3):
         flow.hand_in(within=BACK)
-    flow.settle()
-    assert flow.check() == []
     flow.program.says("event=folder-mended")
+    held_over_a_kill(flow)
+    assert flow.check() == []
 
 
 @pytest.mark.parametrize("moment", ["taken", "going", "ended", "owed"])
@@ -86,6 +97,25 @@
     assert text.delivered and text.notice is None and flow.check() == []
 
 
+def test_an_early_end_is_told_only_once_a_restart_would_know_it(faulty, faults, agent, party):
+    """Refused at its only submit, with time left; neither outcome nor end is written before the kill."""
+    limits = SETTINGS["limits"] | {"maxAttempts": 1}
+    flow = Flow(faulty(settings=SETTINGS | {"limits": limits}), agent, party)
+    flow.host.reply = lambda request: (503,)
+    flow.start()
+    faults.fail("write", errno.EIO, path=LEDGER, skip=2)
+    flow.hand_in()
+    flow.host.next()
+    threading.Event().wait(0.6)
+    flow.program.kill()
+    faults.clear_all()
+    flow.host.reply = flow._called
+    flow.restart()
+    flow.host.next()
+    flow.settle()
+    assert flow.check() == []
+
+
 def test_an_end_before_its_time_waits_for_its_record_and_a_due_one_does_not(faulty, faults, agent, party):
     flow = Flow(faulty(), agent, party)
     flow.host.reply = lambda request: (500,) if request.headers["X-Txn"] == "t2" else request.hang()
@@ -169,10 +199,7 @@
     hand_in_for(flow, 0.5)
     rule.end()
     taken = [flow.hand_in(within=BACK) for _ in range(3)]
-    flow.settle()
-    flow.program.kill()
-    flow.restart()
-    flow.settle()
+    held_over_a_kill(flow)
     assert text.delivered and all(each.ended for each in taken) and flow.check() == []
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -237,3 +237,14 @@
     relay.end(earlier, Result.DELIVERED, over=True)
     relay.policy.text_over(NOW, earlier)
     assert relay.sent(NOW + 1) == {later: HOST}
+
+
+def test_a_repeat_that_a_relay_held_up_would_send_past_its_window_does_not_go(relay):
+    """A relay may lose 0.15 s between its clock and the last byte of a call."""
+    text, first = relay.take(NOTICE), relay.take(NOTICE)
+    relay.out(text, Result.ERROR)
+    window_end = NOW + relay.policy.terms.products[NOTICE].repeat_window
+    held_up = S * 15 // 100
+    assert relay.policy.may_go(window_end - held_up - 1, text, HOST)
+    assert not relay.policy.may_go(window_end - held_up, text, HOST)
+    assert relay.policy.may_go(window_end - 1, first, HOST)
