Tests of early ends while the folder fails, seen to fail without the gate

The test on real relays ended before the repeat it looks for (a told wait ends a text only while submits are planned, which the gate stops); three tests of the driver with an empty bucket take its place beside it: with notices sent at once all three fail.

--- a/tests/test_failing_folder.py
+++ b/tests/test_failing_folder.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from conftest import SETTINGS, WAIT
+from conftest import WAIT
 from faults.flow import Flow
 
 from limelatch.folder_gate import FolderGate
@@ -98,10 +98,10 @@
 
 
 def test_an_early_end_is_told_only_once_a_restart_would_know_it(faulty, faults, agent, party):
-    """Refused at its only submit, with time left; neither outcome nor end is written before the kill."""
-    limits = SETTINGS["limits"] | {"maxAttempts": 1}
-    flow = Flow(faulty(settings=SETTINGS | {"limits": limits}), agent, party)
-    flow.host.reply = lambda request: (503,)
+    """Told to wait beyond its time, it ends at once; neither outcome nor end is written before the kill, and
+    the restart knows of no wait."""
+    flow = Flow(faulty(), agent, party)
+    flow.host.reply = lambda request: request.answer(429, Retry_After="30")
     flow.start()
     faults.fail("write", errno.EIO, path=LEDGER, skip=2)
     flow.hand_in()
--- a/tests/test_terms_restart.py
+++ b/tests/test_terms_restart.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import time
 from collections import Counter
 from types import SimpleNamespace
@@ -13,6 +15,7 @@
 
 from limelatch.configuration import plan_of
 from limelatch.configuration.platform import read_platform
+from limelatch.folder_gate import RETRY_AFTER
 from limelatch.interface import MS, Result
 from limelatch.relay.driver import Driver
 from limelatch.relay.hosts import Call, Outcome
@@ -235,3 +238,41 @@
     assert told["ref"] == "t1" and told["result"] == ("dead" if product == "notice" else "bounced")
     client.submit("t2", "report")
     assert host.next().headers["X-Txn"] == "t2" and host.asked.empty()
+
+
+def refuse_writes(monkeypatch):
+    def refuse(file, raw):
+        raise OSError(errno.EIO, "Input/output error")
+
+    monkeypatch.setattr(os, "write", refuse)
+
+
+@pytest.mark.parametrize("mended", [True, False])
+def test_an_early_end_waits_for_its_record_while_the_folder_fails(life, monkeypatch, mended):
+    """No token is left for a repeat. A kill before the record would have a restart send it after its end."""
+    life.hand_in(b"r", b"report")
+    life.driver.policy.dests[1].tokens = 0
+    refuse_writes(monkeypatch)
+    life.answered(Result.FULL)
+    life.driver.turn()
+    assert life.ended == {}
+    if mended:
+        monkeypatch.undo()
+        life.clock.advance(RETRY_AFTER / S)
+    else:
+        life.clock.advance((8 * S - KILLED_AFTER) / S)
+        assert life.ended == {}
+        life.clock.advance(KILLED_AFTER / S)
+    assert life.ended == {b"r": "bounced"}
+
+
+def test_a_text_open_at_a_kill_while_the_folder_fails_is_sent_again_and_ends_once(life, monkeypatch):
+    life.hand_in(b"r", b"report")
+    life.driver.policy.dests[1].tokens = 0
+    refuse_writes(monkeypatch)
+    life.answered(Result.FULL)
+    life.driver.turn()
+    assert life.ended == {}
+    monkeypatch.undo()
+    life.killed(S // 2)
+    assert life.calls(b"r") == [b"a", b"a"] and life.ended == {}
