--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -89,13 +89,13 @@
         {"bytes": "that were cut"},
     ),
     "folder-failing": Event(
-        "driver",
+        "ledger",
         ERROR,
         "the folder takes no more: no text is taken on and no call goes out until it does",
         {"why": "call, errno and path", "bytes": "that wait to be written", "left_out": HELD_DOWN},
     ),
     "folder-mended": Event(
-        "driver",
+        "ledger",
         WARNING,
         "what waited has been written; texts are taken on and calls go out again",
         {"after_ms": "since the first failure"},
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -11,7 +11,6 @@
 from limelatch.configuration import RelayPlan
 from limelatch.configuration.changes import changes
 from limelatch.configuration.model import Reload
-from limelatch.folder_gate import RETRY_AFTER, FolderGate
 from limelatch.logs import HeldDown, logger, say
 from limelatch.logs import start as start_logs
 from limelatch.policy import Policy
@@ -19,8 +18,9 @@
 from limelatch.relay.catalog import BadList, Catalog
 from limelatch.relay.clients import Client, Listener, Handed
 from limelatch.relay.clock import Clock
-from limelatch.relay.deadlines import Deadline, Deadlines
+from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.door import Door, DoorError, HostsOut
+from limelatch.relay.folder_watch import FolderWatch
 from limelatch.relay.hosts import Call, Outcome, Parcel, HostPool
 from limelatch.relay.ledger import Ledger
 from limelatch.relay.list_copy import ListCopy
@@ -69,10 +69,9 @@
         self.started_with = plan.told
         self.deadlines = Deadlines(reactor, clock)
         self.policy = Policy(plan.terms, clock.now())
-        self.folder_gate = FolderGate()
-        self._folder_try: Deadline | None = None
-        self._unrecorded: dict[bytes, dict] = {}  # notices whose record the folder has not taken yet
-        self.ledger = Ledger(plan.state, plan.disk_bytes, plan.memory_bytes, self._folder_told)
+        self.folder = FolderWatch(clock, self.deadlines, self._notify, self.soon)
+        self.ledger = Ledger(plan.state, plan.disk_bytes, plan.memory_bytes, self.folder.told)
+        self.folder.ledger = self.ledger
         self.wall_watch = WallWatch(
             clock, self.deadlines, AnchorFile(plan.state), lambda: not self.ledger.beside
         )
@@ -172,36 +171,6 @@
         say(log, "taken-over", owed=len(self.owed), adopted=len(entries))
         self.soon()
 
-    # The folder that lasts.
-
-    def _folder_told(self, error: OSError | None) -> None:
-        """A write of the ledger has failed, or worked again."""
-        now = self.clock.now()
-        if error is None:
-            if (span := self.folder_gate.worked(now)) is not None:
-                say(log, "folder-mended", after_ms=span // li.MS)
-                self._send_recorded()
-        else:
-            self.folder_gate.failed(now)
-            self.held_down("folder-failing", why=error, bytes=len(self.ledger.behind))
-            if self._folder_try is None:
-                self._folder_try = self.deadlines.after(RETRY_AFTER, self._try_folder)
-
-    def _try_folder(self) -> None:
-        """What waits in memory is written before anything new."""
-        self._folder_try = None
-        if self.folder_gate.failing_since is not None and self.ledger.try_again():
-            self.soon()
-
-    def _send_recorded(self) -> None:
-        """All records are in the folder: the notices that waited for theirs go now."""
-        for text in list(self._unrecorded):
-            self._send_notice(text)
-
-    def _send_notice(self, text: bytes) -> None:
-        if (notice := self._unrecorded.pop(text, None)) is not None:
-            self.notifier.notice(text, notice)
-
     def _keys_before(self) -> None:
         """In the seat: keys whose texts the process before still holds go after those, in order."""
         products, names = self.plan.terms.products, self.plan.names.products
@@ -328,6 +297,7 @@
         that was read has to be answered, one that was not is sent again by its client."""
         if not self._ended:
             self._ended = True
+            self.folder.last_try()
             self.listener.last_words()
             if self.peers is not None:
                 self.peers.stop()
@@ -448,7 +418,7 @@
             f"+OK serving owed={len(self.owed)} hosts={len(self.catalog.directory)} "
             f"out={len(self.out.counts)}"
             f" paused={'yes' if self.listener.paused else 'no'}"
-            f" folder={'ok' if self.folder_gate.failing_since is None else 'failing'}"
+            f" folder={'ok' if self.folder.gate.failing_since is None else 'failing'}"
         )
 
     def pause(self) -> str:
@@ -563,7 +533,7 @@
         if self.ledger.beside:
             self._keys_before()
         now = self.clock.now()
-        actions = self.policy.decide(now, self.folder_gate.may_submit)
+        actions = self.policy.decide(now, self.folder.gate.may_submit)
         arrived, self.arrived = self.arrived, {}  # an answer may bring a client's next text, for a later turn
         for action in actions:
             if isinstance(action, (li.Nack, li.Undeliverable)) and action.text in arrived:
@@ -652,11 +622,9 @@
         if log.isEnabledFor(DEBUG):
             left = (owed.text.valid_until - self.clock.now()) // li.MS
             say(log, "text-ended", text=owed.text.id, result=notice["result"], left_ms=left)
-        text, now = owed.text, self.clock.now()
+        text = owed.text
         recorded = self.ledger.owed(text.id, notice)
-        due = self.folder_gate.notice_due(now, text.valid_until, recorded)
-        if due <= now:
-            self.notifier.notice(text.id, notice)
-        else:
-            self._unrecorded[text.id] = notice
-            self.deadlines.at(due, lambda: self._send_notice(text.id))
+        self.folder.end(text.id, notice, text.valid_until, recorded)
+
+    def _notify(self, text: bytes, notice: dict) -> None:
+        self.notifier.notice(text, notice)
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -1,7 +1,13 @@
 """What a new process makes of the timeline that the one before it left in the folder."""
 
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
 import pytest
 
+import limelatch
 from limelatch.interface import SECOND
 from limelatch.relay.anchor_file import FILE, AnchorFile
 from limelatch.relay.clock import Anchor, BadAnchor, Machine, Resumption, begin_in_doubt, resume
@@ -107,3 +113,36 @@
     (tmp_path / FILE).mkdir()
     with pytest.raises(OSError, match=FILE):
         AnchorFile(str(tmp_path)).clock()
+
+
+CLOCKS = {"time", "time_ns", "monotonic", "monotonic_ns", "perf_counter", "clock_gettime", "now", "utcnow"}
+OWNERS = {"clock.py", "reactor.py"}
+
+
+def clock_readings(path):
+    """Calls and uses of the standard library's clocks in a module."""
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name):
+            if node.value.id in ("time", "datetime") and node.attr in CLOCKS:
+                yield f"{path.name}:{node.lineno} {node.value.id}.{node.attr}"
+        if isinstance(node, ast.ImportFrom) and node.module in ("time", "twisted.internet"):
+            names = {each.name for each in node.names} & (CLOCKS | {"reactor"})
+            yield from (f"{path.name}:{node.lineno} {node.module}.{name}" for name in names)
+
+
+def test_nothing_of_the_relay_reads_a_clock_but_its_owner():
+    """A span by the wall clock, or by a reactor that runs on it, is what stopped relays in pre-production."""
+    root = Path(limelatch.__file__).parent
+    modules = [root / "policy.py", root / "folder_gate.py", root / "logs.py"]
+    modules += [*(root / "relay").glob("*.py"), *(root / "membership").glob("*.py")]
+    found = [line for path in modules if path.name not in OWNERS for line in clock_readings(path)]
+    assert found == []
+
+
+def test_the_reactor_runs_on_the_monotonic_clock():
+    """In a process of its own: a reactor is installed once."""
+    words = (
+        "from limelatch.relay.reactor import reactor; import time; print(reactor.seconds is time.monotonic)"
+    )
+    done = subprocess.run([sys.executable, "-c", words], capture_output=True, text=True)
+    assert done.stdout == "True\n", done.stderr
--- a/tests/test_terms_cold.py
+++ b/tests/test_terms_cold.py
@@ -300,3 +300,17 @@
 def test_few_relays_keep_to_the_budget_without_being_refused(cold, alive):
     for allowed in (1, 5, 20):
         assert World(cold, allowed, alive, alive, patient=True).run().worst() <= 0, allowed
+
+
+def unevenly(chance: Random, now: int) -> int:
+    """Some relays get thirty times what others do."""
+    return MS + int(chance.expovariate(1.0) * chance.choice([60, 200, 2000]) * MS)
+
+
+@pytest.mark.parametrize("alive", [1, 2, 5, 20, 60])
+def test_the_budget_binds_for_any_number_of_relays_and_calls_allowed(alive):
+    """By the stricter form, N + 2 x root of N + 2, also under 30 calls; even traffic and uneven."""
+    for allowed in (1, 2, 5, 20, 29, 30, 100, 200):
+        for demand in (None, unevenly):
+            world = World(NAVRANG, allowed, alive, allowed, symptom="shut", demand=demand).run()
+            assert world.worst() <= 0, (allowed, demand)
