A start waits 5 s for a disk that fails for a moment, and hosts out by hand are never forgotten for it

Now OSError there is told like the ledger's; a start asks again for 5 s on EIO, ENOSPC, EDQUOT, EMFILE, ENFILE, ENOMEM, then ends with its line. Ledger gives its lock back on a start that fails, else the next try would find the folder in use and take the seat.

Failed try: the hosts' file read after the ledger had its lock: the second try took the seat.

--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -7,6 +7,7 @@
 import resource
 import signal
 import sys
+import time
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -16,11 +17,17 @@
 from limelatch.configuration import ConfigurationError, Form, RelayPlan, relay_plan, retuned_plan
 from limelatch.configuration.files import fault_lines, form_of
 from limelatch.configuration.plan import SOCKETS_LEAST, Shares
+from limelatch.interface import SECOND
 from limelatch.relay.anchor_file import AnchorFile
+from limelatch.relay.clock import monotonic_now
 from limelatch.relay.driver import Driver
 from limelatch.relay.reactor import reactor
 
 DONE, FAILED, BAD_USE = 0, 1, 2  # exit codes, the same for every command
+FOLDER_WAIT, FOLDER_PAUSE_SECONDS = 5 * SECOND, 0.05
+PASSING = frozenset(  # what a disk or a machine may say for a while
+    {errno.EIO, errno.ENOSPC, errno.EDQUOT, errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.EINTR}
+)
 
 
 class Tie(Protocol):
@@ -45,6 +52,18 @@
     return replace(plan, sockets=most, shares=Shares.of(most))
 
 
+def open_folder(plan: RelayPlan) -> Driver:
+    """The relay on its folder. OSError where the disk fails for longer than `FOLDER_WAIT`."""
+    until = monotonic_now() + FOLDER_WAIT
+    while True:
+        try:
+            return Driver(plan, reactor, AnchorFile(plan.state).clock())
+        except OSError as error:
+            if error.errno not in PASSING or monotonic_now() >= until:
+                raise
+            time.sleep(FOLDER_PAUSE_SECONDS)
+
+
 def main(path: str | None = None, form: Form | None = None, tied: bool = False) -> int:
     """Serve until SIGTERM; SIGHUP reads the configuration again: `path`, else what $RELAY_CONFIG names.
 
@@ -57,7 +76,7 @@
         logs.take_twisteds()
         logs.start(plan.log)
         plan = within(plan, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-        driver = Driver(plan, reactor, AnchorFile(plan.state).clock())
+        driver = open_folder(plan)
     except ConfigurationError as error:
         path = path or os.environ.get("RELAY_CONFIG") or "RELAY_CONFIG"
         for line in fault_lines(error, path, form or form_of(path)):
--- a/limelatch/relay/anchor_file.py
+++ b/limelatch/relay/anchor_file.py
@@ -6,6 +6,7 @@
 
 from limelatch.logs import logger, say
 from limelatch.relay.clock import ANCHOR_MOST, Anchor, BadAnchor, Clock, Machine, begin_in_doubt, resume
+from limelatch.relay.ledger import named
 from limelatch.relay.whole_file import replace_whole
 
 log = logger("deadlines")
@@ -23,8 +24,9 @@
         """The timeline that the folder's texts are on. Raises OSError where the file can't be read."""
         machine = Machine.read()
         try:
-            with open(self.path, "rb") as file:
-                timeline = resume(Anchor.decode(file.read(ANCHOR_MOST)), machine)
+            with named("read", self.path), open(self.path, "rb") as file:
+                line = file.read(ANCHOR_MOST)
+            timeline = resume(Anchor.decode(line), machine)
         except FileNotFoundError:
             timeline = resume(None, machine)
         except BadAnchor as error:
--- a/limelatch/relay/door.py
+++ b/limelatch/relay/door.py
@@ -14,6 +14,7 @@
 
 from limelatch.interface import SECOND, HostEntry, HostId, Listing
 from limelatch.logs import HeldDown, logger, say
+from limelatch.relay.ledger import named
 from limelatch.relay.slots import Slots
 from limelatch.relay.whole_file import replace_whole
 
@@ -38,13 +39,15 @@
 class HostsOut:
     """Hosts out by hand: how often each was suspended; kept in the folder so that they outlast the process.
 
-    Two processes share the folder during an upgrade: the file is replaced whole, never written in place."""
+    Two processes share the folder during an upgrade: the file is replaced whole, never written in place.
+    OSError where the file is there and the disk does not give it: no host that is out must be sent to."""
 
     def __init__(self, folder: str) -> None:
         self.path, self.counts = os.path.join(folder, FILE), {}
         try:
-            with open(self.path, "rb") as file:
-                told = json.loads(file.read(OUT_MOST * 300))
+            with named("read", self.path), open(self.path, "rb") as file:
+                raw = file.read(OUT_MOST * 300)
+            told = json.loads(raw)
             self.counts = {
                 host.encode(): int(count)
                 for host, count in told.items()
@@ -52,7 +55,7 @@
             }
         except FileNotFoundError:
             pass
-        except (OSError, ValueError, AttributeError) as error:  # torn: written anew at the next call
+        except (ValueError, AttributeError) as error:  # torn: written anew at the next call
             say(log, "out-not-read", why=error)
 
     def seen(self, entry: HostEntry) -> HostEntry:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -69,6 +69,7 @@
         self.started_with = plan.told
         self.deadlines = Deadlines(reactor, clock)
         self.policy = Policy(plan.terms, clock.now())
+        self.out = HostsOut(plan.state)  # by hand, through the door; read before the folder is locked
         self.folder = FolderWatch(clock, self.deadlines, self._notify, self.soon)
         self.ledger = Ledger(plan.state, plan.disk_bytes, plan.memory_bytes, self.folder.told)
         self.folder.ledger = self.ledger
@@ -79,7 +80,6 @@
         self.owed: dict[bytes, Owed] = {}
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
         self.hosts: dict[li.HostId, li.HostEntry] = {}  # of the destinations at work, as last told
-        self.out = HostsOut(plan.state)  # by hand, through the door
         self.held_down = HeldDown(log, clock)
         self._turn_due, self.ready, self._stop_at, self._stop_least_at = False, False, None, 0
         self.failed, self._ended, self._port_until = False, False, None
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -41,6 +41,8 @@
     """An OSError inside is raised on with the call and the path, whatever it had of them."""
     try:
         yield
+    except FileNotFoundError:
+        raise
     except OSError as error:
         raise OSError(error.errno, f"{call}: {error.strerror}", path) from None
 
@@ -122,8 +124,12 @@
             with named("mkdir", self.seat):
                 os.makedirs(self.seat, exist_ok=True)
             self._lock = lock_seat(self.seat)
-        self._open()
-        self._replay()
+        try:
+            self._open()
+            self._replay()
+        except OSError:
+            close_quietly(self._lock)  # else a further try would find the folder in use
+            raise
         if self.seat_left:
             self.take_seat()
 
--- a/tests/test_failing_folder.py
+++ b/tests/test_failing_folder.py
@@ -10,6 +10,8 @@
 
 from limelatch.folder_gate import FolderGate
 from limelatch.interface import SECOND
+from limelatch.relay import door
+from limelatch.relay.door import HostsOut
 from limelatch.relay.ledger import FILE, SEAT, Ledger
 
 SPANS = [0.4, 3.0]  # seconds
@@ -188,6 +190,22 @@
     assert {each: each.read_bytes() for each in flow.program.state.iterdir() if each.is_file()} == before
 
 
+@pytest.mark.parametrize(
+    "call, name", [("open", "EIO"), ("open", "EMFILE"), ("read", "EIO"), ("flock", "EIO")]
+)
+@pytest.mark.parametrize("path", ["state/ledger", "state/clock", "state/out"])
+def test_a_folder_that_fails_for_a_moment_at_a_start_delays_it(flow, faults, path, call, name):
+    """A host that is out by hand stays out: nothing is sent to it."""
+    host = b"s-1"
+    flow.program.kill()
+    HostsOut(str(flow.program.state)).suspend(host)
+    faults.fail(call, getattr(errno, name), path=path, seconds=1.0)
+    flow.restart()
+    assert flow.client.submit("t0", d=300) in ("+OK", "-BUSY 2000")
+    threading.Event().wait(0.5)
+    assert flow.host.asked.empty() and flow.check() == []
+
+
 def test_a_torn_tail_that_cannot_be_cut_at_a_start_is_cut_before_the_first_write(flow, faults):
     text = flow.hand_in()
     flow.settle()
@@ -226,8 +244,6 @@
 
 
 def test_a_host_taken_out_by_hand_is_out_only_where_the_folder_keeps_it(tmp_path, monkeypatch):
-    from limelatch.relay import door
-
     out = door.HostsOut(str(tmp_path))
 
     def refuse(path, content):
