--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -94,7 +94,7 @@
         self.arguments: list[bytes] = []
         self.missing = self.size = 0  # arguments of the command still to come, bytes of those that came
         self.too_large, self.skip, self.waiting, self.all_said = False, 0, False, False
-        self.lingers = False  # closed for writing; what still comes is read past
+        self.lingers, self.passed = False, 0  # closed for writing; bytes that were read past since
         self.asked, self.bad, self.held = False, 0, 0  # held: bytes that the listener counts for it
         self.heard_at = self.begun_at = listener.driver.clock.now()  # begun: the command that is coming
         self.deadline = None
@@ -155,6 +155,12 @@
         self.transport.loseWriteConnection()
         self.transport.resumeProducing()
 
+    def _read_past(self, size: int) -> None:
+        """Guards against a client that sends without end: what a command may hold is read past, no more."""
+        self.passed += size
+        if self.passed > COMMAND_MOST:
+            self.transport.abortConnection()
+
     def between_requests(self) -> bool:
         return not self.waiting and not self.missing and not self.inbound
 
@@ -165,6 +171,9 @@
         return self.ending is None and self.between_requests() and not waits(self.transport)
 
     def dataReceived(self, data: bytes) -> None:
+        if self.lingers:
+            self._read_past(len(data))
+            return
         self.heard_at = self.listener.driver.clock.now()
         if self.number is not None:
             self.listener.heard(self)
