--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -51,7 +51,6 @@
 
 
 STEPS = [-3600, -60, -3, -0.5, 0.5, 3, 60, 3600]  # seconds
-RESTART = 1.5  # seconds after a restart within which no notice is overdue, as the protocol has it
 WINDOW = 2.0  # seconds in which the hosts here know a repeat
 NOTICE, *OTHERS = SETTINGS["classes"]
 SHORT = SETTINGS | {"classes": [NOTICE | {"dedupWindow": WINDOW * 1000, "group": "all"}, *OTHERS]}
@@ -77,8 +76,7 @@
 @pytest.mark.parametrize("step", STEPS)
 def test_a_step_while_texts_wait_moves_no_end_no_told_wait_and_no_repeat(faulty, faults, agent, party, step):
     program = faulty()
-    host = party(lambda request: (429, b"") if request.headers["X-Txn"] == "told" else (200,))
-    host.reply = lambda request: request.answer(429, Retry_After="0.8")
+    host = party(lambda request: request.answer(429, Retry_After="0.8"))
     silent = party(hang)
     agent.list(host.address)
     agent.list(silent.address, "s-2", dest=2)
--- a/tests/test_terms_restart.py
+++ b/tests/test_terms_restart.py
@@ -240,22 +240,24 @@
     assert host.next().headers["X-Txn"] == "t2" and host.asked.empty()
 
 
-def refuse_writes(monkeypatch):
+def end_early_unrecorded(life, monkeypatch):
+    """A refused text without a token for a repeat ends with time left, and the folder takes no record."""
+
     def refuse(file, raw):
         raise OSError(errno.EIO, "Input/output error")
 
+    life.hand_in(b"r", b"report")
+    life.driver.policy.dests[1].tokens = 0
     monkeypatch.setattr(os, "write", refuse)
+    life.answered(Result.FULL)
+    life.driver.turn()
+    assert life.ended == {}
 
 
 @pytest.mark.parametrize("mended", [True, False])
 def test_an_early_end_waits_for_its_record_while_the_folder_fails(life, monkeypatch, mended):
     """No token is left for a repeat. A kill before the record would have a restart send it after its end."""
-    life.hand_in(b"r", b"report")
-    life.driver.policy.dests[1].tokens = 0
-    refuse_writes(monkeypatch)
-    life.answered(Result.FULL)
-    life.driver.turn()
-    assert life.ended == {}
+    end_early_unrecorded(life, monkeypatch)
     if mended:
         monkeypatch.undo()
         life.clock.advance(RETRY_AFTER / S)
@@ -267,12 +269,7 @@
 
 
 def test_a_text_open_at_a_kill_while_the_folder_fails_is_sent_again_and_ends_once(life, monkeypatch):
-    life.hand_in(b"r", b"report")
-    life.driver.policy.dests[1].tokens = 0
-    refuse_writes(monkeypatch)
-    life.answered(Result.FULL)
-    life.driver.turn()
-    assert life.ended == {}
+    end_early_unrecorded(life, monkeypatch)
     monkeypatch.undo()
     life.killed(S // 2)
     assert life.calls(b"r") == [b"a", b"a"] and life.ended == {}
