--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -341,6 +341,14 @@
         self.process.send_signal(signal.SIGTERM)
 
 
+@pytest.fixture
+def interruptible():
+    """Processes that the test starts hear SIGINT, also where this one ignores it (a shell's background job)."""
+    before = signal.signal(signal.SIGINT, signal.default_int_handler)
+    yield
+    signal.signal(signal.SIGINT, before)
+
+
 @pytest.fixture
 def agent():
     agent = Agent()
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -86,20 +86,26 @@
 
 
 def pytest_collection_finish(session: pytest.Session) -> None:
-    known, config = session.config.stash[KNOWN], session.config
+    known = session.config.stash[KNOWN]
     known.collected = {item.nodeid for item in session.items}
-    named = config.args_source is pytest.Config.ArgsSource.ARGS
-    left_out = config.option.ignore or config.option.ignore_glob
-    known.whole = known.whole and not named and not left_out
+    known.whole = known.whole and not narrowed(session.config)
+
 
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_node_collection_finished(node: object, ids: list[str]) -> None:
+    """Of a run in parallel: the workers collect, and this process hears of it."""
+    config = node.config
+    known = config.stash[KNOWN]
+    known.collected |= set(ids)
+    # Deselection happens in the workers: its options stand here too.
+    chosen = config.option.keyword or config.option.markexpr or config.option.deselect
+    known.whole = known.whole and not narrowed(config) and not chosen
 
-@pytest.hookimpl(wrapper=True)
-def pytest_runtest_protocol(item: pytest.Item, nextitem: pytest.Item | None):
-    result = yield
-    known = item.config.stash[KNOWN]
-    if item.nodeid in known.lines:
-        known.over.add(item.nodeid)
-    return result
+
+def narrowed(config: pytest.Config) -> bool:
+    """Whether the command line names tests or leaves some out."""
+    named = config.args_source is pytest.Config.ArgsSource.ARGS
+    return bool(named or config.option.ignore or config.option.ignore_glob)
 
 
 class Watch:
@@ -112,6 +118,8 @@
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
         if self.known.is_known(report):
             self.known.failures.setdefault(report.nodeid, []).append(report)
+        if report.when == "teardown" and report.nodeid in self.known.lines:
+            self.known.over.add(report.nodeid)
 
 
 def pytest_sessionstart(session: pytest.Session) -> None:
@@ -128,7 +136,8 @@
 @pytest.hookimpl(tryfirst=True)
 def pytest_sessionfinish(session: pytest.Session, exitstatus: int) -> None:
     known, code = session.config.stash[KNOWN], pytest.ExitCode
-    if not known.lines or session.config.option.collectonly:
+    is_worker = hasattr(session.config, "workerinput")  # of a run in parallel, which its own process judges
+    if not known.lines or session.config.option.collectonly or is_worker:
         return
     stopped = bool(session.shouldstop or session.shouldfail) or exitstatus not in (code.OK, code.TESTS_FAILED)
     known.judge(stopped)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -65,6 +65,22 @@
     )
 
 
+@pytest.mark.parametrize(
+    "tests, listed, code, says",
+    [
+        ("green red", ["red"], 0, "KNOWN RED tests/test_one.py::test_red | the cause | issue 40"),
+        ("green red second", ["red"], 1, "FAILED tests/test_one.py::test_second*"),
+        ("green red", ["red", "green"], 1, "*test_green is listed, and it did not fail: take its line out"),
+        ("green red", ["red", "gone"], 1, "*test_gone is listed, and there is no such test"),
+    ],
+)
+def test_a_run_in_parallel_judges_the_list_as_one_process_does(run, pytester, tests, listed, code, says):
+    lines = [line(name) for name in listed]
+    result = run(tests, *lines, args=["--numprocesses=2"], how=pytester.runpytest_subprocess)
+    assert result.ret == code
+    result.stdout.fnmatch_lines([says])
+
+
 def test_three_listed_failures_are_passed_over(run):
     result = run("red second each", line("red"), line("second"), line("each[2]"))
     assert result.ret == 0
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -332,7 +332,7 @@
         rec.Reader(path)
 
 
-def test_an_interrupted_run_leaves_a_readable_record_and_no_process(tmp_path):
+def test_an_interrupted_run_leaves_a_readable_record_and_no_process(tmp_path, interruptible):
     path = tmp_path / "long.toml"
     path.write_text(SHORT.replace('"8s"', '"60s"'))
     process = subprocess.Popen(
