--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -343,7 +343,7 @@
 
 @pytest.fixture
 def interruptible():
-    """Processes that the test starts hear SIGINT, also where this one ignores it (a shell's background job)."""
+    """Processes that the test starts hear SIGINT, also where a shell has it ignored."""
     before = signal.signal(signal.SIGINT, signal.default_int_handler)
     yield
     signal.signal(signal.SIGINT, before)
