One answer for a key's turn over both processes of an upgrade, with its rest in the ledger

Lines at fault: policy.py kept rests in memory alone (Policy.rests), and text_taken rested keys only for calls without an outcome (Past.out), while the reactor's end writes ENDED for calls it cuts; driver._keys_before looked from the new process into the old one's ledger and never the other way, kept texts by the new settings' products, and put adopted texts first whenever they had been handed in (earlier=True); may_go asked nothing of the turn. Change: limelatch/key_order.py decides for both processes; TAKEN has the time of handing in and whether the product is in order, ENDED the rest, WAIT a told wait; relay/handover.py (taken out of the driver) and relay/sibling.py follow the other ledger both ways, and the check is made once more under a lock as GOING is written. A dead successor's texts are adopted by the old process within 0.25 s; it held them until a restart. Failed tries of tests: a stand-in that answered 429 with a wrong call, and a client that rested 2 s before its first command.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -133,6 +133,17 @@
         "a submit is written to a host",
         {"text": TEXT, "key": KEY, "host": HOST, "submit": "its number for the text, the first is 1"},
     ),
+    "submit-held": Event(
+        "driver",
+        DEBUG,
+        "the connection for a submit has come up, and its key's turn is another text's",
+        {
+            "text": TEXT,
+            "key": KEY,
+            "host": HOST,
+            "why": "line, sibling (the other process in an upgrade) or rest",
+        },
+    ),
     "submit-ended": Event(
         "driver",
         DEBUG,
--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -115,6 +115,7 @@
     customer: int = 0
     key: int | bytes = 0
     again: bool = False  # its client hands it in again after a nack
+    handed_in_at: int | None = None  # its place in its key's order; None: as it is told
 
 
 @dataclass(slots=True)
@@ -129,7 +130,7 @@
     ran_zone: int | None = None
     out: bool = False
     answered: bool = False
-    earlier: bool = False  # taken over from the process before, in an upgrade: ahead of this one's in its key
+    in_order: bool | None = None  # as its product was when it was taken on; None: as its product is now
 
 
 @dataclass(slots=True)
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -16,13 +16,14 @@
 from __future__ import annotations
 
 import heapq
-from collections import defaultdict, deque
+from collections import defaultdict
 from math import sqrt
 
 from limelatch.chance import Chance
 from limelatch.interface import (MS, SECOND, Action, CloseIdle, Effect, Forget, HostEntry, HostId, Listing,
                                  LogLine, Nack, Past, Product, Result, Submit, SubmitReport, Terms, Text,
                                  TextId, Undeliverable, Wake, Watch)
+from limelatch.key_order import KeyOrder, Place
 
 # The design's figures; tokens are counted in tenths.
 BUCKET, REFILL, TOKEN = 200, 1, 10
@@ -61,7 +62,7 @@
 
     def __init__(self, text: Text, row: Product, past: Past) -> None:
         self.text, self.row, self.submits, self.due, self.found = text, row, past.submits, 0, past is not NEW
-        self.key = text.key if row.in_order else 0
+        self.key = text.key if (row.in_order if past.in_order is None else past.in_order) else 0
         self.ran_at = self.zone = None  # when and where the first submit that may have run was sent
         self.call = self.verdict = None  # the Call that it is out in, its final Action
         self.until = text.valid_until  # too late to send it: its validity period, or its product's window
@@ -165,12 +166,10 @@
         self.hosts: dict[HostId, Host] = {}
         self.dests: defaultdict[int, Destination] = defaultdict(Destination)
         self.active: dict[int, Destination] = {}  # those with texts waiting; a tick looks at no others
-        self.lines: dict[int | bytes, deque[TextId]] = {}  # texts in order, a line a key
-        self.rests: dict[int | bytes, int] = {}  # until when a key rests
+        self.order = KeyOrder()  # of texts of products in order, over all processes of the relay
         self.expiries: list[tuple[int, TextId]] = []
         self.slots_used, self.wake_at, self.stop_at = 0, now, NEVER
         self.rest = REST if terms.hosts_on_demand else NEVER  # of a destination, until it may be forgotten
-        self.elsewhere: set[bytes] = set()  # keys with texts open in the process before, in an upgrade
         self.ask_at, self.asked = NEVER, 0  # when to ask for the list; calls for it that failed in a row
         self.list_failed(now, calls=0)
         self.keep = int(terms.conn_idle * KEEP_PART)  # how long connections may stand idle
@@ -184,7 +183,7 @@
     def hosts_listed(self, now: int, entries: list[HostEntry], whole: bool, news: bool = True) -> None:
         """News of the list; what a whole list leaves out is gone. No news: of a destination met anew."""
         self.asked = 0 if news else self.asked
-        self.rests = {key: until for key, until in self.rests.items() if until > now}
+        self.order.forget_rests(now)
         for host in self.hosts.values() if whole else ():
             host.listing = Listing.GONE
         for host, entry in [(self._host(entry), entry) for entry in entries]:
@@ -214,10 +213,10 @@
         """A text from a client or, with its past, from this relay's time before a restart, in its order."""
         held = self.texts[text.id] = Held(text, self.terms.products[text.product], past)
         if held.key:
-            line = self.lines.setdefault(held.key, deque())
-            line.insert(0 if past.earlier else len(line), text.id)  # the process before took it earlier
+            handed_in_at = now if text.handed_in_at is None else text.handed_in_at
+            self.order.take(held.key, Place(text.id, handed_in_at, past.submits > 0))
         if past.out and held.key:
-            self.rests[held.key] = now + self.terms.turn_gap
+            self.order.rest(held.key, text.id, now + self.terms.turn_gap)
         if past.answered:
             self.unheard[text.id] = self.texts.pop(text.id)
         elif held.ran_at is not None and held.row.effect is Effect.ONCE_ONLY:
@@ -247,7 +246,7 @@
         if report.result in ANSWERED + UNANSWERED:  # it may have run
             held.may_have_run(call.sent, host.zone)
             if report.result is not Result.ERROR and held.key:
-                self.rests[held.key] = now + self.terms.turn_gap
+                self.order.rest(held.key, held.text.id, now + self.terms.turn_gap)
         if report.over:
             return self._forget(now, held)
         wait = self._jitter(held.submits)  # the design's test for a repeat, its token last
@@ -264,13 +263,19 @@
         if (held := self.unheard.pop(text, None) or self.texts.get(text)) and held.call is None:
             self._forget(now, held)
 
+    def wait_told_to_sibling(self, host: HostId, until: int) -> None:
+        """The other process of this relay was told to wait: the wait binds both."""
+        if (known := self.hosts.get(host)) is not None:
+            known.route.wait_until = max(known.route.wait_until, until)
+
     def stopping(self, until: int) -> None:
         self.stop_at = until
 
     def may_go(self, now: int, text: TextId, host: HostId) -> bool:
-        """Asked as the connection for a submit has come up: guards against a drain or wait told since."""
+        """Asked as the connection for a submit has come up: guards against a drain, a wait or an earlier text
+        of its key told since."""
         held, host = self.texts.get(text), self.hosts.get(host)
-        ready = held and host and host.listing is Listing.READY
+        ready = held and host and host.listing is Listing.READY and self._has_turn(now, held)
         return bool(ready) and host.route.wait_until <= now < held.until - (held.ran_at is not None) * HELD_UP
 
     def decide(self, now: int, submits: bool = True) -> list[Action]:
@@ -512,8 +517,7 @@
 
     def _has_turn(self, now: int, held: Held) -> bool:
         """A product in order: only the first text of its key, and after the key's rest."""
-        first = not held.key or self.lines[held.key][0] == held.text.id and held.key not in self.elsewhere
-        return first and (held.submits > 0 or self.rests.get(held.key, 0) <= now)
+        return not held.key or self.order.hold_of(now, held.key, held.text.id) is None
 
     def _opens_at(self, now: int, host: Host) -> int:
         """When the host takes one more call of this relay: slots, window, pace, health, warm-up."""
@@ -638,6 +642,4 @@
             dest.rest_at = now
             self.resting.setdefault(held.text.destination, now + self.rest)
         if held.key:
-            self.lines[held.key].remove(held.text.id)
-            if not self.lines[held.key]:
-                del self.lines[held.key]
+            self.order.over(held.key, held.text.id)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -21,6 +21,7 @@
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.door import Door, DoorError, HostsOut
 from limelatch.relay.folder_watch import FolderWatch
+from limelatch.relay.handover import Handover
 from limelatch.relay.hosts import Call, Outcome, Parcel, HostPool
 from limelatch.relay.ledger import Ledger
 from limelatch.relay.list_copy import ListCopy
@@ -32,8 +33,6 @@
 
 log, policy_log = logger("driver"), logger("policy")
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.MOOT)
-HAND_OVER_LOOK = li.SECOND // 10  # between two looks whether the process before has ended
-SEAT_LOOK = li.SECOND  # between two tries to take in what a successor left
 PORT_WAIT, PORT_LOOK = li.SECOND, li.SECOND // 20  # for a port that is in use at the start
 SHORTAGE_WAIT = 20 * li.SECOND  # for a machine without buffers or descriptors at the start
 LAST_LOOK = 20 * li.MS  # between two looks whether clients still ask, before an early end
@@ -81,6 +80,16 @@
         self.wall_watch = WallWatch(
             clock, self.deadlines, AnchorFile(plan.state), lambda: not self.ledger.beside
         )
+        self.handover = Handover(
+            self.ledger,
+            clock,
+            self.deadlines,
+            self.policy.order,
+            self._is_ordered,
+            self._adopt,
+            self.soon,
+        )
+        self._handed_in_last = 0
         self.slots: Slots[Owed] = Slots(max(plan.terms.max_texts, len(self.ledger.entries)))
         self.owed: dict[bytes, Owed] = {}
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
@@ -127,10 +136,7 @@
             say(log, "ledger-cut", bytes=self.ledger.cut)
         for entry in list(self.ledger.entries.values()):
             self._resume(now, entry)
-        if self.ledger.beside:
-            self.deadlines.after(HAND_OVER_LOOK, self._take_over)
-        elif self.ledger.seat_left:
-            self.deadlines.after(HAND_OVER_LOOK, self._take_seat)
+        self.handover.start()
         say(
             log,
             "started",
@@ -149,58 +155,37 @@
             self.catalog.connect()
         self.soon()
 
-    def _take_over(self) -> None:
-        """An upgrade: once the process before has ended, what it still owed is this one's."""
-        adopted = self.ledger.take_over()
-        if adopted is None:
-            if self.policy.elsewhere:
-                self.soon()  # a key that the process before has freed meanwhile is taken up
-            self.deadlines.after(HAND_OVER_LOOK, self._take_over)
-            return
-        self.policy.elsewhere = set()
-        self._adopt(adopted[::-1], earlier=True)  # each goes ahead of those in its key
-
-    def _take_seat(self) -> None:
-        """What a successor that has ended left in its seat: the folder could not be written at the start, or
-        the successor still lived."""
-        if adopted := self.ledger.take_seat():
-            self._adopt(adopted)
-        if self.ledger.seat_left:
-            self.deadlines.after(SEAT_LOOK, self._take_seat)
-
-    def _adopt(self, entries: list[Entry], earlier: bool = False) -> None:
+    def _adopt(self, entries: list[Entry]) -> None:
+        """Texts that another process of this relay has left are this one's."""
         self.slots.size = max(self.slots.size, len(self.owed) + len(entries))
         now = self.clock.now()
         for entry in entries:
-            self._resume(now, entry, earlier)
+            self._resume(now, entry)
         say(log, "taken-over", owed=len(self.owed), adopted=len(entries))
         self.soon()
 
-    def _keys_before(self) -> None:
-        """In the seat: keys whose texts the process before still holds go after those, in order."""
-        products, names = self.plan.terms.products, self.plan.names.products
-        self.policy.elsewhere = {
-            entry.pairs["key"].encode()
-            for entry in self.ledger.open_before()
-            if entry.pairs["product"] in names
-            and entry.pairs["key"]
-            and products[names.index(entry.pairs["product"])].in_order
-        }
-
-    def _resume(self, now: int, entry: Entry, earlier: bool = False) -> None:
+    def _is_ordered(self, product: str) -> bool:
+        """Whether a product is in order by the settings; one that they don't know counts as one that is."""
+        names = self.plan.names.products
+        return product not in names or self.plan.terms.products[names.index(product)].in_order
+
+    def _resume(self, now: int, entry: Entry) -> None:
         """A text that an earlier process took on: an end it still owes, or the module decides anew."""
         pairs, names, said = entry.pairs, self.plan.names, entry.pairs["customer"]
         known = pairs["product"] in names.products
         product = names.products.index(pairs["product"]) if known else 0
         customer = names.customers.index(said) if said in names.customers else 0
-        text = li.Text(entry.id, pairs["dest"], product, pairs["until"], customer, pairs["key"].encode())
-        row = self.plan.terms.products[product]
+        text = li.Text(entry.id, pairs["dest"], product, pairs["until"], customer, entry.key)
+        text.handed_in_at = entry.handed_in_at
+        self._handed_in_last = max(self._handed_in_last, entry.handed_in_at)
+        in_order = self._is_ordered(pairs["product"]) if entry.in_order is None else entry.in_order
+        row = replace(self.plan.terms.products[product], in_order=in_order)
         owed = self._own(Owed(text, pairs["mark"].encode(), entry.body, row, pairs["product"]))
         answered = entry.notice is not None or not known
         ran_at = entry.ran_at
         if ran_at is not None and ran_at < self.clock.certain_from:
             ran_at = min(ran_at, now - row.repeat_window)  # nobody knows how long ago: its window is over
-        past = li.Past(entry.submits, ran_at, entry.ran_zone, entry.out, answered, earlier)
+        past = li.Past(entry.submits, ran_at, entry.ran_zone, entry.out, answered, in_order)
         if log.isEnabledFor(DEBUG):
             say(
                 log,
@@ -214,6 +199,8 @@
             )
         self._meet(now, text.destination)
         self.policy.text_taken(now, text, past)
+        if entry.out and owed.key is not None:  # its rest has to outlast this process too
+            self.ledger.ended(entry.id, True, now, self._rest_of(owed, now))
         if entry.notice is not None:
             self.notifier.notice(entry.id, entry.notice)
         elif not known:
@@ -335,7 +322,9 @@
             row = names.products.index(product)
             most = self.plan.terms.products[row].validity_period or handed.valid_for
             until = now + min(handed.valid_for, most)
+            self._handed_in_last = max(now, self._handed_in_last + 1)  # each text has a time of its own
             text = li.Text(handed.id, handed.destination, row, until, number, handed.order)
+            text.handed_in_at = self._handed_in_last
             rules = self.plan.terms.products[row]
             self.arrived[handed.id] = self._own(Owed(text, handed.mark, handed.body, rules, product, client))
             self._meet(now, text.destination)
@@ -355,7 +344,7 @@
         if not self.catalog.holds_a_list:
             self.held_down("no-list", why="no list of hosts has been read yet")
             return Refusal("no-list", "-BUSY")
-        if handed.id in self.owed:
+        if handed.id in self.owed or self.handover.holds(handed.id):
             return Refusal("id-known", "-ERR this id was handed in before")
         if self._stop_at is not None:
             return Refusal("stopping", "-BUSY")
@@ -411,6 +400,12 @@
                 self.hosts[entry.host] = entry
                 self.pool.reach(entry.host, self.catalog.reached(entry.host))
         self.policy.hosts_listed(now, [self.out.seen(entry) for entry in entries], whole, news)
+        self._tell_waits()
+
+    def _tell_waits(self) -> None:
+        """Waits that the other process of this relay was told bind this one."""
+        for host, until in self.handover.waits.items():
+            self.policy.wait_told_to_sibling(host, until)
 
     def _leave(self, host: li.HostId) -> None:
         """The host is off the list, or its destination at rest."""
@@ -468,16 +463,30 @@
         return self.policy.may_go(now, text, host)
 
     def going(self, call: Call, parcel: Parcel) -> bool:
-        """A submit is about to be written; not where the ledger can't tell of it."""
+        """A submit is about to be written; not where the ledger can't tell of it, nor out of turn."""
         if (owed := self.owed.get(parcel.text)) is None:
             return False
+        if owed.key is None:
+            return self._record_going(owed, call)
+        hold = self.handover.claim(owed.key, parcel.text, lambda: self._record_going(owed, call))
+        if hold is not None:
+            say(log, "submit-held", text=parcel.text, key=owed.key, host=call.host, why=hold.value)
+        return owed.submit_out
+
+    def _record_going(self, owed: Owed, call: Call) -> bool:
+        text = owed.text.id
         zone = self.hosts[call.host].zone if call.host in self.hosts else -1
-        owed.submit_out = self.ledger.going(parcel.text, call.sent, zone)
+        owed.submit_out = self.ledger.going(text, call.sent, zone)
         if owed.submit_out and log.isEnabledFor(DEBUG):
-            submits = self.ledger.entries[parcel.text].submits
-            say(log, "submit-going", text=parcel.text, key=owed.key, host=call.host, submit=submits)
+            submits = self.ledger.entries[text].submits
+            say(log, "submit-going", text=text, key=owed.key, host=call.host, submit=submits)
         return owed.submit_out
 
+    def _rest_of(self, owed: Owed, now: int) -> int | None:
+        """Until when the text's key rests by a call of this text; None where it does not."""
+        rest = None if owed.key is None else self.policy.order.rests.get(owed.key)
+        return rest.until if rest is not None and rest.text == owed.text.id and rest.until > now else None
+
     def ended(self, call: Call, parcel: Parcel, outcome: Outcome) -> None:
         """A submit's outcome."""
         owed, now = self.owed.get(parcel.text), self.clock.now()
@@ -498,6 +507,7 @@
                 call.idle,
             ),
         )
+        rest = self._rest_of(owed, now)
         if log.isEnabledFor(DEBUG):
             say(
                 log,
@@ -508,13 +518,15 @@
                 result=outcome.result.value,
                 took_ms=(now - call.sent) // li.MS,
                 wait_ms=outcome.told_wait // li.MS or None,
-                rest_ms=max(0, self.policy.rests.get(owed.text.key, 0) - now) // li.MS or None,
+                rest_ms=(rest - now) // li.MS if rest is not None else None,
             )
+        if outcome.told_wait:
+            self.ledger.told_wait(call.host, now + outcome.told_wait, now)
+        if owed.submit_out and (rest is not None or not outcome.over):
+            self.ledger.ended(parcel.text, outcome.result not in NEVER_RAN, now, rest)
         if outcome.over:
             self.ledger.over(parcel.text)
             self._release(owed)
-        elif owed.submit_out:
-            self.ledger.ended(parcel.text, outcome.result not in NEVER_RAN)
         owed.submit_out = False
         self.soon()
 
@@ -548,8 +560,8 @@
         self._turn_due = False
         if not self.ready:
             return  # what an earlier process took on waits for the list too
-        if self.ledger.beside:
-            self._keys_before()
+        self.handover.look()
+        self._tell_waits()
         now = self.clock.now()
         actions = self.policy.decide(now, self.folder.gate.may_submit)
         arrived, self.arrived = self.arrived, {}  # an answer may bring a client's next text, for a later turn
@@ -613,6 +625,8 @@
             product=owed.product,
             until=row.valid_until,
             customer=names[row.customer] if names else "",
+            at=row.handed_in_at,
+            ordered=owed.row.in_order,
         ):  # a number does not outlast them
             if log.isEnabledFor(DEBUG):
                 valid_for = row.valid_until - self.clock.now()
--- /dev/null
+++ b/limelatch/relay/handover.py
@@ -0,0 +1,129 @@
+"""The two processes of an upgrade: what each learns of the other, and who takes over what one leaves.
+
+The new process waits in the seat for the end of the old one; the old one takes in what a successor that has
+ended left there. Meanwhile both tell `KeyOrder` what the other one holds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from limelatch.interface import SECOND, HostId
+from limelatch.key_order import Hold, Key, KeyOrder, Place
+from limelatch.relay.clock import Clock
+from limelatch.relay.deadlines import Deadlines
+from limelatch.relay.ledger import Ledger
+from limelatch.relay.records import Book, Entry
+from limelatch.relay.sibling import Sibling
+
+SIBLING_LOOK = SECOND // 10  # between two looks at a sibling that is there
+SEAT_LOOK = SECOND // 4  # between two looks whether one has come: a notice is overdue after 0.3 s
+
+
+class Handover:
+    """One process's part in an upgrade."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        clock: Clock,
+        deadlines: Deadlines,
+        order: KeyOrder,
+        is_ordered: Callable[[str], bool],
+        adopt: Callable[[list[Entry]], None],
+        soon: Callable[[], None],
+    ) -> None:
+        """`is_ordered`: whether a product is in order by this process's settings; `adopt` takes up texts of
+        another process; `soon` has the module decide."""
+        self._ledger, self._clock, self._deadlines, self._order = ledger, clock, deadlines, order
+        self._is_ordered, self._adopt, self._soon = is_ordered, adopt, soon
+        self._sibling, self._sibling_known = Sibling(ledger), ledger.beside
+        self.waits: dict[HostId, int] = {}  # told to the other process, until when
+
+    def start(self) -> None:
+        """Follow the sibling from now on, where there is one or one may come."""
+        self.learn(self._ledger.book)
+        look = self._take_over if self._ledger.beside else self._take_seat
+        self._deadlines.after(SIBLING_LOOK, look)
+
+    def learn(self, book: Book) -> None:
+        """Rests that a ledger tells bind this process too."""
+        now = self._clock.now()
+        for key, rest in book.rests.items():
+            if rest.until > now:
+                self._order.rest(key, rest.text, rest.until)
+
+    def look(self) -> None:
+        """Tell the order of keys, and the waits, what the sibling holds by now."""
+        if not self._sibling_known:
+            return
+        book = self._sibling.look()
+        if book is None:
+            self._order.sibling_holds(())
+            self._sibling_known = False
+            return
+        self.learn(book)
+        self._order.sibling_holds(self._places(book))
+        now = self._clock.now()
+        self.waits = {host: until for host, until in book.waits.items() if until > now}
+
+    def _places(self, book: Book) -> Iterator[tuple[Key, Place]]:
+        for entry in book.entries.values():
+            ordered = entry.in_order
+            if ordered is None:
+                ordered = self._is_ordered(entry.pairs["product"])
+            if ordered and entry.key:
+                yield entry.key, Place(entry.id, entry.handed_in_at, entry.submits > 0)
+
+    def holds(self, text: bytes) -> bool:
+        """Whether the other process has taken this text on: its client hands it in again, under the same id,
+        where the process that it was handed to has closed the connection or died."""
+        book = self._sibling.look() if self._sibling_known else None
+        return book is not None and text in book.entries
+
+    def claim(self, key: Key, text: bytes, going: Callable[[], bool]) -> Hold | None:
+        """Have the submit of a text in order recorded by `going`, if it still has its key's turn.
+
+        None where it goes. Guards against the other process doing the same between look and record: see
+        docs/design/key-order.md."""
+        if not self._sibling.has_ledger:
+            return self._go(key, text, going)
+        self._sibling_known = True
+        with self._sibling.claiming() as held:
+            if not held:
+                return Hold.SIBLING
+            self.look()
+            return self._go(key, text, going)
+
+    def _go(self, key: Key, text: bytes, going: Callable[[], bool]) -> Hold | None:
+        hold = self._order.hold_of(self._clock.now(), key, text)
+        if hold is None and going():
+            self._order.begin(key, text)
+        return hold
+
+    def _take_over(self) -> None:
+        """In the seat: once the process before has ended, what it still owed is this one's."""
+        adopted = self._ledger.take_over()
+        if adopted is None:
+            self._soon()  # a key that the process before has freed meanwhile is taken up
+            self._deadlines.after(SIBLING_LOOK, self._take_over)
+            return
+        now = self._clock.now()
+        self.waits = {host: until for host, until in self._ledger.book.waits.items() if until > now}
+        self._order.sibling_holds(())
+        self.learn(self._ledger.book)
+        self._sibling_known = False
+        self._sibling.close()
+        self._adopt(adopted)
+        self._deadlines.after(SEAT_LOOK, self._take_seat)
+
+    def _take_seat(self) -> None:
+        """In the folder: what a successor that has ended left in its seat is this process's."""
+        if self._ledger.seat_left and (adopted := self._ledger.take_seat()):
+            self._order.sibling_holds(())
+            self.learn(self._ledger.book)
+            self._adopt(adopted)
+        if self._ledger.seat_left:
+            self._sibling_known = True
+            self._soon()
+        self._deadlines.after(SIBLING_LOOK if self._sibling_known else SEAT_LOOK, self._take_seat)
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -16,7 +16,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 
-from limelatch.relay.records import LATER, BadRecord, Book, Entry, Kind, kept, record, split
+from limelatch.relay.records import LATER, BadRecord, Book, Entry, Kind, kept, kept_rest, record, split
 
 FILE, NEW_FILE, SEAT = "ledger", "ledger.new", "next"
 BLOCK = 512  # files count in whole blocks
@@ -110,7 +110,7 @@
         memory_bytes: int,
         told: Callable[[OSError | None], None] = lambda error: None,
     ) -> None:
-        self.folder, self.seat, self._before, self._told = folder, folder, None, told
+        self.folder, self.seat, self._told = folder, folder, told
         self._whole, self._memory = disk_bytes // BLOCK * BLOCK - OTHER_FILES * BLOCK, memory_bytes
         self.leave_room(0, at_once=True)
         self.book, self.size, self.cut, self.behind = Book(), 0, 0, b""
@@ -155,27 +155,12 @@
             return False
         return False
 
-    def open_before(self) -> list[Entry]:
-        """In the seat: the texts that the process before still holds, as its ledger tells them by now; as it
-        told them last where it can't be read."""
-        path = os.path.join(self.folder, FILE)
-        try:
-            with open(path, "rb") as file:
-                status = os.fstat(file.fileno())
-                if self._before is None or status.st_ino != self._before[1]:  # a first look, or a new file
-                    self._before = [Book(), status.st_ino, 0]
-                file.seek(self._before[2])
-                raw = file.read()
-        except OSError:
-            return [] if self._before is None else list(self._before[0].entries.values())
-        book = self._before[0]
-        for one in split(raw):
-            self._before[2] += len(one)
-            try:
-                book.apply(one)
-            except BadRecord:  # of another version: it says nothing of keys
-                continue
-        return list(book.entries.values())
+    @property
+    def sibling_path(self) -> str:
+        """The other process's ledger in an upgrade: the folder's, seen from the seat, and the other way."""
+        if self.beside:
+            return os.path.join(self.folder, FILE)
+        return os.path.join(self.folder, SEAT, FILE)
 
     def take_over(self) -> list[Entry] | None:
         """In the seat: once the process before has ended, its folder and all it still owes; else None.
@@ -196,7 +181,7 @@
             self.path, self._new = paths
             close_quietly(held)
             return None
-        self._lock, self.seat, self._before = held, self.folder, None
+        self._lock, self.seat = held, self.folder
         self._empty(seat_file)
         close_quietly(seat_lock)
         return adopted
@@ -261,6 +246,10 @@
         fresh = {entry.id: entry for entry in adopted}
         self.book.entries = fresh | self.book.entries if first else self.book.entries | fresh
         self.book.live += sum(len(entry.taken) + LATER for entry in adopted)
+        for key, rest in theirs.rests.items():
+            self.book.add_rest(key, rest, 0)
+        for host, until in theirs.waits.items():
+            self.book.add_wait(host, until, 0)
         return adopted
 
     def _leave(self, adopted: list[Entry]) -> None:
@@ -313,9 +302,16 @@
         """A submit is about to go: written before the call's last byte; where it can't be, none may go."""
         return self._flush() and self._write(Kind.GOING, text, {"at": at, "zone": zone}, must=True)
 
-    def ended(self, text: bytes, ran: bool) -> None:
-        """The submit has ended; `ran` unless it is proved never to have run."""
-        self._write(Kind.ENDED, text, {"ran": ran})
+    def ended(self, text: bytes, ran: bool, now: int = 0, rest: int | None = None) -> None:
+        """The submit has ended; `ran` unless it is proved never to have run. `rest`: until when its key
+        rests, where the call may still run."""
+        resting = {} if rest is None else {"at": now, "rest": rest}
+        self._write(Kind.ENDED, text, {"ran": ran} | resting)
+
+    def told_wait(self, host: bytes, until: int, now: int) -> None:
+        """A host has told to wait; one record for the texts of a batch."""
+        if until > self.book.waits.get(host, 0):
+            self._write(Kind.WAIT, host, {"at": now, "until": until})
 
     def owed(self, text: bytes, notice: dict) -> bool:
         """The final answer is given; whether its record is in the folder."""
@@ -386,7 +382,9 @@
         """Write what still matters to a new file, in the order of the texts; put it in place.
 
         Where it can't be written the old file stays."""
-        records, new = b"".join(kept(entry) for entry in self.entries.values()), None
+        parts = [kept(entry) for entry in self.entries.values()]
+        parts += [kept_rest(key, rest) for key, rest in self.book.rests.items()]
+        records, new = b"".join(parts), None
         try:
             with named("open", self._new):
                 new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from limelatch.key_order import Rest
+
 HEAD = struct.Struct(">II")  # length and checksum of what follows
 NAMES = struct.Struct(">BH")  # kind of record and length of its pairs; a body follows these
 LATER = 384  # kept free for a text's state and its notice, which are all that a new file holds beside it
@@ -29,6 +31,8 @@
     OVER = 5  # nothing more is owed
     STATE = 6  # in a new file: what the left out records said
     BLANK = 7  # nothing: written to see whether the folder takes writes again
+    REST = 8  # in a new file: a key that rests; `id` is the text whose call may still run
+    WAIT = 9  # a host has told to wait; `id` is the host
 
 
 class BadRecord(Exception):
@@ -53,6 +57,21 @@
     def body(self) -> bytes:
         return body_of(self.taken)
 
+    @property
+    def key(self) -> bytes:
+        """Of its order; empty where it has none."""
+        return self.pairs["key"].encode()
+
+    @property
+    def handed_in_at(self) -> int:
+        """When, on the relay's timeline; 0 where an earlier version took it on."""
+        return self.pairs.get("at", 0)
+
+    @property
+    def in_order(self) -> bool | None:
+        """Whether its product was in order; None where an earlier version took it on."""
+        return self.pairs.get("ordered")
+
 
 def record(kind: Kind, text: bytes, pairs: dict, body: bytes = b"") -> bytes:
     words = msgspec.json.encode({"id": text.decode()} | pairs)
@@ -88,12 +107,36 @@
 
 
 class Book:
-    """The texts that are not over, in the order they were taken, and the bytes that their records need."""
+    """The texts that are not over, in the order they were taken, and the bytes that their records need.
+
+    `rests` and `waits` outlast their texts: keys that rest, and until when hosts have asked to wait. Those
+    that are over go when a later one is added."""
 
     def __init__(self) -> None:
         self.entries: dict[bytes, Entry] = {}
+        self.rests: dict[bytes, Rest] = {}
+        self.waits: dict[bytes, int] = {}
         self.live = 0
 
+    def add_rest(self, key: bytes, rest: Rest, now: int) -> None:
+        """The longest rest of the key holds."""
+        for each in [known for known, old in self.rests.items() if old.until <= now]:
+            self._drop_rest(each)
+        if key in self.rests and self.rests[key].until >= rest.until:
+            return
+        self._drop_rest(key)
+        self.rests[key] = rest
+        self.live += len(kept_rest(key, rest))
+
+    def _drop_rest(self, key: bytes) -> None:
+        if (rest := self.rests.pop(key, None)) is not None:
+            self.live -= len(kept_rest(key, rest))
+
+    def add_wait(self, host: bytes, until: int, now: int) -> None:
+        """The longest wait of the host holds; they need no room, since a new file leaves them out."""
+        self.waits = {known: end for known, end in self.waits.items() if end > now}
+        self.waits[host] = max(until, self.waits.get(host, 0))
+
     def apply(self, raw: bytes) -> str | None:
         """Take in the next record; in words, what is wrong with it in this place, else None.
 
@@ -108,6 +151,12 @@
         entry = self.entries.get(text)
         if kind == Kind.BLANK:
             return None
+        if kind == Kind.REST:
+            self.add_rest(pairs["key"].encode(), Rest(pairs["until"], text), 0)
+            return None
+        if kind == Kind.WAIT:
+            self.add_wait(text, pairs["until"], pairs["at"])
+            return None
         if kind == Kind.TAKEN:
             self.entries[text] = Entry(text, pairs, taken=raw)
             self.live += len(raw) + LATER
@@ -127,6 +176,8 @@
                 entry.out, entry.ran = False, entry.ran or pairs["ran"]
                 if not entry.ran:
                     entry.ran_at = entry.ran_zone = None
+                if "rest" in pairs:
+                    self.add_rest(entry.key, Rest(pairs["rest"], text), pairs["at"])
                 return wrong
             case Kind.STATE:
                 entry.submits, entry.out, entry.ran = pairs["submits"], pairs["out"], pairs["ran"]
@@ -141,6 +192,11 @@
         return None
 
 
+def kept_rest(key: bytes, rest: Rest) -> bytes:
+    """A rest's own record."""
+    return record(Kind.REST, rest.text, {"key": key.decode(), "until": rest.until})
+
+
 def kept(entry: Entry) -> bytes:
     """What still matters of a text: as it was taken, its state in one record, the notice it is owed."""
     state = {
--- /dev/null
+++ b/tests/test_key_order.py
@@ -0,0 +1,282 @@
+"""Whose turn it is in a key, for two processes of one relay, and how each learns of the other."""
+
+from __future__ import annotations
+
+import os
+from itertools import count
+
+import pytest
+from conftest import S
+from hypothesis import given
+from hypothesis import strategies as st
+from test_crossings import Running, ledger_in, take
+
+from limelatch.key_order import Hold, KeyOrder, Place
+from limelatch.relay.deadlines import Deadlines
+from limelatch.relay.handover import SIBLING_LOOK, Handover
+from limelatch.relay.ledger import Ledger
+from limelatch.relay.sibling import LedgerFollower, Sibling
+
+KEY, NOW = b"k", 1000 * S
+
+
+def order_of(*places):
+    order = KeyOrder()
+    for place in places:
+        order.take(KEY, place)
+    return order
+
+
+def hold(order, text, now=NOW):
+    return order.hold_of(now, KEY, text)
+
+
+def test_texts_of_a_process_go_as_they_were_handed_in_whenever_they_are_told():
+    order = order_of(Place(b"b", 5), Place(b"c", 5), Place(b"a", 3))
+    assert [place.text for place in order.lines[KEY]] == [b"a", b"b", b"c"]
+    assert hold(order, b"a") is None and hold(order, b"b") is Hold.LINE
+    order.over(KEY, b"a")
+    assert hold(order, b"b") is None
+    order.over(KEY, b"b")
+    order.over(KEY, b"c")
+    assert order.lines == {}
+
+
+def test_a_text_that_has_begun_keeps_the_turn_before_one_handed_in_earlier():
+    order = order_of(Place(b"b", 5))
+    order.begin(KEY, b"b")
+    order.take(KEY, Place(b"a", 3))
+    assert hold(order, b"b") is None and hold(order, b"a") is Hold.LINE
+
+
+@pytest.mark.parametrize(
+    "own, other, goes",
+    [
+        (Place(b"a", 3), Place(b"b", 5), True),
+        (Place(b"a", 5), Place(b"b", 3), False),
+        (Place(b"a", 3), Place(b"b", 5, begun=True), False),
+        (Place(b"a", 5, begun=True), Place(b"b", 3), True),
+        (Place(b"a", 5), Place(b"b", 5), True),
+        (Place(b"b", 5), Place(b"a", 5), False),
+    ],
+)
+def test_of_two_processes_one_alone_has_the_turn(own, other, goes):
+    here, there = order_of(own), order_of(other)
+    here.sibling_holds([(KEY, other)])
+    there.sibling_holds([(KEY, own)])
+    assert hold(here, own.text) is (None if goes else Hold.SIBLING)
+    assert hold(there, other.text) is (Hold.SIBLING if goes else None)
+
+
+def test_a_rest_binds_all_texts_but_the_one_that_caused_it_and_the_longest_holds():
+    order = order_of(Place(b"a", 1), Place(b"b", 2))
+    order.rest(KEY, b"a", NOW + 5)
+    order.rest(KEY, b"x", NOW + 3)
+    assert hold(order, b"a") is None and order.rest_left(NOW, KEY) == 5
+    order.over(KEY, b"a")
+    assert hold(order, b"b") is Hold.REST and hold(order, b"b", NOW + 5) is None
+    order.forget_rests(NOW + 5)
+    assert order.rests == {} and order.rest_left(NOW, KEY) == 0
+
+
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["take", "stamp", "claim", "over"]), st.integers(0, 1)), max_size=40
+)
+
+
+@given(STEPS)
+def test_no_two_processes_ever_have_a_text_of_a_key_out_together(steps):
+    """Any order of events; a text's stamp may be drawn long before its record is written (`stamp`)."""
+    orders, drawn, held = [KeyOrder(), KeyOrder()], [[], []], [{}, {}]
+    numbers = count(1)
+    for step, me in steps:
+        order, mine, theirs = orders[me], held[me], held[1 - me]
+        if step == "stamp":
+            drawn[me].append(next(numbers))
+        elif step == "take":
+            stamp = drawn[me].pop(0) if drawn[me] else next(numbers)
+            mine[b"%d" % stamp] = Place(b"%d" % stamp, stamp)
+            order.take(KEY, mine[b"%d" % stamp])
+        elif step == "claim":
+            order.sibling_holds([(KEY, place) for place in theirs.values()])
+            for text in list(mine):
+                if hold(order, text) is None:
+                    order.begin(KEY, text)
+        else:
+            begun = next((text for text, place in mine.items() if place.begun), None)
+            if begun is not None:
+                del mine[begun]
+                order.over(KEY, begun)
+        assert sum(place.begun for side in held for place in side.values()) <= 1
+
+
+# How a process follows its sibling's ledger.
+
+
+def test_a_follower_reads_on_after_compactions_between_two_looks(tmp_path):
+    """An inode's number that is used again must not pass for the file read before."""
+    ledger, follower = ledger_in(tmp_path), LedgerFollower()
+    take(ledger, b"a")
+    assert list(follower.look(ledger.path).entries) == [b"a"]
+    for number in range(6):
+        take(ledger, b"b%d" % number)
+        ledger.over(b"b%d" % number)
+        ledger.compact()
+        take(ledger, b"c%d" % number)
+    texts = [b"a", *(b"c%d" % number for number in range(6))]
+    assert list(follower.look(ledger.path).entries) == texts
+    ledger.over(b"a")
+    assert list(follower.look(ledger.path).entries) == texts[1:]
+    follower.close()
+
+
+def test_a_follower_bears_a_torn_record_an_emptied_file_and_none(tmp_path):
+    ledger, follower = ledger_in(tmp_path), LedgerFollower()
+    take(ledger, b"a")
+    take(ledger, b"b")
+    raw = open(ledger.path, "rb").read()
+    path = str(tmp_path / "other")
+    for end in range(len(raw) + 1):
+        with open(path, "ab") as file:
+            file.write(raw[end - 1 : end] if end else b"")
+        follower.look(path)
+    assert list(follower.look(path).entries) == [b"a", b"b"]
+    os.truncate(path, 0)
+    assert follower.look(path).entries == {}
+    os.remove(path)
+    assert follower.look(path) is None
+
+
+class Process:
+    """One process of a relay at a hand-over: its ledger and its order of keys, without sockets."""
+
+    def __init__(self, folder, clock):
+        self.clock, self.order, self.adopted = clock, KeyOrder(), []
+        self.ledger = Ledger(str(folder), 100_000, 10_000_000)
+        self.handover = Handover(
+            self.ledger,
+            clock,
+            Deadlines(clock, clock),
+            self.order,
+            lambda product: product == "charge",
+            self.adopt,
+            lambda: None,
+        )
+        self.handover.start()
+
+    def adopt(self, entries):
+        self.adopted += [entry.id for entry in entries]
+        for entry in entries:
+            self.order.take(entry.key, Place(entry.id, entry.handed_in_at, entry.submits > 0))
+
+    def take(self, text, at, **more):
+        self.order.take(KEY, Place(text, at))
+        take(self.ledger, text, key="k", product="charge", **({"at": at, "ordered": True} | more))
+
+    def claim(self, text):
+        return self.handover.claim(KEY, text, lambda: self.ledger.going(text, self.clock.now(), 0))
+
+
+@pytest.fixture
+def pair(tmp_path):
+    clock = Running()
+    pair = Process(tmp_path, clock), Process(tmp_path, clock)
+    assert pair[1].ledger.beside
+    yield pair
+    for each in pair:
+        each.ledger.close()
+
+
+@pytest.mark.parametrize("first", [0, 1])
+def test_a_claim_looks_at_the_sibling_once_more(pair, first):
+    """What the sibling took after this process's last look counts, as does what it has just sent."""
+    one, other = pair[first], pair[1 - first]
+    one.handover.look()
+    other.handover.look()
+    other.take(b"b", 9)
+    one.take(b"a", 5)
+    assert other.claim(b"b") is Hold.SIBLING and one.claim(b"a") is None
+    other.take(b"c", 3)  # drawn before, written after the other one's submit has gone
+    assert other.claim(b"c") is Hold.SIBLING
+    one.ledger.ended(b"a", True, 0, 50)
+    one.ledger.over(b"a")
+    assert other.claim(b"c") is Hold.REST
+    other.clock.advance(1)
+    assert other.claim(b"c") is None
+
+
+def test_a_claim_is_refused_while_the_sibling_is_at_one(pair):
+    """It may be stopped there: nobody waits for it longer than a few tries."""
+    one, other = pair
+    one.take(b"a", 5)
+    with Sibling(other.ledger).claiming() as held:
+        assert held and one.claim(b"a") is Hold.SIBLING
+    assert one.claim(b"a") is None
+
+
+def test_texts_of_an_earlier_version_count_by_this_one_s_settings(pair):
+    """Its records have no time and do not say whether their product is in order."""
+    old, new = pair
+    take(old.ledger, b"a", key="k", product="charge")
+    take(old.ledger, b"b", key="x", product="notice")
+    new.take(b"c", 5)
+    new.order.take(b"x", Place(b"d", 5))
+    assert new.claim(b"c") is Hold.SIBLING and new.order.hold_of(0, b"x", b"d") is None
+
+
+@pytest.mark.parametrize("dies", [0, 1])
+def test_what_a_dead_process_leaves_is_adopted_with_its_rests(pair, dies):
+    dead, left = pair[dies], pair[1 - dies]
+    dead.take(b"a", 5)
+    assert dead.claim(b"a") is None
+    dead.ledger.ended(b"a", True, 0, 50_000)
+    dead.ledger.over(b"a")
+    dead.take(b"b", 6)
+    left.take(b"c", 4)
+    dead.ledger.close()
+    left.clock.advance(1.1)
+    assert left.adopted == [b"b"] and not left.ledger.beside
+    assert left.claim(b"c") is Hold.REST and left.claim(b"b") is Hold.LINE
+    left.clock.advance(5)
+    assert left.claim(b"c") is None
+    again = ledger_in_place_of(left)
+    assert again.book.rests[KEY].until == 50_000 and list(again.entries) != []
+    again.close()
+
+
+def ledger_in_place_of(process):
+    process.ledger.compact()
+    process.ledger.close()
+    again = ledger_in(process.ledger.folder)
+    process.ledger = again
+    return again
+
+
+def test_a_process_without_a_sibling_holds_no_lock_and_no_descriptor_more(tmp_path):
+    process = Process(tmp_path, Running())
+    before = len(os.listdir("/proc/self/fd"))
+    process.take(b"a", 5)
+    process.handover.look()
+    assert process.claim(b"a") is None and not (tmp_path / "claims").exists()
+    assert len(os.listdir("/proc/self/fd")) == before
+    process.ledger.close()
+
+
+def test_the_other_process_s_waits_are_heard(pair):
+    old, new = pair
+    old.ledger.told_wait(b"h", 70, 0)
+    new.handover.look()
+    assert new.handover.waits == {b"h": 70}
+    new.clock.advance(0.01)
+    new.handover.look()
+    assert new.handover.waits == {}
+    assert SIBLING_LOOK < S
+
+
+def test_an_id_that_the_other_process_holds_is_known(pair):
+    """A client that lost its connection as the old process died hands the text in once more."""
+    old, new = pair
+    old.take(b"a", 5)
+    assert new.handover.holds(b"a") and not new.handover.holds(b"b")
+    old.ledger.over(b"a")
+    assert not new.handover.holds(b"a")
--- a/tests/test_order_over_processes.py
+++ b/tests/test_order_over_processes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import copy
+import signal
 import threading
 import time
 from contextlib import suppress
@@ -39,7 +40,8 @@
             self.began.setdefault(text, []).append(time.monotonic())
             self.came.notify_all()
         if text in self.refused:
-            return 429, b"", {"Retry_After": self.refused[text]}
+            request.answer(429, Retry_After=self.refused[text])
+            return None
         if text not in self.hanging:
             return (200,)
         with suppress(OSError):  # a connection may be reset
@@ -70,8 +72,10 @@
         self.made = [program]
 
     def start(self):
-        """The first process; a client's connection to it."""
-        return self.program.start()
+        """The first process; a client's connection to it, which has asked before, so that it may rest."""
+        client = self.program.start()
+        assert client.ask("PING") == "+PONG"
+        return client
 
     def upgrade(self, **more):
         """A process beside those that run; its connection is made by `client_of`."""
@@ -103,7 +107,7 @@
 
 @pytest.fixture
 def relay(plan, agent):
-    relay = Relay(plan(settings=RESTING, stop_least_ms=50), agent)
+    relay = Relay(plan(settings=RESTING, stop_least_ms=50, log_level="debug"), agent)
     yield relay
     relay.end()
     print("".join(line for each in relay.made for line in each.said))
@@ -163,3 +167,111 @@
     host.call("t1")
     charge(old, "t2")
     assert rested(host, "t2", host.close_of("t1")) >= 0
+
+
+def test_texts_of_a_key_go_as_they_were_handed_in_whichever_process_took_them(relay, host):
+    """The first, at the new process, is told to wait; the second is adopted from the old one meanwhile."""
+    host.refused = {"t1": "2"}
+    old = relay.start()
+    relay.upgrade()
+    new = relay.client_of_new()
+    charge(new, "t1")
+    host.call("t1")
+    charge(old, "t2")
+    charge(new, "t3")
+    relay.program.kill()
+    host.refused = {}
+    assert host.call("t3") and len(host.began["t1"]) == 2
+    assert host.began["t1"][1] < host.began["t2"][0] < host.began["t3"][0]
+
+
+def test_a_new_process_that_dies_first_leaves_its_texts_to_the_old_one(relay, host):
+    """The old one goes on: what the new one took gets its end there, and the key of a call out rests."""
+    host.hanging = {"t1"}
+    old = relay.start()
+    beside = relay.upgrade()
+    new = relay.client_of_new()
+    charge(new, "t1")
+    host.call("t1")
+    charge(new, "t2")
+    charge(old, "t3")
+    beside.kill()
+    closed = host.close_of("t1")
+    assert relay.agent.notice()["ref"] == "t1"  # it may have run, and may not run twice
+    assert rested(host, "t2", closed) >= 0
+    assert host.call("t3") > host.call("t2") and len(host.began["t1"]) == 1
+
+
+@pytest.mark.parametrize("heard", [True, False])
+def test_a_restart_within_a_rest_keeps_it(relay, host, heard):
+    """`heard`: whether the notice of the text that timed out was answered before the kill."""
+    host.hanging = {"t1"}
+    if not heard:
+        relay.agent.notice_status = 500
+    charge(relay.start(), "t1", valid=500)
+    closed = host.close_of("t1")
+    assert relay.agent.notice()["ref"] == "t1"
+    time.sleep(0.02)  # the answer's way to the relay
+    relay.program.kill()
+    relay.agent.notice_status = 204
+    charge(relay.start(), "t2")
+    assert rested(host, "t2", closed) >= 0
+
+
+def test_a_product_that_the_new_settings_have_not_still_holds_its_key(relay, host):
+    """All products in order share one space of keys."""
+    host.hanging = {"t1"}
+    charge(relay.start(), "t1", valid=900)
+    host.call("t1")
+    relay.upgrade(settings=RESTING | {"classes": [NOTICE, CHARGE | {"name": "payment"}, REPORT]})
+    new = relay.client_of_new()
+    assert new.submit("t2", "payment", key=KEY, d=LONG) == "+OK"
+    assert rested(host, "t2", host.close_of("t1")) >= 0
+
+
+def test_a_third_process_after_an_upgrade_keeps_the_rest_of_the_first(relay, host):
+    """Upgrade right after upgrade: the rest passes through the second process."""
+    host.hanging = {"t1"}
+    charge(relay.start(), "t1", valid=700)
+    host.call("t1")
+    second = relay.upgrade()
+    closed = host.close_of("t1")
+    assert relay.agent.notice()["ref"] == "t1"
+    relay.program.kill()
+    second.says("event=taken-over")
+    relay.upgrade()
+    charge(relay.client_of_new(), "t2")
+    assert rested(host, "t2", closed) >= 0
+
+
+@pytest.mark.parametrize("told", ["old", "new"])
+def test_a_wait_told_to_one_process_binds_the_other(relay, host, told):
+    host.refused = {"t1": "2.5"}
+    old = relay.start()
+    relay.upgrade()
+    new = relay.client_of_new()
+    first, second = (old, new) if told == "old" else (new, old)
+    assert first.submit("t1", "report", d=LONG) == "+OK"
+    refused = host.call("t1")
+    time.sleep(0.1)  # calls that arrive within 100 ms of the answer get through
+    assert second.submit("t2", "report", d=LONG) == "+OK"
+    assert host.call("t2") - refused >= 2.5 - MARGIN
+
+
+def test_a_process_that_is_stopped_within_an_upgrade_delays_the_other_s_texts_and_ends_none(relay, host):
+    """The old one stands still, a text of the key open: the new one's waits for it, and goes after it."""
+    host.hanging = {"t1"}
+    old = relay.start()
+    charge(old, "t1", valid=3000)
+    host.call("t1")
+    relay.upgrade()
+    new = relay.client_of_new()
+    relay.program.process.send_signal(signal.SIGSTOP)
+    try:
+        charge(new, "t2")
+        assert new.submit("t3", "report", d=LONG) == "+OK"
+        host.call("t3")
+        assert "t2" not in host.began
+    finally:
+        relay.program.process.send_signal(signal.SIGCONT)
+    assert rested(host, "t2", host.close_of("t1")) >= 0
