--- a/tests/faults/shim.py
+++ b/limelatch/lab/machine/faults.py
@@ -1,7 +1,7 @@
 """Builds the preloaded library (shim.c) and steers it while a relay runs with it.
 
-The rules stand in a file that the test and the relay's process both map; a rule takes effect with the next
-call that matches it.
+The rules stand in a file that whoever steers it and the relay's process both map; a rule takes effect with
+the next call that matches it.
 """
 
 from __future__ import annotations
@@ -27,14 +27,14 @@
 
 
 class NoCompiler(RuntimeError):
-    """The tests of machine faults need a C compiler, as README.md says."""
+    """Faults of a machine need a C compiler, as README.md says."""
 
 
 def build(folder: Path) -> Path:
     """The library, compiled into the folder. Raises NoCompiler, or RuntimeError with the compiler's words."""
     compiler = next((path for name in COMPILERS if (path := shutil.which(name))), None)
     if compiler is None:
-        raise NoCompiler(f"no C compiler found (tried {', '.join(COMPILERS)}): see 'Tests' in README.md")
+        raise NoCompiler(f"no C compiler found (tried {', '.join(COMPILERS)}): see README.md")
     library = folder / "shim.so"
     command = [compiler, "-O1", "-Wall", "-shared", "-fPIC", "-o", str(library), str(SOURCE), "-ldl"]
     done = subprocess.run(command, capture_output=True, text=True)
--- a/limelatch/lab/stages/sockets.py
+++ b/limelatch/lab/stages/sockets.py
@@ -235,8 +235,16 @@
         self.lag, self.last_news, self.factor = 0, 0, 1.0
         self.untold: list[tuple[int, Listing]] = []  # news that its silent catalog keeps
         self.reader: asyncio.Task | None = None
+        self.environment: dict[str, str] = {}  # beside the stage's own
 
     def write(self) -> None:
+        """Write its configuration, for the next process or SIGHUP."""
+        temporary = self.path.with_suffix(".new")
+        temporary.write_text(json.dumps(write_platform(self.installation())))
+        os.replace(temporary, self.path)
+
+    def installation(self) -> Installation:
+        """Its configuration by the scenario."""
         installation = installation_of(
             self.stage.scenario,
             self.stage.seed,
@@ -245,13 +253,16 @@
             self.server.address,
             str(self.state),
         )
-        installation = msgspec.structs.replace(installation, membership=self.stage.membership_of(self.number))
-        temporary = self.path.with_suffix(".new")
-        temporary.write_text(json.dumps(write_platform(installation)))
-        os.replace(temporary, self.path)
+        return msgspec.structs.replace(installation, membership=self.stage.membership_of(self.number))
 
     async def start(self) -> None:
         """Start the process, and wait until it serves."""
+        await self.launch()
+        await self.serves()
+        self.stage.writer.add(rec.Relay(self.stage.clock.now(), self.number, "ready"))
+
+    async def launch(self) -> None:
+        """Start a process, which is the relay's newest one."""
         self.write()
         limit = self.stage.scenario.relays.sockets
         self.process = await asyncio.create_subprocess_exec(
@@ -264,11 +275,15 @@
             stdin=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
             start_new_session=True,
+            env=os.environ | self.environment,
         )
         with contextlib.suppress(OSError):
             resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (limit, limit))
         self.watch = psutil.Process(self.process.pid)
         self.reader = self.stage.spawn(self.read_log(self.process))
+
+    async def serves(self) -> None:
+        """Wait until the newest process answers PING. Raises StageError where it ends, or takes too long."""
         host, _, port = self.listen.partition(":")
         until = time.monotonic() + READY_WAIT
         async with Pool(host, int(port), 1) as pool:
@@ -276,7 +291,6 @@
                 if self.process.returncode is not None or time.monotonic() > until:
                     raise StageError(f"{self.name} did not start: see {self.folder / (self.name + '.log')}")
                 await asyncio.sleep(0.02)
-        self.stage.writer.add(rec.Relay(self.stage.clock.now(), self.number, "ready"))
 
     async def read_log(self, process: asyncio.subprocess.Process) -> None:
         with open(self.folder / f"{self.name}.log", "ab") as file:
@@ -459,13 +473,21 @@
     async def _start_relays(self) -> None:
         keys, generator = self.scenario.catalog, self.world.chance
         for number in range(self.scenario.relays.count):
-            relay = RelayProcess(number, self, self.folder, f"{self.address.host}:{self.address.port()}")
+            relay = self.make_relay(number)
             relay.lag = round(keys.lag * (1 + keys.spread * (2 * generator.uniform("lag") - 1)))
             await relay.server.start()
             relay.agent.put(*[self.row(each, number, Listing.READY) for each in self.world.endpoints])
             self.relays.append(relay)
         await asyncio.gather(*[relay.start() for relay in self.relays])
 
+    def make_relay(self, number: int) -> RelayProcess:
+        """One relay of the play, not started yet."""
+        return RelayProcess(number, self, self.folder, f"{self.address.host}:{self.address.port()}")
+
+    def begin(self) -> None:
+        """Put all that is to happen on the clock."""
+        self.world.begin()
+
     async def _play(self) -> None:
         """The clock of the scenario begins here."""
         self.load = await asyncio.create_subprocess_exec(
@@ -494,7 +516,7 @@
         self.load.stdin.write(line_of(Go(self.clock.origin)))
         for relay in range(len(self.relays)):
             self.writer.add(rec.Relay(0, relay, "ready"))
-        self.world.begin()
+        self.begin()
         beat = Heartbeat(lambda by: self.writer.add(rec.Late(self.clock.now(), "emulator", by)))
         news = self.spawn(self._hear_load())
         gauges, sweeps = self.spawn(self._gauge()), self.spawn(self._sweep())
--- a/limelatch/standin/agent.py
+++ b/limelatch/standin/agent.py
@@ -49,6 +49,7 @@
         self.changed: dict[str, tuple[int, Row]] = {}  # the last change of each host
         self.watches: dict[Connection, int] = {}  # what each has been told
         self.silent = False  # answers nothing about the list, and opens no watch
+        self._waiting: list[Request] = []  # that came in a silence, for its end
         self._beat: asyncio.TimerHandle | None = None
 
     def put(self, *rows: Row) -> None:
@@ -71,9 +72,14 @@
                 self.watches[connection] = self.index
 
     def hush(self, silent: bool) -> None:
-        """Say nothing of the list for a while; afterwards all that has changed is told."""
+        """Say nothing of the list for a while; afterwards all that has changed is told, and what was asked
+        meanwhile is answered."""
         self.silent = silent
         self._tell()
+        waiting, self._waiting = self._waiting, []
+        for request in waiting:
+            if request.connection.open:
+                self.requested(request)
 
     def _page(self, rows: list[Row], whole: bool) -> bytes:
         page = {"index": self.index, "snapshot": whole, "endpoints": [asdict(row) for row in rows]}
@@ -94,13 +100,15 @@
         parts = urlsplit(request.target)
         if request.method == "POST" and parts.path == REPORTS:
             self._report(request)
-        elif request.method == "GET" and parts.path == LIST and not self.silent:
+        elif self.silent:
+            self._waiting = [each for each in self._waiting if each.connection.open] + [request]
+        elif request.method == "GET" and parts.path == LIST:
             query = parse_qs(parts.query)
             if query.get("stream") == ["1"]:
                 self._watch(request.connection, query.get("index", [""])[0])
             else:
                 request.connection.answer(200, self._page(list(self.rows.values()), True))
-        elif not self.silent:
+        else:
             request.connection.answer(404)
 
     def _watch(self, connection: Connection, word: str) -> None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,7 +15,6 @@
 from typing import NamedTuple
 
 import pytest
-from faults.shim import Faults, build
 
 from limelatch.interface import (
     Effect,
@@ -29,6 +28,7 @@
     Terms,
     Text,
 )
+from limelatch.lab.machine.faults import Faults, build
 from limelatch.policy import Policy
 
 pytest_plugins = ["known_red"]
@@ -396,7 +396,7 @@
 
 @pytest.fixture(scope="session")
 def faults_library(tmp_path_factory):
-    """The preloaded library of tests/faults, compiled once."""
+    """The preloaded library of limelatch/lab/machine, compiled once."""
     return build(tmp_path_factory.mktemp("faults"))
 
 
