--- a/limelatch/command/lab.py
+++ b/limelatch/command/lab.py
@@ -12,6 +12,7 @@
 
 from limelatch.command import BAD_USE, WRONG, BadUse, Wrong
 from limelatch.command.membership import membership
+from limelatch.command.mutants import mutants
 from limelatch.command.scale import scale
 from limelatch.command.soak import soak
 from limelatch.command.text import Span, address_of
@@ -561,3 +562,4 @@
 lab.add_command(membership)
 lab.add_command(scale)
 lab.add_command(soak)
+lab.add_command(mutants)
--- /dev/null
+++ b/limelatch/command/mutants.py
@@ -0,0 +1,60 @@
+"""`limelatch lab mutants`: which seeds of the soak catch a relay with a guard taken out."""
+
+from __future__ import annotations
+
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import click
+
+from limelatch.command import WRONG, BadUse
+from limelatch.command.soak import JOBS_MOST, Soak, seeds_of
+
+
+@click.command()
+@click.option("--seeds", default="1-50", show_default=True, metavar="LIST", help="Such as 1-8 or 1,5,9.")
+@click.option(
+    "--jobs", default=2, show_default=True, type=click.IntRange(1, JOBS_MOST), help="Plays at once."
+)
+@click.option(
+    "--seconds", default=30.0, show_default=True, type=click.FloatRange(10, 600), help="For which texts come."
+)
+@click.option(
+    "--only", multiple=True, metavar="WORDS", help="Mutants whose names have these words; again for more."
+)
+def mutants(seeds: str, jobs: int, seconds: float, only: tuple[str, ...]) -> None:
+    """Take guards out of the relay one at a time, and tell the first seed of the soak that catches each.
+
+    Exit 1 where one is not caught.
+    """
+    from limelatch.lab.soak.mutants import MUTANTS
+
+    chosen = seeds_of(seeds)
+    wanted = [each for each in MUTANTS if not only or any(words in each.name for words in only)]
+    if not wanted:
+        raise BadUse(f"no mutant's name has any of {', '.join(only)}")
+    with ThreadPoolExecutor(jobs) as pool:
+        caught = list(pool.map(lambda mutant: first_seed(mutant, chosen, seconds), wanted))
+    click.echo(f"{sum(caught)} of {len(wanted)} caught")
+    if not all(caught):
+        raise SystemExit(WRONG)
+
+
+def first_seed(mutant, seeds: list[int], seconds: float) -> bool:
+    """Play seeds until one catches the mutant; whether one has."""
+    from limelatch.lab.soak.mutants import write_mutant
+    from limelatch.lab.soak.run import HERE
+
+    with tempfile.TemporaryDirectory(prefix="limelatch-mutant-") as place:
+        folder = Path(place)
+        write_mutant(mutant, HERE, folder / "tree")
+        soak = Soak(seeds, 1, seconds, folder, folder / "tree")
+        for seed in seeds:
+            verdict = soak.play(seed)
+            if verdict is None or not verdict.kept:
+                rules = sorted({found.rule for found in verdict.found}) if verdict else soak.unplayed[-1:]
+                click.echo(f"{mutant.name}: seed {seed}: {', '.join(rules)}")
+                return True
+    click.echo(f"{mutant.name}: not caught in {len(seeds)} seeds")
+    return False
--- a/limelatch/command/soak.py
+++ b/limelatch/command/soak.py
@@ -38,7 +38,14 @@
     "--seconds", default=40.0, show_default=True, type=click.FloatRange(10, 600), help="For which texts come."
 )
 @click.option("--keep", type=click.Path(file_okay=False), help="Where records and logs stay.")
-def soak(seeds: str, seed: int | None, jobs: int, seconds: float, keep: str | None) -> None:
+@click.option(
+    "--subject",
+    type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
+    help="Another checkout, whose relays are played.",
+)
+def soak(
+    seeds: str, seed: int | None, jobs: int, seconds: float, keep: str | None, subject: Path | None
+) -> None:
     """Draw faults of relays, partners, clients and the catalog from each seed, play them, judge the rules.
 
     Exit 1 where a rule was broken.
@@ -48,11 +55,11 @@
               limelatch lab soak --seed 17 --keep found/17
     """
     if seed is not None:
-        raise SystemExit(play_here(seed, seconds, keep))
+        raise SystemExit(play_here(seed, seconds, keep, subject))
     chosen = seeds_of(seeds)
     with folder_for(keep) as folder:
         check_room(folder, jobs)
-        raise SystemExit(Soak(chosen, jobs, seconds, folder).run())
+        raise SystemExit(Soak(chosen, jobs, seconds, folder, subject).run())
 
 
 def seeds_of(words: str) -> list[int]:
@@ -98,7 +105,7 @@
         raise BadUse(f"{jobs} plays at once want as many cores, there are {cores}")
 
 
-def play_here(seed: int, seconds: float, keep: str | None) -> int:
+def play_here(seed: int, seconds: float, keep: str | None, subject: Path | None) -> int:
     """Play one seed in this process; exit code."""
     from limelatch.lab.machine.faults import NoCompiler
     from limelatch.lab.soak.run import play_seed
@@ -106,7 +113,7 @@
 
     with folder_for(keep) as folder:
         try:
-            verdict = play_seed(seed, seconds, folder)
+            verdict = play_seed(seed, seconds, folder, subject)
         except KeyboardInterrupt:
             return INTERRUPTED
         except (StageError, NoCompiler, OSError) as error:
@@ -134,8 +141,10 @@
 class Soak:
     """Several seeds, each in a process of its own."""
 
-    def __init__(self, seeds: list[int], jobs: int, seconds: float, folder: Path) -> None:
-        self.seeds, self.jobs, self.seconds, self.folder = seeds, jobs, seconds, folder
+    def __init__(
+        self, seeds: list[int], jobs: int, seconds: float, folder: Path, subject: Path | None = None
+    ) -> None:
+        self.seeds, self.jobs, self.seconds, self.folder, self.subject = seeds, jobs, seconds, folder, subject
         self.running: dict[int, subprocess.Popen] = {}
         self.verdicts: list = []
         self.unplayed: list[str] = []
@@ -146,7 +155,7 @@
         signal.signal(signal.SIGINT, signal.default_int_handler)
         with ThreadPoolExecutor(self.jobs) as pool:
             try:
-                for verdict in pool.map(self._play, self.seeds):
+                for verdict in pool.map(self.play, self.seeds):
                     if verdict is not None:
                         self.verdicts.append(verdict)
                         show(verdict)
@@ -157,7 +166,7 @@
             return INTERRUPTED
         return 0 if not self.unplayed and all(verdict.kept for verdict in self.verdicts) else WRONG
 
-    def _play(self, seed: int):
+    def play(self, seed: int):
         """One seed's verdict; None where it was not played to its end."""
         from limelatch.lab.soak.run import Verdict
 
@@ -176,6 +185,7 @@
             str(folder),
         ]
         command += ["--seconds", str(self.seconds)]
+        command += ["--subject", str(self.subject)] if self.subject else []
         process = subprocess.Popen(
             command, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True, start_new_session=True
         )
--- /dev/null
+++ b/limelatch/lab/soak/mutants.py
@@ -0,0 +1,174 @@
+"""Guards of the relay taken out one at a time: what the soak has to catch, to be worth its time.
+
+Each mutant replaces one piece of the relay's code in a copy of the package.
+"""
+
+from __future__ import annotations
+
+import shutil
+from dataclasses import dataclass
+from pathlib import Path
+
+PACKAGE = "limelatch"
+
+
+class BadMutant(Exception):
+    """The piece of code that a mutant replaces is not there, or there twice."""
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """A guard that is taken out: `old` in the file becomes `new`."""
+
+    name: str
+    path: str
+    old: str
+    new: str
+
+
+MUTANTS = (
+    Mutant(
+        "a key's line over processes",
+        "key_order.py",
+        "if other is not None and not line[0].goes_before_of_sibling(other):",
+        "if False:",
+    ),
+    Mutant(
+        "a key's rest",
+        "key_order.py",
+        "if rest is not None and rest.until > now and rest.text != text:",
+        "if False:",
+    ),
+    Mutant(
+        "the rest in the ledger",
+        "relay/driver.py",
+        "self.ledger.ended(parcel.text, outcome.result not in NEVER_RAN, now, rest)",
+        "self.ledger.ended(parcel.text, outcome.result not in NEVER_RAN)",
+    ),
+    Mutant(
+        "the rest of a call that was out at its process's end",
+        "policy.py",
+        "if past.out and held.key:",
+        "if False:",
+    ),
+    Mutant(
+        "the look at the sibling as a call is written",
+        "relay/handover.py",
+        "if not self._sibling.has_ledger:\n            return self._go(key, text, going)",
+        "if True:\n            going()\n            return None",
+    ),
+    Mutant(
+        "the record of a submit before it goes",
+        "relay/driver.py",
+        "owed.submit_out = self.ledger.going(text, call.sent, zone)",
+        "owed.submit_out = True",
+    ),
+    Mutant(
+        "the window for repeats",
+        "policy.py",
+        "self.until = min(self.until, at + self.row.repeat_window)",
+        "pass",
+    ),
+    Mutant(
+        "the drain asked about as a connection has come up",
+        "policy.py",
+        "ready = held and host and host.listing is Listing.READY and self._has_turn(now, held)",
+        "ready = held and host",
+    ),
+    Mutant(
+        "the drain asked about in the decision",
+        "policy.py",
+        "if done or late or host.listing is not Listing.READY or not self._has_turn(now, held):",
+        "if done or late or not self._has_turn(now, held):",
+    ),
+    Mutant(
+        "the lock of the folder",
+        "relay/ledger.py",
+        "fcntl.flock(held, fcntl.LOCK_EX | fcntl.LOCK_NB)",
+        "pass",
+    ),
+    Mutant(
+        "the notice before the text is over",
+        "relay/driver.py",
+        "recorded = self.ledger.owed(text.id, notice)",
+        "recorded = self.ledger.owed(text.id, notice)\n        self.ledger.over(text.id)",
+    ),
+    Mutant(
+        "the torn tail that is cut",
+        "relay/ledger.py",
+        "self._torn = self.cut > 0",
+        "self._torn = False",
+    ),
+    Mutant(
+        "the monotonic clock",
+        "relay/clock.py",
+        "return time.monotonic_ns() // NANOSECONDS_PER_UNIT",
+        "return time.time_ns() // NANOSECONDS_PER_UNIT",
+    ),
+    Mutant(
+        "once only, after a call that may have run",
+        "policy.py",
+        "if held.row.effect is Effect.ONCE_ONLY or now >= held.until or elsewhere:",
+        "if now >= held.until or elsewhere:",
+    ),
+    Mutant(
+        "once only, after a restart",
+        "policy.py",
+        "elif held.ran_at is not None and held.row.effect is Effect.ONCE_ONLY:",
+        "elif False:",
+    ),
+    Mutant(
+        "no nack of what may have run",
+        "policy.py",
+        "return self.ran_at is None or effect is Effect.RESENDABLE or effect is Effect",
+        "return True or effect is Effect",
+    ),
+    Mutant(
+        "told waits",
+        "policy.py",
+        "route.wait_until = max(route.wait_until, now + report.told_wait + self.chance.below(spread))",
+        "pass",
+    ),
+    Mutant(
+        "told waits over processes",
+        "relay/driver.py",
+        "self.policy.wait_told_to_sibling(host, until)",
+        "pass",
+    ),
+    Mutant(
+        "the texts of the old process",
+        "relay/handover.py",
+        "self._adopt(adopted)\n        self._deadlines.after(SEAT_LOOK, self._take_seat)",
+        "self._deadlines.after(SEAT_LOOK, self._take_seat)",
+    ),
+    Mutant(
+        "the texts of a successor that died",
+        "relay/handover.py",
+        "if self._ledger.seat_left and (adopted := self._ledger.take_seat()):",
+        "if False:",
+    ),
+    Mutant(
+        "the floor of a repeat",
+        "policy.py",
+        "elsewhere = not held.row.repeats_anywhere and host.zone != held.zone",
+        "elsewhere = False",
+    ),
+    Mutant(
+        "trials of a destination in an outage",
+        "policy.py",
+        "return NEVER if any(each.sick and each.out for each in route.hosts) else self._trial_opens(route)",
+        "return now",
+    ),
+)
+
+
+def write_mutant(mutant: Mutant, source: Path, target: Path) -> None:
+    """A copy of the package of the checkout `source` in `target`, with the guard taken out.
+
+    Raises BadMutant where its place is not to be found, or not the only one."""
+    shutil.copytree(source / PACKAGE, target / PACKAGE, ignore=shutil.ignore_patterns("__pycache__"))
+    path = target / PACKAGE / mutant.path
+    text = path.read_text(encoding="utf-8")
+    if text.count(mutant.old) != 1:
+        raise BadMutant(f"{mutant.name}: {mutant.path} has its place {text.count(mutant.old)} times")
+    path.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
--- a/limelatch/lab/soak/relay.py
+++ b/limelatch/lab/soak/relay.py
@@ -7,10 +7,13 @@
 import signal
 import time
 from dataclasses import dataclass
+from pathlib import Path
 
 import msgspec
+import psutil
 
 from limelatch.configuration.model import Installation
+from limelatch.interface import SECOND
 from limelatch.lab import record as rec
 from limelatch.lab.soak.plan import KILL_AFTER, Act, ActKind
 from limelatch.lab.stages.sockets import RelayProcess, Sockets
@@ -21,6 +24,7 @@
 LOOK = 0.02  # between two looks whether it does
 SIGNAL_PAUSE = 0.01  # between signals in quick succession
 DONE = 0
+BLOCK = 512  # bytes in which files count
 
 
 @dataclass
@@ -47,13 +51,14 @@
 class SoakRelay(RelayProcess):
     """Carries out acts one after another; what is wrong with its processes goes to `wrongs`."""
 
-    def __init__(self, number: int, stage: Sockets, folder, listen: str) -> None:
+    def __init__(self, number: int, stage: Sockets, folder: Path, listen: str) -> None:
         super().__init__(number, stage, folder, listen)
         self.operator = ""
         self.lives: list[ProcessLife] = []
         self.turn = asyncio.Lock()
         self.turned_round = False  # products and customers in another order
         self.wrongs: list[str] = []
+        self.over: set[str] = set()  # limits that were passed
         self.starts = 0
 
     def installation(self) -> Installation:
@@ -98,6 +103,26 @@
         if (took := time.monotonic() - began) > READY_MOST:
             self.wrongs.append(f"a process took {took:.1f} s to be ready")
 
+    def gauge(self) -> None:
+        """The limits see one relay: its processes' descriptors and memory, and its folder, together."""
+        descriptors = memory = 0
+        for life in self.lives:
+            with contextlib.suppress(psutil.Error, ProcessLookupError):
+                watch = psutil.Process(life.process.pid)
+                descriptors += watch.num_fds()
+                memory += watch.memory_info().rss
+        keys = self.stage.scenario.relays
+        self._within("descriptors", descriptors, keys.sockets)
+        self._within("bytes of memory", memory, keys.memory)
+        self._within("bytes of disk", size_of(self.state), keys.disk)
+        self.stage.writer.add(rec.Gauge(self.stage.clock.now(), self.number, memory, descriptors, 0))
+
+    def _within(self, what: str, held: int, most: int) -> None:
+        if held > most and what not in self.over:
+            self.over.add(what)
+            at = self.stage.clock.now() / SECOND
+            self.wrongs.append(f"{held} {what} held at {at:.2f} s, {most} at most")
+
     async def perform(self, act: Act) -> None:
         """Carry out an act; those of one relay wait for each other."""
         async with self.turn:
@@ -234,6 +259,16 @@
 }
 
 
+def size_of(folder: Path) -> int:
+    """Bytes of a folder's files, each in whole blocks."""
+    found = 0
+    for path in folder.rglob("*"):
+        with contextlib.suppress(OSError):
+            if path.is_file():
+                found += -(-path.stat().st_size // BLOCK) * BLOCK
+    return found
+
+
 async def says_yes(operator: str) -> bool:
     """Whether the process at this operators' address answers STATUS with +OK."""
     host, _, port = operator.partition(":")
--- a/limelatch/lab/soak/run.py
+++ b/limelatch/lab/soak/run.py
@@ -20,6 +20,7 @@
 from limelatch.lab.soak.stage import SoakStage
 from limelatch.lab.stages import real
 
+HERE = Path(__file__).resolve().parents[3]  # this checkout
 RECORD = "soak.record"
 BAD_LINES = ('"event":"fault"', '"event":"not-started"', "Traceback", "Unhandled", "connection-not-served")
 LINES_MOST = 5  # of one relay's log that are told
@@ -49,8 +50,9 @@
         return not self.found
 
 
-def play_seed(seed: int, seconds: float, folder: Path) -> Verdict:
-    """Play the seed's plan; its record and the relays' logs go to the folder.
+def play_seed(seed: int, seconds: float, folder: Path, subject: Path | None = None) -> Verdict:
+    """Play the seed's plan with the relays of `subject`, a checkout, or of this one. Its record and the
+    relays' logs go to the folder.
 
     Interrupted, no process is left, and the folder holds what there was."""
     import uvloop
@@ -68,7 +70,7 @@
         async def run() -> None:
             whole = False
             with rec.Writer(parts[0], head) as writer:
-                stage = SoakStage(plan, library, writer, work, parts[1], lambda part: None)
+                stage = SoakStage(plan, library, subject or HERE, writer, work, parts[1], lambda part: None)
                 try:
                     await stage.run()
                     whole = True
--- a/limelatch/lab/soak/stage.py
+++ b/limelatch/lab/soak/stage.py
@@ -15,7 +15,8 @@
 
 HALF_COMMAND = b"*5\r\n$6\r\nSUBMIT\r\n$4\r\n0000"
 EARLY_COMMAND = b"*1\r\n$4\r\nPING\r\n"
-START = "trap '' HUP; exec \"$@\""  # a SIGHUP before the program reads its configuration has nothing to tell
+# As the deploy file starts a relay: a SIGHUP before the program reads its configuration has nothing to tell.
+START = 'trap \'\' HUP; cd "$0" && exec "$@"'
 STAY = 4.0  # seconds for which a client with half a command stays
 CROWD_LOOK = 0.5  # between two looks whether the crowd is whole
 
@@ -23,12 +24,12 @@
 class SoakStage(Sockets):
     """All of one seed's play."""
 
-    def __init__(self, plan: SoakPlan, library: Path | None, *rest) -> None:
-        """`library`: of machine faults, where the plan has any."""
+    def __init__(self, plan: SoakPlan, library: Path | None, subject: Path, *rest) -> None:
+        """`library`: of machine faults, where the plan has any; `subject`: whose relays are played."""
         self.plan, self.library, self.faults = plan, library, []
         self.random = random.Random(plan.seed)
         super().__init__(plan.scenario, plan.seed, *rest)
-        self.command = ["/bin/sh", "-c", START, "sh", *self.command]
+        self.command = ["/bin/sh", "-c", START, str(subject), *self.command]
 
     def make_relay(self, number: int) -> SoakRelay:
         listen = f"{self.address.host}:{self.address.port()}"
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,142 @@
+"""The soak: its plans, what it judges, its command, and a short one of fixed seeds."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from limelatch.lab.soak import mutants, plan
+from limelatch.lab.soak.plan import ACT_WEIGHTS, NAMELESS_FAULTS, PAUSE_MOST, draw_plan
+from limelatch.lab.soak.run import HERE, bad_lines
+
+ROOT = Path(__file__).parent.parent
+SHORT_SEEDS, SHORT_SECONDS = "5,6,8,12", 12
+PLAY_WAIT = 120  # seconds for a short soak
+GAP = 0.2
+
+
+def soak(*words, **more):
+    return subprocess.run(
+        [sys.executable, "-m", "limelatch", "lab", "soak", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=PLAY_WAIT,
+        check=False,
+        **more,
+    )
+
+
+def test_a_seed_draws_the_same_plan_and_the_seeds_draw_all_there_is():
+    plans = [draw_plan(seed, 40) for seed in range(1, 61)]
+    assert plans == [draw_plan(seed, 40) for seed in range(1, 61)]
+    kinds = {kind for each in plans for kind in each.count()}
+    wanted = {kind.value for kind in ACT_WEIGHTS} | {what.value for what in NAMELESS_FAULTS} | {"crowd"}
+    assert wanted <= kinds and {"machine-step", "machine-write", "machine-recv"} <= kinds
+    assert {each.scenario.relays.count for each in plans} == {1, 2, 3, 4, 6}
+    assert all(act.pause <= PAUSE_MOST for each in plans for act in each.acts)
+    assert any(min(act.at for act in each.acts) > 20 for each in plans)  # a quiet time first
+
+
+def test_a_kill_comes_no_earlier_after_sigterm_than_the_protocol_has_it():
+    assert plan.KILL_AFTER >= 3.7
+
+
+def test_faults_in_the_relays_logs_are_found(tmp_path):
+    (tmp_path / "relay-0.log").write_text(
+        '{"event":"serving"}\n{"event": "fault"}\nTraceback (most recent)\n'
+    )
+    assert list(bad_lines(tmp_path)) == [
+        'relay-0.log: {"event": "fault"}',
+        "relay-0.log: Traceback (most recent)",
+    ]
+
+
+@pytest.mark.parametrize("mutant", mutants.MUTANTS, ids=lambda mutant: mutant.name)
+def test_each_mutant_has_its_place_in_the_code(mutant, tmp_path):
+    mutants.write_mutant(mutant, HERE, tmp_path / "tree")
+    written = (tmp_path / "tree" / "limelatch" / mutant.path).read_text()
+    compile(written, mutant.path, "exec")
+    assert written != (HERE / "limelatch" / mutant.path).read_text()
+
+
+@pytest.mark.parametrize(
+    "words, says",
+    [
+        (["--seeds", "5-1"], "'5-1' names 0 seeds"),
+        (["--seeds", "one"], "'one' is no list of seeds"),
+        (["--seeds", ""], "'' is no list of seeds"),
+        (["--seeds", "1-2000"], "names 2000 seeds, 1 to 1000 are wanted"),
+        (["--jobs", "0"], "--jobs"),
+        (["--seconds", "1"], "--seconds"),
+        (["--keep", "/dev/null/there"], "/dev/null/there: Not a directory"),
+        (["--subject", "/no/such/checkout"], "/no/such/checkout"),
+    ],
+)
+def test_bad_words_are_named_in_a_line_and_start_nothing(words, says, tmp_path):
+    done = soak(*words, env=os.environ | {"TMPDIR": str(tmp_path)})
+    assert done.returncode == 2 and says in done.stderr and "Traceback" not in done.stderr
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_without_a_compiler_a_plan_with_machine_faults_is_not_played(tmp_path):
+    seed = next(seed for seed in range(1, 60) if draw_plan(seed, 10).machine)
+    words = ["--seed", str(seed), "--seconds", "10"]
+    done = soak(*words, env=os.environ | {"TMPDIR": str(tmp_path), "PATH": str(tmp_path)})
+    assert done.returncode == 2 and "no C compiler found" in done.stderr
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_too_few_descriptors_are_named_before_anything_starts(tmp_path):
+    command = f"ulimit -n 400 && exec {sys.executable} -m limelatch lab soak --seeds 1"
+    done = subprocess.run(["/bin/sh", "-c", command], cwd=ROOT, capture_output=True, text=True, check=False)
+    assert done.returncode == 2 and "descriptors, a process may hold 400" in done.stderr
+
+
+def test_ctrl_c_ends_all_that_was_started_and_leaves_no_folder(tmp_path, interruptible):
+    process = subprocess.Popen(
+        [sys.executable, "-m", "limelatch", "lab", "soak", "--seeds", "1-4", "--jobs", "2"],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        env=os.environ | {"TMPDIR": str(tmp_path)},
+    )
+    until = time.monotonic() + PLAY_WAIT
+    while not any(tmp_path.glob("limelatch-soak-*/relay-*-state/ledger")):
+        assert time.monotonic() < until and process.poll() is None
+        time.sleep(GAP)
+    began = time.monotonic()
+    process.send_signal(signal.SIGINT)
+    said, wrong = process.communicate(timeout=PLAY_WAIT)
+    assert process.returncode == 130 and time.monotonic() - began < 3, wrong
+    assert "0 of 4 seeds played" in said
+    assert not running_with(str(tmp_path))
+
+
+def running_with(words: str) -> list[str]:
+    """Command lines of processes that name the words."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/cmdline"):
+        try:
+            line = path.read_bytes().replace(b"\0", b" ").decode(errors="replace")
+        except OSError:
+            continue
+        if words in line:
+            found.append(line)
+    return found
+
+
+def test_a_short_soak_of_fixed_seeds_breaks_no_rule(tmp_path):
+    words = ["--seeds", SHORT_SEEDS, "--seconds", str(SHORT_SECONDS), "--jobs", "2"]
+    done = soak(*words, "--keep", str(tmp_path / "kept"))
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "4 of 4 seeds played" in done.stdout and "no rule broken" in done.stdout
+    shutil.rmtree(tmp_path / "kept")
