The folder's limit holds for both processes of an upgrade; a text handed in again is taken once

Each counts the other's file and what it will write of it; a file is made small again at half of the disk, unless over half of it is needed, so that a successor finds room. It hears +OK: the relay has taken it on. An error is an answer; the check after reset, spoilt and given-up calls stays, with the spoilt one added to its test.

--- a/limelatch/lab/checker.py
+++ b/limelatch/lab/checker.py
@@ -312,7 +312,7 @@
                 event.at,
                 f"key {text.handed.key}",
                 f"text {name} was sent {write_span(until - sent)} before the key's rest was over",
-                text.trail,
+                [*(self.texts[unless].trail if unless in self.texts else ()), *text.trail],
             )
 
     def _unless_gone(self, at: int, text: TextState, call: int, rule: Rule, words: str) -> None:
@@ -367,7 +367,7 @@
             if fate == Fate.DELIVERED:
                 if not text.end:
                     self._over(text, "delivered", told)
-            else:
+            elif fate != Fate.FAILED:  # an error is an answer: nothing runs any more
                 self._rest(text, name, told)
 
     def gave_up(self, event: rec.GaveUp) -> None:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -312,6 +312,9 @@
     def handed_in(self, handed: Handed, client: Client) -> None:
         """A client hands in a text; the answer comes with this turn."""
         names, now = self.plan.names, self.clock.now()
+        if self.handover.holds(handed.id):
+            client.answer("+OK")  # this relay has taken it on, in its other process
+            return
         product, customer = handed.product.decode(errors="replace"), handed.customer.decode(errors="replace")
         refusal = self._refusal(handed, product, customer)
         if refusal is not None:
@@ -344,7 +347,7 @@
         if not self.catalog.holds_a_list:
             self.held_down("no-list", why="no list of hosts has been read yet")
             return Refusal("no-list", "-BUSY")
-        if handed.id in self.owed or self.handover.holds(handed.id):
+        if handed.id in self.owed:
             return Refusal("id-known", "-ERR this id was handed in before")
         if self._stop_at is not None:
             return Refusal("stopping", "-BUSY")
--- a/limelatch/relay/handover.py
+++ b/limelatch/relay/handover.py
@@ -58,6 +58,7 @@
         if not self._sibling_known:
             return
         book = self._sibling.look()
+        self._ledger.sibling_needs = self._sibling.bytes_needed
         if book is None:
             self._order.sibling_holds(())
             self._sibling_known = False
@@ -112,11 +113,16 @@
         self.waits = {host: until for host, until in self._ledger.book.waits.items() if until > now}
         self._order.sibling_holds(())
         self.learn(self._ledger.book)
-        self._sibling_known = False
-        self._sibling.close()
+        self._forget_sibling()
         self._adopt(adopted)
         self._deadlines.after(SEAT_LOOK, self._take_seat)
 
+    def _forget_sibling(self) -> None:
+        """There is one process again."""
+        self._sibling_known = False
+        self._sibling.close()
+        self._ledger.sibling_needs = 0
+
     def _take_seat(self) -> None:
         """In the folder: what a successor that has ended left in its seat is this process's."""
         if self._ledger.seat_left and (adopted := self._ledger.take_seat()):
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -20,6 +20,7 @@
 
 FILE, NEW_FILE, SEAT = "ledger", "ledger.new", "next"
 BLOCK = 512  # files count in whole blocks
+DEAD_TIMES = 2  # the file's size in what is still needed of it, from which a new one is worth its writing
 LIVE_SHARE = 0.4  # of the disk, for records of texts that are not over; the rest: growth, the new file
 BESIDE_SHARE = 0.125  # of the disk at the most, for the copy of the list and the new one beside it
 MEMORY_SHARE = 0.1  # of the memory, for the same records, which are kept there too
@@ -116,6 +117,7 @@
         self.book, self.size, self.cut, self.behind = Book(), 0, 0, b""
         self._torn = False  # a record written in part stands at the file's end
         self._failing = False  # since a call that failed, until a write works
+        self.sibling_needs = 0  # bytes of the disk that the other process of an upgrade holds or will write
         self._emptied_later: list[str] = []  # files taken in that could not be removed
         try:
             self._lock = lock(folder)
@@ -292,7 +294,8 @@
 
     def has_room(self, body: int) -> bool:
         """Whether one more text fits, with all that will be written of it and of the others."""
-        return self.book.live + body + 2 * LATER <= self.live_most
+        own_disk = max(0, self.disk - self.sibling_needs)
+        return self.book.live + body + 2 * LATER <= min(self.live_most, own_disk * LIVE_SHARE)
 
     def taken(self, text: bytes, body: bytes, **pairs: object) -> bool:
         """Whether the text is in the ledger; else it is not taken on."""
@@ -324,7 +327,7 @@
     def _write(self, kind: Kind, text: bytes, pairs: dict, body: bytes = b"", must: bool = False) -> bool:
         """Add a record; False where it could not be written: it waits, or, if it `must`, it is dropped."""
         one = record(kind, text, pairs, body)
-        if self.size + len(one) + self.book.live > self.disk - BLOCK:
+        if self._needs_compaction(len(one)):
             self.compact()
         self.behind += one
         written = self._flush()
@@ -334,6 +337,16 @@
         self.book.apply(one)
         return written
 
+    def _needs_compaction(self, more: int) -> bool:
+        """Whether the file and a new one beside it outgrow the disk that is this process's.
+
+        At half of it already, unless most of the file is still needed: so there is room for the ledger of
+        a successor."""
+        size, room = self.size + more, self.disk - self.sibling_needs - BLOCK
+        if size + self.book.live > room:
+            return True
+        return size + self.book.live > room // 2 and size > DEAD_TIMES * self.book.live
+
     def _flush(self) -> bool:
         """Write what is behind; of a record written in part nothing stays before the next one."""
         if not self.behind:
--- a/limelatch/relay/sibling.py
+++ b/limelatch/relay/sibling.py
@@ -57,7 +57,13 @@
         self.close()
         self._path, self._file = path, file
 
+    @property
+    def bytes_needed(self) -> int:
+        """Of the disk, by the ledger that is followed: its file, and a new one with what is still open."""
+        return self._read + self._book.live
+
     def close(self) -> None:
+        """Forget the ledger that was followed."""
         if self._file >= 0:
             close_quietly(self._file)
         self._path, self._file, self._read, self._book = "", -1, 0, Book()
@@ -79,6 +85,11 @@
         """What it holds by now; None where there is no other process."""
         return self._follower.look(self._ledger.sibling_path)
 
+    @property
+    def bytes_needed(self) -> int:
+        """Of the disk, by the other process, as it was looked at last."""
+        return self._follower.bytes_needed
+
     @contextmanager
     def claiming(self) -> Iterator[bool]:
         """Keeps the sibling from a claim meanwhile; False where it is at one, or the lock can't be had."""
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -268,7 +268,7 @@
 
 
 @pytest.mark.parametrize("after, broken", [(2999, {Rule.ORDER: 1}), (3000, {})])
-@pytest.mark.parametrize("fate", [Fate.RESET, None])
+@pytest.mark.parametrize("fate", [Fate.RESET, Fate.GARBLED, None])
 def test_a_key_rests_after_what_may_still_run(story, after, broken, fate):
     story.taken(S, "t", CHARGE, key=7).taken(S, "u", CHARGE, key=7)
     call = story.called(S + 1, "t")
@@ -278,6 +278,14 @@
     assert story.over() == broken
 
 
+def test_a_key_does_not_rest_after_an_error_which_is_an_answer(story):
+    story.taken(S, "t", CHARGE, key=7).taken(S, "u", CHARGE, key=7)
+    story.ends(2 * S, story.called(S + 1, "t"), Fate.FAILED)
+    story.tell(rec.Noticed(2 * S, 0, "t", False, 0))
+    story.ends(9 * S, story.called(2 * S + 1, "u"))
+    assert story.over() == {}
+
+
 def test_texts_of_a_key_at_two_relays_have_no_order(story):
     story.taken(S, "t", CHARGE, key=7, relay=0).taken(S, "u", CHARGE, key=7, relay=1)
     story.ends(2 * S, story.called(S + 1, "u", relay=1)).ends(3 * S, story.called(2 * S, "t"))
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -150,9 +150,9 @@
 class Process:
     """One process of a relay at a hand-over: its ledger and its order of keys, without sockets."""
 
-    def __init__(self, folder, clock):
+    def __init__(self, folder, clock, disk=100_000):
         self.clock, self.order, self.adopted = clock, KeyOrder(), []
-        self.ledger = Ledger(str(folder), 100_000, 10_000_000)
+        self.ledger = Ledger(str(folder), disk, 10_000_000)
         self.handover = Handover(
             self.ledger,
             clock,
@@ -274,7 +274,7 @@
 
 
 def test_an_id_that_the_other_process_holds_is_known(pair):
-    """A client that lost its connection as the old process died hands the text in once more."""
+    """A client that lost its connection as the old process died hands the text in again, and hears +OK."""
     old, new = pair
     old.take(b"a", 5)
     assert new.handover.holds(b"a") and not new.handover.holds(b"b")
--- a/tests/test_order_over_processes.py
+++ b/tests/test_order_over_processes.py
@@ -275,3 +275,16 @@
     finally:
         relay.program.process.send_signal(signal.SIGCONT)
     assert rested(host, "t2", host.close_of("t1")) >= 0
+
+
+def test_a_text_that_is_handed_in_again_to_the_other_process_is_taken_on_once(relay, host):
+    """Its client lost the connection with the answer; the text goes out once, and its end is one."""
+    host.hanging = {"t1"}
+    charge(relay.start(), "t1", valid=1500)
+    host.call("t1")
+    relay.upgrade()
+    charge(relay.client_of_new(), "t1", valid=1500)
+    relay.program.kill()
+    assert relay.agent.notice()["ref"] == "t1"
+    time.sleep(1.0)  # a second call would have come by now
+    assert len(host.began["t1"]) == 1 and relay.agent.notices.empty()
--- /dev/null
+++ b/tests/test_upgrade_limits.py
@@ -0,0 +1,91 @@
+"""The limits of a relay hold for both processes of an upgrade together."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+from test_crossings import Running, take
+from test_key_order import Process
+
+from limelatch.relay.ledger import BLOCK, FILE, NEW_FILE, SEAT, Ledger
+
+DISK = 300_000
+BODY = b"b" * 1000
+
+
+def folder_bytes(folder):
+    """As the platform counts: every file in whole blocks."""
+    files = [os.path.join(folder, *name) for name in ((FILE,), (NEW_FILE,), (SEAT, FILE), (SEAT, NEW_FILE))]
+    sizes = [os.path.getsize(path) for path in files if os.path.exists(path)]
+    return sum(-(-size // BLOCK) * BLOCK for size in sizes)
+
+
+def process(folder, clock):
+    return Process(folder, clock, disk=DISK)
+
+
+def fill(one, names, most=10_000):
+    """Texts are taken on and are over at once, and some stay open, as long as there is room for them."""
+    for number in range(most):
+        text = b"%s%d" % (names, number)
+        if not one.ledger.has_room(len(BODY)):
+            return
+        one.handover.look()
+        one.ledger.taken(
+            text, BODY, key="", mark="m", dest=1, product="notice", customer="", until=9, at=number
+        )
+        if number % 8:
+            one.ledger.over(text)
+        assert folder_bytes(one.ledger.folder) <= DISK
+
+
+@pytest.mark.parametrize("texts", [5, 200, 10_000])
+def test_both_ledgers_and_the_take_over_stay_within_the_folder_s_limit(tmp_path, texts):
+    clock = Running()
+    old = process(tmp_path, clock)
+    fill(old, b"old", texts)
+    new = process(tmp_path, clock)
+    clock.advance(0.3)  # the old one has noticed
+    fill(new, b"new")
+    fill(old, b"more", 200)
+    fill(new, b"last", 200)
+    held = len(old.ledger.entries) + len(new.ledger.entries)
+    old.ledger.close()
+    clock.advance(0.2)
+    assert len(new.ledger.entries) == held and not new.ledger.beside
+    assert folder_bytes(tmp_path) <= DISK
+    new.ledger.close()
+
+
+def test_a_process_has_the_whole_folder_again_after_its_sibling(tmp_path):
+    clock = Running()
+    old = process(tmp_path, clock)
+    fill(old, b"old", 50)
+    new = process(tmp_path, clock)
+    new.handover.look()
+    beside = new.ledger.sibling_needs
+    for text in list(old.ledger.entries):
+        old.ledger.over(text)
+    old.ledger.close()
+    clock.advance(0.2)
+    assert beside > 0 == new.ledger.sibling_needs
+    new.ledger.close()
+
+
+def test_a_ledger_alone_is_made_small_again_at_half_of_the_disk(tmp_path):
+    """So that there is room for a successor's; with much that is open, not at each record."""
+    ledger = Ledger(str(tmp_path), DISK, 10_000_000)
+    made = []
+    compact = ledger.compact
+    ledger.compact = lambda: made.append(ledger.size) or compact()
+    for number in range(6000):
+        take(ledger, b"t%d" % number)
+        ledger.over(b"t%d" % number)
+        assert ledger.size <= DISK // 2 + BLOCK
+    assert 2 <= len(made) <= 10
+    made.clear()
+    while ledger.has_room(len(BODY)):
+        take(ledger, b"open%d" % len(ledger.entries))
+    assert len(made) <= 3
+    ledger.close()
