The limit on descriptors is one for both processes of an upgrade

Seen: 331 of 256 descriptors in a test on real processes with resting clients, before the change. Change: each holds half of them while there are two (Shares.of_two); the old one closes resting connections beyond it as it sees its successor, within 0.25 s, and the new one serves 0.3 s after its start at the earliest. A relay of under 128 descriptors can't keep both within them; that is said in the code. Also: the old process forgets a dead successor as it takes in its texts, not at its next turn.

--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -66,6 +66,13 @@
         closing = min(sockets // 16, (left - hosts) // 2)
         return cls(hosts, closing, operators, clients, clients + left - hosts - closing)
 
+    @classmethod
+    def of_two(cls, sockets: int) -> Shares:
+        """Of one of two processes of a relay, which share its descriptors in an upgrade.
+
+        A relay of fewer than twice SOCKETS_LEAST can't keep both within them."""
+        return cls.of(max(SOCKETS_LEAST, sockets // 2))
+
 
 @dataclass(frozen=True)
 class MembershipPlan:
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -412,6 +412,18 @@
             if self._room_look is None:
                 self._room_look = self.driver.deadlines.after(ROOM_LOOK, self._look_for_room)
 
+    def bound(self, most: int, open_most: int) -> None:
+        """Hold so many connections from now on; of those beyond it the ones at rest end, the others later."""
+        self.connections.size, self.open_most = most, open_most
+        while len(self.connections) > most and (silent := self._longest_silent(None)) is not None:
+            silent.end(Ending.CROWDED)
+            self.drop(silent)
+        if self.connections.full:
+            self.make_room()
+        else:
+            self.release()
+        self.count_open(0)
+
     def _longest_silent(self, newest: Client | None) -> Client | None:
         """The connection at rest that was heard of longest ago.
 
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -11,6 +11,7 @@
 from limelatch.configuration import RelayPlan
 from limelatch.configuration.changes import changes
 from limelatch.configuration.model import Reload
+from limelatch.configuration.plan import Shares
 from limelatch.logs import HeldDown, logger, say
 from limelatch.logs import start as start_logs
 from limelatch.policy import Policy
@@ -21,7 +22,7 @@
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.door import Door, DoorError, HostsOut
 from limelatch.relay.folder_watch import FolderWatch
-from limelatch.relay.handover import Handover
+from limelatch.relay.handover import NOTICED_AFTER, Handover
 from limelatch.relay.hosts import Call, Outcome, Parcel, HostPool
 from limelatch.relay.ledger import Ledger
 from limelatch.relay.list_copy import ListCopy
@@ -88,8 +89,10 @@
             self._is_ordered,
             self._adopt,
             self.soon,
+            self._share_descriptors,
         )
         self._handed_in_last = 0
+        self._serves_from = clock.now() + (NOTICED_AFTER if self.ledger.beside else 0)
         self.slots: Slots[Owed] = Slots(max(plan.terms.max_texts, len(self.ledger.entries)))
         self.owed: dict[bytes, Owed] = {}
         self.arrived: dict[bytes, Owed] = {}  # this turn, not taken on yet
@@ -164,6 +167,12 @@
         say(log, "taken-over", owed=len(self.owed), adopted=len(entries))
         self.soon()
 
+    def _share_descriptors(self, two: bool) -> None:
+        """The limit on descriptors is one for both processes of an upgrade: each holds half of them."""
+        shares = Shares.of_two(self.plan.sockets) if two else self.plan.shares
+        self.listener.bound(shares.clients, shares.clients_most)
+        self.pool.bound(shares.hosts)
+
     def _is_ordered(self, product: str) -> bool:
         """Whether a product is in order by the settings; one that they don't know counts as one that is."""
         names = self.plan.names.products
@@ -209,6 +218,9 @@
 
     def serve(self) -> None:
         """Open for clients; PING is answered from here on."""
+        if self.clock.now() < self._serves_from:  # the old process has to make room first
+            self.deadlines.at(self._serves_from, self.serve)
+            return
         if not self.ready and self._stop_at is None and not self.failed:
             listen = self.plan.listen
             try:
--- a/limelatch/relay/handover.py
+++ b/limelatch/relay/handover.py
@@ -18,6 +18,7 @@
 
 SIBLING_LOOK = SECOND // 10  # between two looks at a sibling that is there
 SEAT_LOOK = SECOND // 4  # between two looks whether one has come: a notice is overdue after 0.3 s
+NOTICED_AFTER = SEAT_LOOK + SIBLING_LOOK // 2  # by then the old process has seen that it has a successor
 
 
 class Handover:
@@ -32,17 +33,20 @@
         is_ordered: Callable[[str], bool],
         adopt: Callable[[list[Entry]], None],
         soon: Callable[[], None],
+        share: Callable[[bool], None],
     ) -> None:
         """`is_ordered`: whether a product is in order by this process's settings; `adopt` takes up texts of
-        another process; `soon` has the module decide."""
+        another process; `soon` has the module decide; `share` is told whether there are two processes now."""
         self._ledger, self._clock, self._deadlines, self._order = ledger, clock, deadlines, order
         self._is_ordered, self._adopt, self._soon = is_ordered, adopt, soon
-        self._sibling, self._sibling_known = Sibling(ledger), ledger.beside
+        self._sibling, self._sibling_known, self._share = Sibling(ledger), ledger.beside, share
         self.waits: dict[HostId, int] = {}  # told to the other process, until when
 
     def start(self) -> None:
         """Follow the sibling from now on, where there is one or one may come."""
         self.learn(self._ledger.book)
+        if self._sibling_known:
+            self._share(True)
         look = self._take_over if self._ledger.beside else self._take_seat
         self._deadlines.after(SIBLING_LOOK, look)
 
@@ -61,7 +65,7 @@
         self._ledger.sibling_needs = self._sibling.bytes_needed
         if book is None:
             self._order.sibling_holds(())
-            self._sibling_known = False
+            self._forget_sibling()
             return
         self.learn(book)
         self._order.sibling_holds(self._places(book))
@@ -89,7 +93,7 @@
         docs/design/key-order.md."""
         if not self._sibling.has_ledger:
             return self._go(key, text, going)
-        self._sibling_known = True
+        self._meet_sibling()
         with self._sibling.claiming() as held:
             if not held:
                 return Hold.SIBLING
@@ -117,9 +121,16 @@
         self._adopt(adopted)
         self._deadlines.after(SEAT_LOOK, self._take_seat)
 
+    def _meet_sibling(self) -> None:
+        """There are two processes from now on."""
+        if not self._sibling_known:
+            self._sibling_known = True
+            self._share(True)
+
     def _forget_sibling(self) -> None:
         """There is one process again."""
         self._sibling_known = False
+        self._share(False)
         self._sibling.close()
         self._ledger.sibling_needs = 0
 
@@ -130,6 +141,8 @@
             self.learn(self._ledger.book)
             self._adopt(adopted)
         if self._ledger.seat_left:
-            self._sibling_known = True
+            self._meet_sibling()
             self._soon()
+        elif self._sibling_known:
+            self._forget_sibling()
         self._deadlines.after(SIBLING_LOOK if self._sibling_known else SEAT_LOOK, self._take_seat)
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -255,6 +255,12 @@
             address.host, address.port, Dial(connection), timeout=None
         )
 
+    def bound(self, most: int) -> None:
+        """Hold so many connections from now on; idle ones beyond it are closed."""
+        self.connections.size = most
+        while len(self.connections) > most and any(self.idle.values()):
+            self._close_oldest_idle()
+
     def _close_oldest_idle(self) -> None:
         resting = [waiting[0] for waiting in self.idle.values() if waiting]
         if resting:
--- a/tests/test_upgrade_limits.py
+++ b/tests/test_upgrade_limits.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import copy
 import os
+from contextlib import suppress
 
 import pytest
 from test_crossings import Running, take
 from test_key_order import Process
 
+from limelatch.configuration.plan import OWN, Shares
 from limelatch.relay.ledger import BLOCK, FILE, NEW_FILE, SEAT, Ledger
 
 DISK = 300_000
@@ -89,3 +92,51 @@
         take(ledger, b"open%d" % len(ledger.entries))
     assert len(made) <= 3
     ledger.close()
+
+
+# Descriptors, on real processes.
+
+SOCKETS = 256
+
+
+def descriptors(*programs):
+    return sum(len(os.listdir(f"/proc/{each.process.pid}/fd")) for each in programs)
+
+
+def crowd(program, count):
+    """Clients that ask once and rest; some are closed for others."""
+    made = []
+    for _ in range(count):
+        with suppress(OSError):
+            client = program.client()
+            client.write("PING")
+            made.append(client)
+    return made
+
+
+def test_two_processes_hold_no_more_descriptors_than_one_relay_may(plan, agent, party):
+    agent.list(party().address)
+    old = plan(limits={"disk_mb": 3, "sockets": SOCKETS})
+    old.start()
+    clients = crowd(old, SOCKETS)
+    new = copy.copy(old)
+    new.process = None
+    try:
+        new.launch()
+        new.says("event=serving")
+        most = 0
+        for _ in range(6):
+            clients += crowd(old, SOCKETS // 2)
+            most = max(most, descriptors(old, new))
+        assert most <= SOCKETS
+        old.kill()
+        new.says("event=taken-over")
+        most = 0
+        for _ in range(4):
+            clients += crowd(new, SOCKETS // 4)
+            most = max(most, descriptors(new))
+        assert most > OWN + Shares.of_two(SOCKETS).clients  # all of them are its own again
+    finally:
+        new.kill()
+        for client in clients:
+            client.socket.close()
