A host out by hand at one process of an upgrade is out at the other

Cause, the incident's class: each process read the folder's file of hosts out at its start alone, and wrote its own list over the other's. Change: the file is read again in each turn while there are two processes, and before each SUSPEND and RESTORE.

--- a/limelatch/relay/door.py
+++ b/limelatch/relay/door.py
@@ -43,12 +43,16 @@
     OSError where the file is there and the disk does not give it: no host that is out must be sent to."""
 
     def __init__(self, folder: str) -> None:
-        self.path, self.counts = os.path.join(folder, FILE), {}
+        self.path = os.path.join(folder, FILE)
+        self._read_at = self._written_at()
+        self.counts: dict[HostId, int] = self._read()
+
+    def _read(self) -> dict[HostId, int]:
         try:
             with named("read", self.path), open(self.path, "rb") as file:
                 raw = file.read(OUT_MOST * 300)
             told = json.loads(raw)
-            self.counts = {
+            return {
                 host.encode(): int(count)
                 for host, count in told.items()
                 if isinstance(host, str) and isinstance(count, int) and count > 0
@@ -57,6 +61,30 @@
             pass
         except (ValueError, AttributeError) as error:  # torn: written anew at the next call
             say(log, "out-not-read", why=error)
+        return {}
+
+    def _written_at(self) -> tuple[int, int] | None:
+        """What tells one file at the path from the next; None where there is none, or it can't be told."""
+        try:
+            status = os.stat(self.path)
+        except OSError:
+            return None
+        return status.st_ino, status.st_mtime_ns
+
+    def refresh(self) -> set[HostId]:
+        """Take in what the other process of an upgrade was told; the hosts that are out or back by it.
+
+        Where the file can't be read, what is held stays, and it is read at the next call."""
+        written_at = self._written_at()
+        if written_at == self._read_at:
+            return set()
+        try:
+            counts = self._read()
+        except OSError:
+            return set()
+        changed = counts.keys() ^ self.counts.keys()
+        self._read_at, self.counts = written_at, counts
+        return changed
 
     def seen(self, entry: HostEntry) -> HostEntry:
         """The line as the module is to see it: a host out is draining."""
@@ -86,7 +114,7 @@
             replace_whole(self.path, json.dumps(told).encode())
         except OSError as error:
             raise DoorError(f"not done, the folder does not keep it: {error.strerror}") from None
-        self.counts = counts
+        self._read_at, self.counts = self._written_at(), counts
 
 
 class DoorError(Exception):
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -455,8 +455,15 @@
         self.listener.resume()
         return "+OK serving" if self.ready else "+OK starting"
 
+    def _hear_hosts_out(self) -> None:
+        """What operators have told the other process of an upgrade binds this one."""
+        for host in self.out.refresh() if self.handover.has_sibling else ():
+            if host in self.hosts:
+                self._tell(self.clock.now(), [self.hosts[host]], news=False)
+
     def suspend(self, host: li.HostId) -> str:
         """The host counts as draining until RESTORE, whatever the catalog says."""
+        self._hear_hosts_out()
         if self.out.suspend(host) and host in self.hosts:
             self._tell(self.clock.now(), [self.hosts[host]], news=False)
             self.soon()
@@ -464,6 +471,7 @@
 
     def restore(self, host: li.HostId) -> str:
         """The catalog's own line of the host holds again."""
+        self._hear_hosts_out()
         if self.out.restore(host) and host in self.hosts:
             self._tell(self.clock.now(), [self.hosts[host]], news=False)
             self.soon()
@@ -577,6 +585,7 @@
             return  # what an earlier process took on waits for the list too
         self.handover.look()
         self._tell_waits()
+        self._hear_hosts_out()
         now = self.clock.now()
         actions = self.policy.decide(now, self.folder.gate.may_submit)
         arrived, self.arrived = self.arrived, {}  # an answer may bring a client's next text, for a later turn
--- a/limelatch/relay/handover.py
+++ b/limelatch/relay/handover.py
@@ -50,6 +50,11 @@
         look = self._take_over if self._ledger.beside else self._take_seat
         self._deadlines.after(SIBLING_LOOK, look)
 
+    @property
+    def has_sibling(self) -> bool:
+        """Whether there are two processes, as far as this one has seen."""
+        return self._sibling_known
+
     def learn(self, book: Book) -> None:
         """Rests that a ledger tells bind this process too."""
         now = self._clock.now()
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -73,6 +73,42 @@
     assert json.loads((door.state / "out").read_text()) == {}
 
 
+@pytest.mark.parametrize("told", [0, 1])
+def test_a_host_suspended_at_one_process_of_an_upgrade_is_drained_by_both(door, agent, party, told):
+    first, second = party(), party()
+    agent.list(first.address, "s-1")
+    agent.list(second.address, "s-2")
+    client = door.start()
+    assert client.submit("t0") == "+OK"
+    beside = copy.copy(door)
+    beside.process = None
+    with socket.create_server((door.address, 0)) as spare:
+        port = spare.getsockname()[1]
+    beside.configure_file(operator=f"{door.address}:{port}")
+    try:
+        beside.start()
+        callers = Caller(door.door), Caller((door.address, port))
+        assert callers[told].call("SUSPEND s-1").startswith("+OK")
+        time.sleep(1.0)  # from then on it holds, by the operators' page
+        while not first.asked.empty():
+            first.asked.get()
+        for number in range(30):
+            assert door.client().submit(f"t{number + 1}") == "+OK"
+            assert second.next().headers["X-Txn"]
+        assert first.asked.empty()
+        assert callers[1 - told].call("SUSPEND s-2").startswith("+OK")
+        assert callers[1 - told].call("RESTORE s-1").startswith("+OK")
+        time.sleep(1.0)
+        assert door.client().submit("last") == "+OK"
+        while first.next().headers["X-Txn"] != "last":
+            pass
+        door.kill()
+        beside.says("event=taken-over")
+        assert json.loads((door.state / "out").read_text()) == {"s-2": 1}
+    finally:
+        beside.kill()
+
+
 def test_hosts_out_outlast_the_process(door, agent, party):
     first, second = party(), party()
     agent.list(first.address, "s-1")
