--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -217,12 +217,20 @@
     after: int
 
 
+class Health(Enum):
+    """What the module has come to hold of a host."""
+
+    SICK = "sick"  # in an outage: it gets trials alone
+    WARMING = "warming"  # back from one, and cold
+
+
 @dataclass(slots=True)
 class LogLine:
-    """One line for the relay's log, on a host."""
+    """One line for the relay's log, on a host; `health`: what the other process of an upgrade hears."""
 
     line: str
     host: HostId
+    health: Health | None = None
 
 
 def limit_told(report: dict[str, float]) -> tuple[float | None, float | None]:
--- a/limelatch/lab/soak/mutants.py
+++ b/limelatch/lab/soak/mutants.py
@@ -135,6 +135,12 @@
         "self.policy.wait_told_to_sibling(host, until)",
         "pass",
     ),
+    Mutant(
+        "outages known to the other process",
+        "relay/driver.py",
+        "self.policy.health_told_to_sibling(now, host, found.health, found.at)",
+        "pass",
+    ),
     Mutant(
         "the texts of the old process",
         "relay/handover.py",
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -20,9 +20,9 @@
 from math import sqrt
 
 from limelatch.chance import Chance
-from limelatch.interface import (MS, SECOND, Action, CloseIdle, Effect, Forget, HostEntry, HostId, Listing,
-                                 LogLine, Nack, Past, Product, Result, Submit, SubmitReport, Terms, Text,
-                                 TextId, Undeliverable, Wake, Watch)
+from limelatch.interface import (MS, SECOND, Action, CloseIdle, Effect, Forget, Health, HostEntry, HostId,
+                                 Listing, LogLine, Nack, Past, Product, Result, Submit, SubmitReport, Terms,
+                                 Text, TextId, Undeliverable, Wake, Watch)
 from limelatch.key_order import KeyOrder, Place
 
 # The design's figures; tokens are counted in tenths.
@@ -139,6 +139,7 @@
         self.dest, self.route, self.out, self.failing, self.sick = dest, route, [], 0.0, False  # out: calls
         self.warm_credit, self.warm_at, self.back_at, self.last_ok = 0.0, 0, None, -GOOD_LATELY
         self.gap = self.gap_most = keep  # time between calls, as far as hosts keep connections idle
+        self.sibling_told_at = -1  # of the last news of it by the other process of an upgrade
         self.kept, self.sour, self.used_at = False, {}, 0  # an idle one there; products that fail: when
 
     def overdue(self, now: int) -> bool:
@@ -166,6 +167,7 @@
         self.hosts: dict[HostId, Host] = {}
         self.dests: defaultdict[int, Destination] = defaultdict(Destination)
         self.active: dict[int, Destination] = {}  # those with texts waiting; a tick looks at no others
+        self.processes = 1  # of this relay: 2 in an upgrade, which both send to a host back from an outage
         self.order = KeyOrder()  # of texts of products in order, over all processes of the relay
         self.expiries: list[tuple[int, TextId]] = []
         self.slots_used, self.wake_at, self.stop_at = 0, now, NEVER
@@ -268,6 +270,26 @@
         if (known := self.hosts.get(host)) is not None:
             known.route.wait_until = max(known.route.wait_until, until)
 
+    def health_told_to_sibling(self, now: int, host: HostId, health: Health, at: int) -> None:
+        """The other process of this relay found a host so at that time; what this one has seen since counts
+        more. Guards against a returning host that a process without knowledge of its outage pushes over."""
+        if (known := self.hosts.get(host)) is None or at <= known.sibling_told_at:
+            return
+        known.sibling_told_at, route, dest = at, known.route, known.dest
+        if known.sick and route.down_at > at:
+            return
+        if health is Health.SICK and not known.sick and known.last_ok < at:
+            if not any(each.sick for each in route.hosts):
+                route.down_at, route.tries, dest.had = at, 0, 1 + dest.calls + len(dest.waiting)
+            known.sick, known.back_at = True, None
+            self._next_trial(now, route)
+        elif health is Health.WARMING and now - at < self.terms.cold_time and known.back_at is None:
+            known.sick, known.failing = False, FAIL_STEP / 2
+            known.back_at, known.warm_at = at, now
+            known.warm_credit = self.chance.below(1000) / 1000
+            if not any(each.sick for each in route.hosts):
+                route.tries = 0
+
     def stopping(self, until: int) -> None:
         self.stop_at = until
 
@@ -381,7 +403,7 @@
                 route.down_at, route.tries, dest.had = now, 0, 1 + dest.calls + len(dest.waiting)
             for each in [one for one in route.hosts if one is host or one.last_ok < now - GOOD_LATELY]:
                 each.sick, each.back_at = True, None
-            self.log.append(LogLine(f"sick: {why}, failing {host.failing:.2f}", host.id))
+            self.log.append(LogLine(f"sick: {why}, failing {host.failing:.2f}", host.id, Health.SICK))
         if host.sick:
             self._next_trial(now, route)
 
@@ -425,13 +447,15 @@
     def _seers(self, now: int, route: Route) -> float:
         """How many relays may know of an outage: by its texts, or by this one's if all are alike."""
         relays, like = self.terms.relays, self.terms.relays * (route.hosts[0].dest.had - 1) / 2
-        return min(relays, max(1.0, like, route.rate(relays) * (now - route.down_at + SEEN_BEFORE) / SECOND))
+        seers = max(1.0, like, route.rate(relays) * (now - route.down_at + SEEN_BEFORE) / SECOND)
+        return min(relays, seers) * self.processes
 
     def _come_back(self, now: int, route: Route) -> None:
         for host in [each for each in route.hosts if each.sick]:
             host.sick, host.back_at, host.failing, host.warm_at = False, now, FAIL_STEP / 2, now
             host.warm_credit = self.chance.below(1000) / 1000  # many small parts add up to what is safe
-            self.log.append(LogLine(f"back after {route.tries} trials, warming", host.id))
+            self.log.append(LogLine(f"back after {route.tries} trials, warming", host.id,
+                                    Health.WARMING))
         route.tries = 0
 
     def _plan(self, now: int) -> None:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -89,7 +89,7 @@
             self._is_ordered,
             self._adopt,
             self.soon,
-            self._share_descriptors,
+            self._share_limits,
         )
         self._handed_in_last = 0
         self._serves_from = clock.now() + (NOTICED_AFTER if self.ledger.beside else 0)
@@ -167,8 +167,10 @@
         say(log, "taken-over", owed=len(self.owed), adopted=len(entries))
         self.soon()
 
-    def _share_descriptors(self, two: bool) -> None:
-        """The limit on descriptors is one for both processes of an upgrade: each holds half of them."""
+    def _share_limits(self, two: bool) -> None:
+        """The limits are one for both processes of an upgrade: each holds half of the descriptors, and sends
+        half of what a host back from an outage bears."""
+        self.policy.processes = 2 if two else 1
         shares = Shares.of_two(self.plan.sockets) if two else self.plan.shares
         self.listener.bound(shares.clients, shares.clients_most)
         self.pool.bound(shares.hosts)
@@ -415,12 +417,15 @@
                 self.hosts[entry.host] = entry
                 self.pool.reach(entry.host, self.catalog.reached(entry.host))
         self.policy.hosts_listed(now, [self.out.seen(entry) for entry in entries], whole, news)
-        self._tell_waits()
+        self._tell_of_sibling()
 
-    def _tell_waits(self) -> None:
-        """Waits that the other process of this relay was told bind this one."""
+    def _tell_of_sibling(self) -> None:
+        """What hosts have told the other process of this relay, and how it found them."""
         for host, until in self.handover.waits.items():
             self.policy.wait_told_to_sibling(host, until)
+        now = self.clock.now()
+        for host, found in self.handover.healths.items():
+            self.policy.health_told_to_sibling(now, host, found.health, found.at)
 
     def _leave(self, host: li.HostId) -> None:
         """The host is off the list, or its destination at rest."""
@@ -584,7 +589,7 @@
         if not self.ready:
             return  # what an earlier process took on waits for the list too
         self.handover.look()
-        self._tell_waits()
+        self._tell_of_sibling()
         self._hear_hosts_out()
         now = self.clock.now()
         actions = self.policy.decide(now, self.folder.gate.may_submit)
@@ -620,6 +625,8 @@
                     self.deadlines.after(after, self.turn)
                 case li.LogLine(line, host):
                     say(policy_log, "mode", host=host, change=line)
+                    if action.health is not None:
+                        self.ledger.found_health(host, action.health, now)
         for host, parcels in calls.items():
             self.pool.send(host, parcels)
         if self._stop_at is not None:
--- a/limelatch/relay/handover.py
+++ b/limelatch/relay/handover.py
@@ -13,9 +13,10 @@
 from limelatch.relay.clock import Clock
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.ledger import Ledger
-from limelatch.relay.records import Book, Entry
+from limelatch.relay.records import Book, Entry, HostHealth
 from limelatch.relay.sibling import Sibling
 
+NEWS_KEPT = 20 * SECOND  # what the other process knew of hosts, for destinations met after its end
 SIBLING_LOOK = SECOND // 10  # between two looks at a sibling that is there
 SEAT_LOOK = SECOND // 4  # between two looks whether one has come: a notice is overdue after 0.3 s
 NOTICED_AFTER = SEAT_LOOK + SIBLING_LOOK // 2  # by then the old process has seen that it has a successor
@@ -41,6 +42,7 @@
         self._is_ordered, self._adopt, self._soon = is_ordered, adopt, soon
         self._sibling, self._sibling_known, self._share = Sibling(ledger), ledger.beside, share
         self.waits: dict[HostId, int] = {}  # told to the other process, until when
+        self.healths: dict[HostId, HostHealth] = {}  # found by the other process
 
     def start(self) -> None:
         """Follow the sibling from now on, where there is one or one may come."""
@@ -74,8 +76,12 @@
             return
         self.learn(book)
         self._order.sibling_holds(self._places(book))
+        self._hear(book)
+
+    def _hear(self, book: Book) -> None:
         now = self._clock.now()
         self.waits = {host: until for host, until in book.waits.items() if until > now}
+        self.healths = book.healths
 
     def _places(self, book: Book) -> Iterator[tuple[Key, Place]]:
         for entry in book.entries.values():
@@ -118,8 +124,7 @@
             self._soon()  # a key that the process before has freed meanwhile is taken up
             self._deadlines.after(SIBLING_LOOK, self._take_over)
             return
-        now = self._clock.now()
-        self.waits = {host: until for host, until in self._ledger.book.waits.items() if until > now}
+        self._hear(self._ledger.book)
         self._order.sibling_holds(())
         self.learn(self._ledger.book)
         self._forget_sibling()
@@ -132,8 +137,14 @@
             self._sibling_known = True
             self._share(True)
 
+    def _forget_news(self) -> None:
+        """What the other process knew of hosts is old."""
+        if not self._sibling_known:
+            self.waits, self.healths = {}, {}
+
     def _forget_sibling(self) -> None:
         """There is one process again."""
+        self._deadlines.after(NEWS_KEPT, self._forget_news)
         self._sibling_known = False
         self._share(False)
         self._sibling.close()
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 
+from limelatch.interface import Health
 from limelatch.relay.records import LATER, BadRecord, Book, Entry, Kind, kept, kept_rest, record, split
 
 FILE, NEW_FILE, SEAT = "ledger", "ledger.new", "next"
@@ -252,6 +253,8 @@
             self.book.add_rest(key, rest, 0)
         for host, until in theirs.waits.items():
             self.book.add_wait(host, until, 0)
+        for host, health in theirs.healths.items():
+            self.book.add_health(host, health)
         return adopted
 
     def _leave(self, adopted: list[Entry]) -> None:
@@ -311,6 +314,10 @@
         resting = {} if rest is None else {"at": now, "rest": rest}
         self._write(Kind.ENDED, text, {"ran": ran} | resting)
 
+    def found_health(self, host: bytes, health: Health, now: int) -> None:
+        """The module has found a host sick or warming, for the other process of an upgrade."""
+        self._write(Kind.HEALTH, host, {"health": health.value, "at": now})
+
     def told_wait(self, host: bytes, until: int, now: int) -> None:
         """A host has told to wait; one record for the texts of a batch."""
         if until > self.book.waits.get(host, 0):
--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -14,10 +14,12 @@
 
 import msgspec
 
+from limelatch.interface import Health
 from limelatch.key_order import Rest
 
 HEAD = struct.Struct(">II")  # length and checksum of what follows
 NAMES = struct.Struct(">BH")  # kind of record and length of its pairs; a body follows these
+HEALTHS_MOST = 1024  # hosts of which a ledger's reader knows how they were
 LATER = 384  # kept free for a text's state and its notice, which are all that a new file holds beside it
 
 
@@ -33,6 +35,7 @@
     BLANK = 7  # nothing: written to see whether the folder takes writes again
     REST = 8  # in a new file: a key that rests; `id` is the text whose call may still run
     WAIT = 9  # a host has told to wait; `id` is the host
+    HEALTH = 10  # the module has found a host sick, or warming; `id` is the host
 
 
 class BadRecord(Exception):
@@ -106,16 +109,25 @@
         raise BadRecord(f"{type(error).__name__}: {error}") from None
 
 
+@dataclass(frozen=True, slots=True)
+class HostHealth:
+    """What a process found of a host, and when."""
+
+    health: Health
+    at: int
+
+
 class Book:
     """The texts that are not over, in the order they were taken, and the bytes that their records need.
 
-    `rests` and `waits` outlast their texts: keys that rest, and until when hosts have asked to wait. Those
-    that are over go when a later one is added."""
+    `rests`, `waits` and `healths` outlast their texts: keys that rest, until when hosts have asked to wait,
+    and how hosts were. Rests and waits that are over go when a later one is added."""
 
     def __init__(self) -> None:
         self.entries: dict[bytes, Entry] = {}
         self.rests: dict[bytes, Rest] = {}
         self.waits: dict[bytes, int] = {}
+        self.healths: dict[bytes, HostHealth] = {}
         self.live = 0
 
     def add_rest(self, key: bytes, rest: Rest, now: int) -> None:
@@ -132,6 +144,13 @@
         if (rest := self.rests.pop(key, None)) is not None:
             self.live -= len(kept_rest(key, rest))
 
+    def add_health(self, host: bytes, health: HostHealth) -> None:
+        """The last news of a host holds; of too many hosts the oldest goes."""
+        self.healths.pop(host, None)
+        self.healths[host] = health
+        if len(self.healths) > HEALTHS_MOST:
+            del self.healths[next(iter(self.healths))]
+
     def add_wait(self, host: bytes, until: int, now: int) -> None:
         """The longest wait of the host holds; they need no room, since a new file leaves them out."""
         self.waits = {known: end for known, end in self.waits.items() if end > now}
@@ -146,6 +165,8 @@
             return self._apply(kind, text, pairs, raw)
         except KeyError as error:
             raise BadRecord(f"a record of kind {kind} without {error}") from None
+        except ValueError as error:
+            raise BadRecord(f"a record of kind {kind}: {error}") from None
 
     def _apply(self, kind: int, text: bytes, pairs: dict, raw: bytes) -> str | None:
         entry = self.entries.get(text)
@@ -154,6 +175,9 @@
         if kind == Kind.REST:
             self.add_rest(pairs["key"].encode(), Rest(pairs["until"], text), 0)
             return None
+        if kind == Kind.HEALTH:
+            self.add_health(text, HostHealth(Health(pairs["health"]), pairs["at"]))
+            return None
         if kind == Kind.WAIT:
             self.add_wait(text, pairs["until"], pairs["at"])
             return None
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -11,10 +11,12 @@
 from hypothesis import strategies as st
 from test_crossings import Running, ledger_in, take
 
+from limelatch.interface import Health
 from limelatch.key_order import Hold, KeyOrder, Place
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.handover import SIBLING_LOOK, Handover
 from limelatch.relay.ledger import Ledger
+from limelatch.relay.records import HostHealth
 from limelatch.relay.sibling import LedgerFollower, Sibling
 
 KEY, NOW = b"k", 1000 * S
@@ -283,3 +285,16 @@
     assert new.handover.holds(b"a") and not new.handover.holds(b"b")
     old.ledger.over(b"a")
     assert not new.handover.holds(b"a")
+
+
+def test_how_hosts_were_is_heard_and_outlasts_the_other_process(pair):
+    old, new = pair
+    old.ledger.found_health(b"h", Health.SICK, 7)
+    old.ledger.found_health(b"h", Health.WARMING, 9)
+    new.handover.look()
+    assert new.handover.healths == {b"h": HostHealth(Health.WARMING, 9)}
+    old.ledger.close()
+    new.clock.advance(0.2)
+    assert not new.ledger.beside and new.handover.healths == {b"h": HostHealth(Health.WARMING, 9)}
+    new.clock.advance(30)
+    assert new.handover.healths == {} and not new.handover.has_sibling
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 from conftest import CHARGE, FAILURES, HOST, NOTICE, NOW, REPORT, ROUTE, TWIN, S
 
-from limelatch.interface import Listing, Nack, Past, Result, Submit, Text, Undeliverable, Watch
+from limelatch.interface import Health, Listing, Nack, Past, Result, Submit, Text, Undeliverable, Watch
 from limelatch.key_order import Place
 from limelatch.policy import TOLD_JITTER
 
@@ -250,3 +250,31 @@
     assert relay.policy.may_go(window_end - held_up - 1, text, HOST)
     assert not relay.policy.may_go(window_end - held_up, text, HOST)
     assert relay.policy.may_go(window_end - 1, first, HOST)
+
+
+def test_an_outage_that_the_other_process_found_is_known_here(relay):
+    """In an upgrade: a returning host is not pushed over by a process that has seen nothing of its outage."""
+    relay.policy.health_told_to_sibling(NOW, HOST, Health.SICK, NOW - S)
+    texts = [relay.take(REPORT) for _ in range(8)]
+    assert relay.host().sick and len(relay.sent(NOW + S // 10)) <= 1  # trials alone
+    relay.policy.health_told_to_sibling(NOW + 2 * S, HOST, Health.WARMING, NOW + 2 * S)
+    assert not relay.host().sick and relay.host().back_at == NOW + 2 * S
+    assert len(relay.sent(NOW + 2 * S + 1)) <= 2 < len(texts)
+
+
+def test_what_this_process_has_seen_since_counts_more_than_the_other_s_news(relay):
+    relay.out(relay.take(REPORT), Result.DELIVERED, over=True)
+    relay.policy.health_told_to_sibling(NOW, HOST, Health.SICK, NOW - S)
+    assert not relay.host().sick
+    relay.policy.health_told_to_sibling(NOW, HOST, Health.WARMING, NOW - 30 * S)  # long warm again
+    assert relay.host().back_at is None
+    relay.policy.health_told_to_sibling(NOW, b"unknown", Health.SICK, NOW)
+
+
+def test_two_processes_together_send_a_returning_host_what_one_relay_may(relay):
+    rates = []
+    for processes in (1, 2):
+        relay.policy.processes = processes
+        route = relay.host().route
+        rates.append(relay.policy._seers(NOW, route))
+    assert rates[1] == 2 * rates[0]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -70,7 +70,7 @@
 @pytest.mark.parametrize(
     "words, says",
     [
-        (["--seeds", "5-1"], "'5-1' names 0 seeds"),
+        (["--seeds", "5-1"], "'5-1' is no list of seeds"),
         (["--seeds", "one"], "'one' is no list of seeds"),
         (["--seeds", ""], "'' is no list of seeds"),
         (["--seeds", "1-2000"], "names 2000 seeds, 1 to 1000 are wanted"),
