--- a/limelatch/relay/list_copy.py
+++ b/limelatch/relay/list_copy.py
@@ -69,7 +69,10 @@
         """What the last process left, or None; one that can't be used is logged."""
         try:
             found = read_copy(self.path)
-            if not self._ledger.beside and not self._ledger.leave_room(2 * os.path.getsize(self.path)):
+            needed = 2 * os.path.getsize(self.path)
+            if self._ledger.beside:  # the other process's copy, and the new one that it writes beside it
+                self._ledger.leave_room(needed, at_once=True)
+            elif not self._ledger.leave_room(needed):
                 os.remove(self.path)  # guards against a disk over its limit once the ledger is full
         except FileNotFoundError:
             return None
--- a/tests/test_upgrade_limits.py
+++ b/tests/test_upgrade_limits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import json
 import os
 from contextlib import suppress
 
@@ -11,6 +12,9 @@
 from test_key_order import Process
 
 from limelatch.configuration.plan import OWN, Shares
+from limelatch.relay.directory import Directory
+from limelatch.relay.list_copy import FILE as LIST
+from limelatch.relay.list_copy import FORM, ListCopy
 from limelatch.relay.ledger import BLOCK, FILE, NEW_FILE, SEAT, Ledger
 
 DISK = 300_000
@@ -61,6 +65,22 @@
     new.ledger.close()
 
 
+def test_the_copy_of_the_list_counts_for_a_process_beside_the_one_that_writes_it(tmp_path):
+    clock = Running()
+    old = process(tmp_path, clock)
+    directory = Directory(10)
+    with open(tmp_path / LIST, "wb") as file:
+        rows = list(directory.lines())
+        head = json.dumps({"form": FORM, "catalog": "a:1", "index": 3, "more": "x" * 3000}).encode() + b"\n"
+        file.write(head + b"".join(rows) + json.dumps({"rows": 0, "crc": 0}).encode() + b"\n")
+    new = process(tmp_path, clock)
+    whole = new.ledger.disk
+    assert ListCopy(str(tmp_path), new.handover, new.ledger).read() is not None
+    assert whole - new.ledger.disk >= 6000
+    old.ledger.close()
+    new.ledger.close()
+
+
 def test_a_process_has_the_whole_folder_again_after_its_sibling(tmp_path):
     clock = Running()
     old = process(tmp_path, clock)
