A breach of the soak is told with its texts, signals, faults and log lines on one timeline

The relays' lines get the stage's time as they are read, since their own is the wall clock's, which the soak steps.

--- a/limelatch/lab/checker.py
+++ b/limelatch/lab/checker.py
@@ -311,7 +311,8 @@
                 Rule.ORDER,
                 event.at,
                 f"key {text.handed.key}",
-                f"text {name} was sent {write_span(until - sent)} before the key's rest was over",
+                f"text {name} was sent {write_span(until - sent)} before the key's rest after text {unless} "
+                "was over",
                 [*(self.texts[unless].trail if unless in self.texts else ()), *text.trail],
             )
 
--- a/limelatch/lab/soak/relay.py
+++ b/limelatch/lab/soak/relay.py
@@ -12,7 +12,7 @@
 import msgspec
 import psutil
 
-from limelatch.configuration.model import Installation
+from limelatch.configuration.model import Installation, Level
 from limelatch.interface import SECOND
 from limelatch.lab import record as rec
 from limelatch.lab.soak.plan import KILL_AFTER, Act, ActKind
@@ -67,7 +67,8 @@
         products, customers = made.products, made.customers
         if self.turned_round:
             products, customers = products[::-1], customers[::-1]
-        return msgspec.structs.replace(made, relay=identity, products=products, customers=customers)
+        log = msgspec.structs.replace(made.log, parts={"driver": Level.DEBUG})
+        return msgspec.structs.replace(made, relay=identity, products=products, customers=customers, log=log)
 
     def note(self, what: str) -> None:
         """Put it into the record."""
@@ -82,6 +83,12 @@
         self.lives = [each for each in self.lives if each.runs] + [life]
         self.stage.spawn(self._watch(life))
 
+    async def read_log(self, process: asyncio.subprocess.Process) -> None:
+        """Each line with the stage's time before it: the relay's own is its wall clock's, and stepped."""
+        with open(self.folder / f"{self.name}.log", "ab") as file:
+            async for raw in process.stderr:
+                file.write(b"%d %s" % (self.stage.clock.now(), raw))
+
     async def _watch(self, life: ProcessLife) -> None:
         """A process that ends by itself has crashed; one that was stopped in order ends with 0."""
         code = await life.process.wait()
--- a/limelatch/lab/soak/run.py
+++ b/limelatch/lab/soak/run.py
@@ -18,11 +18,13 @@
 from limelatch.lab.play import head_of, merge
 from limelatch.lab.soak.plan import draw_plan
 from limelatch.lab.soak.stage import SoakStage
+from limelatch.lab.soak.timeline import timeline
 from limelatch.lab.stages import real
 
 HERE = Path(__file__).resolve().parents[3]  # this checkout
 RECORD = "soak.record"
 BAD_LINES = ('"event":"fault"', '"event":"not-started"', "Traceback", "Unhandled", "connection-not-served")
+TIMELINES_MOST = 5  # breaches of one seed that are told with all that happened
 LINES_MOST = 5  # of one relay's log that are told
 
 
@@ -102,7 +104,11 @@
 
     reader = rec.Reader(folder / RECORD)
     checker = Checker(reader.head).judge(counted(reader))
+    logs = sorted(folder.glob("relay-*.log"))
     found = [Found(breach.rule.value, list(breach.lines())) for breach in checker.breaches]
+    for at, breach in enumerate(checker.breaches[:TIMELINES_MOST]):
+        told = timeline(breach, folder / RECORD, logs)
+        found[at] = Found(breach.rule.value, [next(breach.lines()), *(f"    {line}" for line in told)])
     found += [Found("process", [words]) for words in [*wrongs, *bad_lines(folder)]]
     late.sort()
     late_ms = late[len(late) * 99 // 100] / 10 if late else 0.0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,12 +12,17 @@
 
 import pytest
 
+from limelatch.lab import record as rec
+from limelatch.lab.checker import Breach, Rule
+from limelatch.lab.play import head_of
 from limelatch.lab.soak import mutants, plan
 from limelatch.lab.soak.plan import ACT_WEIGHTS, NAMELESS_FAULTS, PAUSE_MOST, draw_plan
 from limelatch.lab.soak.run import HERE, bad_lines
+from limelatch.lab.soak.timeline import timeline
+from limelatch.lab.stages.real import ALLOWANCES, STAGE
 
 ROOT = Path(__file__).parent.parent
-SHORT_SEEDS, SHORT_SECONDS = "5,6,8,12", 12
+SHORT_SEEDS, SHORT_SECONDS = "7,19,23,29,32,37", 12  # few relays, short texts: a minute
 PLAY_WAIT = 120  # seconds for a short soak
 GAP = 0.2
 
@@ -49,6 +54,33 @@
     assert plan.KILL_AFTER >= 3.7
 
 
+def test_a_breach_is_told_with_its_texts_signals_faults_and_log_lines_by_the_stage_s_time(tmp_path):
+    record, log = tmp_path / "soak.record", tmp_path / "relay-0.log"
+    head = head_of(draw_plan(1, 10).scenario, "", STAGE, 1, "program", ALLOWANCES)
+    with rec.Writer(record, head) as writer:
+        for event in (
+            rec.Handed(10_000, 0, "t1", "t1", 0, 1, 0, "7", 90_000, 0),
+            rec.Handed(10_500, 0, "t2", "t2", 0, 1, 0, "8", 90_000, 0),
+            rec.Answered(11_000, "t1", 0, 0),
+            rec.Relay(12_000, 0, "upgrade"),
+            rec.Relay(12_500, 1, "killed"),
+            rec.Called(13_000, 13_000, 5, 0, 2, ["t1"]),
+            rec.GaveUp(14_000, 5),
+            rec.Over(90_000, True),
+        ):
+            writer.add(event)
+    log.write_text('13100 {"event":"submit-going","text":"t1"}\n13200 {"event":"mode"}\nno time\n')
+    breach = Breach(Rule.ORDER, 15_000, "key 7", "text t1 was sent before its turn", [])
+    assert timeline(breach, record, [log]) == [
+        "1s client hands t1 in at relay 0, key 7, try 1",
+        "1.1s client of t1: taken",
+        "1.2s relay 0: upgrade",
+        "1.3s host 2: call 5 of relay 0 with t1",
+        '1.31s relay-0 says {"event":"submit-going","text":"t1"}',
+        "1.4s host: call 5 is given up by its relay",
+    ]
+
+
 def test_faults_in_the_relays_logs_are_found(tmp_path):
     (tmp_path / "relay-0.log").write_text(
         '{"event":"serving"}\n{"event": "fault"}\nTraceback (most recent)\n'
@@ -138,5 +170,5 @@
     words = ["--seeds", SHORT_SEEDS, "--seconds", str(SHORT_SECONDS), "--jobs", "2"]
     done = soak(*words, "--keep", str(tmp_path / "kept"))
     assert done.returncode == 0, done.stdout + done.stderr
-    assert "4 of 4 seeds played" in done.stdout and "no rule broken" in done.stdout
+    assert "6 of 6 seeds played" in done.stdout and "no rule broken" in done.stdout
     shutil.rmtree(tmp_path / "kept")
