Less work a text: nothing of the other process is asked for while there is none

Most were the look at a sibling in each turn, a path joined anew for each call in order, and a property a log line. Change: one plain value says whether there is anything to hear, the path is made once, a line of one text has no list built.

--- a/limelatch/key_order.py
+++ b/limelatch/key_order.py
@@ -65,7 +65,10 @@
 
     def take(self, key: Key, place: Place) -> None:
         """Put a text into its key's line: by its handing in, behind one that has begun."""
-        line = self.lines.setdefault(key, [])
+        line = self.lines.get(key)
+        if line is None:
+            self.lines[key] = [place]
+            return
         at = len(line)
         while at and place.goes_before(line[at - 1]):
             at -= 1
@@ -79,7 +82,11 @@
 
     def over(self, key: Key, text: TextId) -> None:
         """Nothing more is owed for the text. KeyError where its key has no line."""
-        line = [place for place in self.lines[key] if place.text != text]
+        line = self.lines[key]
+        if len(line) == 1 and line[0].text == text:
+            del self.lines[key]
+            return
+        line = [place for place in line if place.text != text]
         if line:
             self.lines[key] = line
         else:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -446,7 +446,7 @@
         self.soon()
 
     def may_go(self, now: int, text: bytes, host: li.HostId) -> bool:
-        if self.handover.has_sibling:  # what it was told since this process decided binds too
+        if self.handover.has_news:  # what it was told since this process decided binds too
             self._hear_sibling()
         return self.policy.may_go(now, text, host)
 
@@ -536,8 +536,9 @@
         self._turn_due = False
         if not self.ready:
             return  # what an earlier process took on waits for the list too
-        self._hear_sibling()
-        self.operations.hear()
+        if self.handover.has_news:
+            self._hear_sibling()
+            self.operations.hear()
         now = self.clock.now()
         actions = self.policy.decide(now, self.folder.gate.may_submit)
         arrived, self.arrived = self.arrived, {}  # an answer may bring a client's next text, for a later turn
--- a/limelatch/relay/handover.py
+++ b/limelatch/relay/handover.py
@@ -43,6 +43,7 @@
         self._sibling, self._sibling_known, self._share = Sibling(ledger), ledger.beside, share
         self.waits: dict[HostId, int] = {}  # told to the other process, until when
         self.healths: dict[HostId, HostHealth] = {}  # found by the other process
+        self.has_news = ledger.beside  # whether `look` may tell anything; a plain value, asked in each turn
 
     def start(self) -> None:
         """Follow the sibling from now on, where there is one or one may come."""
@@ -52,11 +53,6 @@
         look = self._take_over if self._ledger.beside else self._take_seat
         self._deadlines.after(SIBLING_LOOK, look)
 
-    @property
-    def has_sibling(self) -> bool:
-        """Whether there are two processes, as far as this one has seen."""
-        return self._sibling_known
-
     def learn(self, book: Book) -> None:
         """Rests that a ledger tells bind this process too."""
         now = self._clock.now()
@@ -134,13 +130,13 @@
     def _meet_sibling(self) -> None:
         """There are two processes from now on."""
         if not self._sibling_known:
-            self._sibling_known = True
+            self._sibling_known = self.has_news = True
             self._share(True)
 
     def _forget_news(self) -> None:
         """What the other process knew of hosts is old."""
         if not self._sibling_known:
-            self.waits, self.healths = {}, {}
+            self.waits, self.healths, self.has_news = {}, {}, False
 
     def _forget_sibling(self) -> None:
         """There is one process again."""
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -127,6 +127,8 @@
             with named("mkdir", self.seat):
                 os.makedirs(self.seat, exist_ok=True)
             self._lock = lock_seat(self.seat)
+        # The other process's ledger in an upgrade: the folder's, seen from the seat, and the other way.
+        self.sibling_path = os.path.join(folder, FILE) if self.beside else os.path.join(folder, SEAT, FILE)
         try:
             self._open()
             self._replay()
@@ -158,13 +160,6 @@
             return False
         return False
 
-    @property
-    def sibling_path(self) -> str:
-        """The other process's ledger in an upgrade: the folder's, seen from the seat, and the other way."""
-        if self.beside:
-            return os.path.join(self.folder, FILE)
-        return os.path.join(self.folder, SEAT, FILE)
-
     def take_over(self) -> list[Entry] | None:
         """In the seat: once the process before has ended, its folder and all it still owes; else None.
 
@@ -184,7 +179,7 @@
             self.path, self._new = paths
             close_quietly(held)
             return None
-        self._lock, self.seat = held, self.folder
+        self._lock, self.seat, self.sibling_path = held, self.folder, seat_file
         self._empty(seat_file)
         close_quietly(seat_lock)
         return adopted
@@ -192,12 +187,12 @@
     @property
     def seat_left(self) -> bool:
         """Whether a successor that ended before it took over has left texts in its seat."""
-        return not self.beside and os.path.exists(os.path.join(self.folder, SEAT, FILE))
+        return not self.beside and os.path.exists(self.sibling_path)
 
     def take_seat(self) -> list[Entry] | None:
         """The texts that a successor left in its seat are this process's now; None where that has to be tried
         again, and none where the successor lives: it takes this folder over itself."""
-        path = os.path.join(self.folder, SEAT, FILE)
+        path = self.sibling_path
         try:
             held = lock(os.path.join(self.folder, SEAT))
         except FolderInUse:
--- a/limelatch/relay/operations.py
+++ b/limelatch/relay/operations.py
@@ -62,6 +62,5 @@
 
     def hear(self) -> None:
         """What operators have told the other process of an upgrade binds this one."""
-        if self._driver.handover.has_sibling:
-            for host in self.out.refresh():
-                self._driver.relist(host)
+        for host in self.out.refresh() if self._driver.handover.has_news else ():
+            self._driver.relist(host)
--- a/limelatch/relay/text_log.py
+++ b/limelatch/relay/text_log.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import logging
+from logging import DEBUG
 
 from limelatch import interface as li
 from limelatch.logs import logger, say
@@ -18,13 +18,9 @@
     def __init__(self, clock) -> None:
         self._clock = clock
 
-    @property
-    def _on(self) -> bool:
-        return log.isEnabledFor(logging.DEBUG)
-
     def taken(self, text: li.Text, key: bytes | None) -> None:
         """The relay has taken it on."""
-        if self._on:
+        if log.isEnabledFor(DEBUG):
             say(
                 log,
                 "text-taken",
@@ -36,7 +32,7 @@
 
     def adopted(self, entry: Entry, key: bytes | None, ran: bool, answered: bool) -> None:
         """An earlier process had taken it on."""
-        if self._on:
+        if log.isEnabledFor(DEBUG):
             say(
                 log,
                 "text-adopted",
@@ -50,7 +46,7 @@
 
     def going(self, text: bytes, key: bytes | None, host: li.HostId, submit: int) -> None:
         """A submit of it is about to be written."""
-        if self._on:
+        if log.isEnabledFor(DEBUG):
             say(log, "submit-going", text=text, key=key, host=host, submit=submit)
 
     def held(self, text: bytes, key: bytes, host: li.HostId, why: str) -> None:
@@ -61,7 +57,7 @@
         self, text: bytes, key: bytes | None, call: Call, outcome: Outcome, rest: int | None
     ) -> None:
         """A submit of it has its outcome; `rest`: until when its key rests by it."""
-        if not self._on:
+        if not log.isEnabledFor(DEBUG):
             return
         now = self._clock.now()
         say(
@@ -78,7 +74,7 @@
 
     def ended(self, text: li.Text, result: str) -> None:
         """It ends undelivered."""
-        if self._on:
+        if log.isEnabledFor(DEBUG):
             say(log, "text-ended", text=text.id, result=result, left_ms=self._left(text))
 
     def _left(self, text: li.Text) -> int:
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -297,4 +297,4 @@
     new.clock.advance(0.2)
     assert not new.ledger.beside and new.handover.healths == {b"h": HostHealth(Health.WARMING, 9)}
     new.clock.advance(30)
-    assert new.handover.healths == {} and not new.handover.has_sibling
+    assert new.handover.healths == {} and not new.handover.has_news
