A text held back as its connection comes up uses up no submit and no token

Cause: a claim of a key that is refused, or a lock that can't be had while the other process stands still in it, held the text back as a drain does, and each time used up a submit and a token, though no byte had gone and no host counts it. With one submit allowed the text ended without having been sent. Change: the report says so (unsent), the module gives the submit back and takes no token; the wait before the next try stays.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -251,11 +251,13 @@
                 self.order.rest(held.key, held.text.id, now + self.terms.turn_gap)
         if report.over:
             return self._forget(now, held)
-        wait = self._jitter(held.submits)  # the design's test for a repeat, its token last
+        held.submits -= report.unsent
+        wait = self._jitter(max(1, held.submits))  # the design's test for a repeat, its token last
         once_ran = held.row.effect is Effect.ONCE_ONLY and held.ran_at is not None
         in_time = now + wait < held.until - (host.route.usual if held.ran_at is None else 0)
-        if held.submits < self.terms.max_submits and not once_ran and in_time and host.dest.tokens >= TOKEN:
-            host.dest.tokens, held.due = host.dest.tokens - TOKEN, now + wait
+        price = 0 if report.unsent else TOKEN
+        if held.submits < self.terms.max_submits and not once_ran and in_time and host.dest.tokens >= price:
+            host.dest.tokens, held.due = host.dest.tokens - price, now + wait
             self._hold(held)
         else:
             self._end(now, held)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -492,6 +492,7 @@
                 left,
                 rate,
                 call.idle,
+                outcome.unsent,
             ),
         )
         rest = self._rest_of(owed, now)
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -52,6 +52,7 @@
     over: bool = False
     told_wait: int = 0
     report: dict[str, float] = field(default_factory=dict)
+    unsent: bool = False  # held back as its connection came up
 
 
 @dataclass(slots=True, eq=False)
@@ -284,7 +285,7 @@
         if held:
             call.parcels = [each for each in call.parcels if each not in held]
             for each in held:
-                self.driver.ended(call, each, Outcome(RESULT_OF_ENDING[Ending.HELD_BACK]))
+                self.driver.ended(call, each, Outcome(RESULT_OF_ENDING[Ending.HELD_BACK], unsent=True))
             if not call.parcels:
                 self._finish(call)
                 self._rest(connection, held[0].keep)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -198,6 +198,18 @@
     assert not relay.policy.may_go(NOW + S, text, host)
 
 
+def test_a_text_held_back_as_its_connection_comes_up_uses_up_no_submit_and_no_token(relay):
+    """No byte of it has gone; with one submit allowed it would end without ever having been sent."""
+    relay.policy.terms.max_submits = 1
+    text = relay.take(REPORT)
+    tokens = relay.policy.dests[1].tokens
+    relay.out(text, Result.MOOT, unsent=True)
+    assert relay.held(text).submits == 0 and relay.policy.dests[1].tokens == tokens
+    assert relay.sent(NOW + S) == {text: HOST}
+    relay.end(text, Result.FULL, NOW + S)
+    assert relay.decide((Nack, Undeliverable), NOW + S) == [Nack(text, 2 * S)]  # that one was sent
+
+
 def test_a_wait_told_beside_a_delivery_is_heeded(relay):
     first = relay.take(REPORT)
     relay.out(first, Result.DELIVERED, over=True, told_wait=S)
