Rests, waits and outages outlast a compaction, which the other process may meet first

The old process was told at 30.850 s, the new one served at 31.06 and sent at 31.120. WAIT stood in the old ledger, and a compaction (1 MB of disk, bodies of 4,000 bytes: about one a second) left it out before the new process read it; HEALTH the same, RESTs were kept. Ruled out: a look that failed (the log has none), the told route being another one. Change: a new file has all three, counted in what is live; at most 256 hosts' healths.

--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -17,7 +17,7 @@
 from contextlib import contextmanager, suppress
 
 from limelatch.interface import Health
-from limelatch.relay.records import LATER, BadRecord, Book, Entry, Kind, kept, kept_rest, record, split
+from limelatch.relay.records import LATER, BadRecord, Book, Entry, Kind, kept, kept_beside, record, split
 
 FILE, NEW_FILE, SEAT = "ledger", "ledger.new", "next"
 BLOCK = 512  # files count in whole blocks
@@ -398,8 +398,7 @@
 
         Where it can't be written the old file stays."""
         parts = [kept(entry) for entry in self.entries.values()]
-        parts += [kept_rest(key, rest) for key, rest in self.book.rests.items()]
-        records, new = b"".join(parts), None
+        records, new = b"".join([*parts, *kept_beside(self.book)]), None
         try:
             with named("open", self._new):
                 new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -19,7 +19,7 @@
 
 HEAD = struct.Struct(">II")  # length and checksum of what follows
 NAMES = struct.Struct(">BH")  # kind of record and length of its pairs; a body follows these
-HEALTHS_MOST = 1024  # hosts of which a ledger's reader knows how they were
+HEALTHS_MOST = 256  # hosts of which a ledger's reader knows how they were
 LATER = 384  # kept free for a text's state and its notice, which are all that a new file holds beside it
 
 
@@ -146,15 +146,23 @@
 
     def add_health(self, host: bytes, health: HostHealth) -> None:
         """The last news of a host holds; of too many hosts the oldest goes."""
-        self.healths.pop(host, None)
+        self._drop_health(host)
         self.healths[host] = health
+        self.live += len(kept_health(host, health))
         if len(self.healths) > HEALTHS_MOST:
-            del self.healths[next(iter(self.healths))]
+            self._drop_health(next(iter(self.healths)))
+
+    def _drop_health(self, host: bytes) -> None:
+        if (health := self.healths.pop(host, None)) is not None:
+            self.live -= len(kept_health(host, health))
 
     def add_wait(self, host: bytes, until: int, now: int) -> None:
-        """The longest wait of the host holds; they need no room, since a new file leaves them out."""
-        self.waits = {known: end for known, end in self.waits.items() if end > now}
-        self.waits[host] = max(until, self.waits.get(host, 0))
+        """The longest wait of the host holds."""
+        longest = max(until, self.waits.get(host, 0))
+        for each in [known for known, end in self.waits.items() if end <= now or known == host]:
+            self.live -= len(kept_wait(each, self.waits.pop(each)))
+        self.waits[host] = longest
+        self.live += len(kept_wait(host, longest))
 
     def apply(self, raw: bytes) -> str | None:
         """Take in the next record; in words, what is wrong with it in this place, else None.
@@ -221,6 +229,25 @@
     return record(Kind.REST, rest.text, {"key": key.decode(), "until": rest.until})
 
 
+def kept_wait(host: bytes, until: int) -> bytes:
+    """A wait's record, of no time of its own."""
+    return record(Kind.WAIT, host, {"at": 0, "until": until})
+
+
+def kept_health(host: bytes, health: HostHealth) -> bytes:
+    """The record of how a host was."""
+    return record(Kind.HEALTH, host, {"health": health.health.value, "at": health.at})
+
+
+def kept_beside(book: Book) -> Iterator[bytes]:
+    """What a new file holds beside the texts: rests, waits, and how hosts were.
+
+    Guards against a follower that finds a new file in the place of the one it has not read to its end."""
+    yield from (kept_rest(key, rest) for key, rest in book.rests.items())
+    yield from (kept_wait(host, until) for host, until in book.waits.items())
+    yield from (kept_health(host, health) for host, health in book.healths.items())
+
+
 def kept(entry: Entry) -> bytes:
     """What still matters of a text: as it was taken, its state in one record, the notice it is owed."""
     state = {
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -287,6 +287,28 @@
     assert not new.handover.holds(b"a")
 
 
+def test_waits_rests_and_how_hosts_were_outlast_a_compaction(pair):
+    """The other process may find the new file in the place of the one that it has not read to its end."""
+    old, new = pair
+    new.handover.look()
+    old.take(b"a", 5)
+    old.ledger.ended(b"a", True, 0, 900)
+    old.ledger.told_wait(b"h", 700, 0)
+    old.ledger.found_health(b"h", Health.SICK, 3)
+    live = old.ledger.book.live
+    old.ledger.compact()
+    new.handover.look()
+    assert new.handover.waits == {b"h": 700} and new.order.rests[KEY].until == 900
+    assert new.handover.healths == {b"h": HostHealth(Health.SICK, 3)}
+    again = ledger_in_place_of(old)
+    assert again.book.live == live
+    again.over(b"a")
+    again.told_wait(b"h", 800, 750)
+    again.told_wait(b"i", 990, 850)
+    assert again.book.waits == {b"i": 990}
+    again.close()
+
+
 def test_how_hosts_were_is_heard_and_outlasts_the_other_process(pair):
     old, new = pair
     old.ledger.found_health(b"h", Health.SICK, 7)
