Ctrl-C ends the mutants' run too, also where a shell has SIGINT ignored

Its test starts both commands with SIGINT ignored, as a background job has it, in place of setting it for them, so it asks more than before.

--- a/limelatch/command/mutants.py
+++ b/limelatch/command/mutants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -9,7 +10,7 @@
 import click
 
 from limelatch.command import WRONG, BadUse
-from limelatch.command.soak import JOBS_MOST, Soak, seeds_of
+from limelatch.command.soak import INTERRUPTED, JOBS_MOST, Soak, seeds_of
 
 
 @click.command()
@@ -34,14 +35,23 @@
     wanted = [each for each in MUTANTS if not only or any(words in each.name for words in only)]
     if not wanted:
         raise BadUse(f"no mutant's name has any of {', '.join(only)}")
+    soaks: list[Soak] = []
+    signal.signal(signal.SIGINT, signal.default_int_handler)  # also where a shell has it ignored
     with ThreadPoolExecutor(jobs) as pool:
-        caught = list(pool.map(lambda mutant: first_seed(mutant, chosen, seconds), wanted))
+        try:
+            caught = list(pool.map(lambda mutant: first_seed(mutant, chosen, seconds, soaks), wanted))
+        except KeyboardInterrupt:
+            pool.shutdown(wait=False, cancel_futures=True)
+            for each in soaks:
+                each.end()
+            click.echo("interrupted", err=True)
+            raise SystemExit(INTERRUPTED) from None
     click.echo(f"{sum(caught)} of {len(wanted)} caught")
     if not all(caught):
         raise SystemExit(WRONG)
 
 
-def first_seed(mutant, seeds: list[int], seconds: float) -> bool:
+def first_seed(mutant, seeds: list[int], seconds: float, soaks: list[Soak]) -> bool:
     """Play seeds until one catches the mutant; whether one has. A play whose stage was late catches none."""
     from limelatch.lab.soak.mutants import write_mutant
     from limelatch.lab.soak.run import HERE, is_late
@@ -50,8 +60,11 @@
         folder = Path(place)
         write_mutant(mutant, HERE, folder / "tree")
         soak = Soak(seeds, 1, seconds, folder, folder / "tree")
+        soaks.append(soak)
         for seed in seeds:
             verdict = soak.play(seed)
+            if soak.interrupted:
+                return False
             if verdict is None:
                 click.echo(f"{mutant.name}: {soak.unplayed[-1]}")
                 return True
--- a/limelatch/command/soak.py
+++ b/limelatch/command/soak.py
@@ -160,7 +160,7 @@
                         self.verdicts.append(verdict)
                         show(verdict)
             except KeyboardInterrupt:
-                self._end()
+                self.end()
         self._sum_up()
         if self.interrupted:
             return INTERRUPTED
@@ -205,7 +205,7 @@
             self.unplayed.append(f"seed {seed}: {last[0]}")
         return None
 
-    def _end(self) -> None:
+    def end(self) -> None:
         """Ctrl-C: all plays end what they have started."""
         self.interrupted = True
         running = list(self.running.values())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -132,9 +132,18 @@
     assert done.returncode == 2 and "descriptors, a process may hold 400" in done.stderr
 
 
-def test_ctrl_c_ends_all_that_was_started_and_leaves_no_folder(tmp_path, interruptible):
+@pytest.mark.parametrize(
+    "words, code_says",
+    [
+        (["soak", "--seeds", "1-4", "--jobs", "2"], "0 of 4 seeds played"),
+        (["mutants", "--seeds", "1-4", "--jobs", "2"], ""),
+    ],
+    ids=["soak", "mutants"],
+)
+def test_ctrl_c_ends_all_that_was_started_and_leaves_no_folder(tmp_path, words, code_says):
+    """Also in a shell's background, where SIGINT is ignored: nothing here sets it for the command."""
     process = subprocess.Popen(
-        [sys.executable, "-m", "limelatch", "lab", "soak", "--seeds", "1-4", "--jobs", "2"],
+        ["/bin/sh", "-c", 'trap "" INT; exec "$@"', "sh", sys.executable, "-m", "limelatch", "lab", *words],
         cwd=ROOT,
         stdout=subprocess.PIPE,
         stderr=subprocess.PIPE,
@@ -149,7 +158,7 @@
     process.send_signal(signal.SIGINT)
     said, wrong = process.communicate(timeout=PLAY_WAIT)
     assert process.returncode == 130 and time.monotonic() - began < 3, wrong
-    assert "0 of 4 seeds played" in said
+    assert code_says in said
     assert not running_with(str(tmp_path))
 
 
