A test of the operators' door names its bound by the door's new form

Cause: Door takes the operations as its second value since they have a module of their own; test_a_burst_at_the_operators_door... passed its bound of 2 in that place, so the door took the default of 16 and the test saw 32 for 4. What the test asks is unchanged.

--- a/tests/test_terms_descriptors.py
+++ b/tests/test_terms_descriptors.py
@@ -49,7 +49,7 @@
 
 
 def test_a_burst_at_the_operators_door_takes_no_more_either():
-    door, made = Door(Doorstep(Running()), 2), []
+    door, made = Door(Doorstep(Running()), None, 2), []
     for _ in range(100):
         if (caller := door.buildProtocol(Peer)) is not None:
             caller.makeConnection(Wire())
