An outage heard of takes the hosts of its route; a stop's test bounds the end to 1 s

Read again: health_told_to_sibling repeated what _failed and _come_back do, and marked the one host alone where _failed marks those of its route that have not delivered lately, so the others of a shared route got the full rate. Both use one step now (_fall_sick, _warm_up); what a relay by itself does is unchanged. KeyOrder.rest_left was used by a test alone and goes.

--- a/limelatch/key_order.py
+++ b/limelatch/key_order.py
@@ -98,11 +98,6 @@
         if known is None or known.until < until:
             self.rests[key] = Rest(until, text)
 
-    def rest_left(self, now: int, key: Key) -> int:
-        """How much longer the key rests; 0 where it does not."""
-        rest = self.rests.get(key)
-        return max(0, rest.until - now) if rest is not None else 0
-
     def forget_rests(self, now: int) -> None:
         """Rests that are over are of no use any more."""
         self.rests = {key: rest for key, rest in self.rests.items() if rest.until > now}
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -277,18 +277,14 @@
         more. Guards against a returning host that a process without knowledge of its outage pushes over."""
         if (known := self.hosts.get(host)) is None or at <= known.sibling_told_at:
             return
-        known.sibling_told_at, route, dest = at, known.route, known.dest
+        known.sibling_told_at, route = at, known.route
         if known.sick and route.down_at > at:
             return
         if health is Health.SICK and not known.sick and known.last_ok < at:
-            if not any(each.sick for each in route.hosts):
-                route.down_at, route.tries, dest.had = at, 0, 1 + dest.calls + len(dest.waiting)
-            known.sick, known.back_at = True, None
+            self._fall_sick(at, known)
             self._next_trial(now, route)
         elif health is Health.WARMING and now - at < self.terms.cold_time and known.back_at is None:
-            known.sick, known.failing = False, FAIL_STEP / 2
-            known.back_at, known.warm_at = at, now
-            known.warm_credit = self.chance.below(1000) / 1000
+            self._warm_up(now, known, at)
             if not any(each.sick for each in route.hosts):
                 route.tries = 0
 
@@ -397,18 +393,23 @@
             route.window, route.halved_at = max(1, route.window // 2), now
 
     def _failed(self, now: int, host: Host, why: str, step: float) -> None:
-        """A host that fails often is sick, and with it those of its route that have not delivered lately."""
-        route, dest, sound = host.route, host.dest, not host.sick
+        """A host that fails often is sick."""
+        route, sound = host.route, not host.sick
         host.failing += (1 - host.failing) * step
         if sound and host.failing > SICK_SHARE:
-            if not any(each.sick for each in route.hosts):
-                route.down_at, route.tries, dest.had = now, 0, 1 + dest.calls + len(dest.waiting)
-            for each in [one for one in route.hosts if one is host or one.last_ok < now - GOOD_LATELY]:
-                each.sick, each.back_at = True, None
+            self._fall_sick(now, host)
             self.log.append(LogLine(f"sick: {why}, failing {host.failing:.2f}", host.id, Health.SICK))
         if host.sick:
             self._next_trial(now, route)
 
+    def _fall_sick(self, at: int, host: Host) -> None:
+        """The host is in an outage, and with it those of its route that have not delivered lately."""
+        route, dest = host.route, host.dest
+        if not any(each.sick for each in route.hosts):
+            route.down_at, route.tries, dest.had = at, 0, 1 + dest.calls + len(dest.waiting)
+        for each in [one for one in route.hosts if one is host or one.last_ok < at - GOOD_LATELY]:
+            each.sick, each.back_at = True, None
+
     def _refused(self, now: int, host: Host, told: int, left: float | None) -> None:
         """A refusal lowers the pace: from the relay's own rate, where a limit is known towards its even part.
         Guards against hundreds of relays, each far under the limit, that use it up by being refused."""
@@ -452,10 +453,14 @@
         seers = max(1.0, like, route.rate(relays) * (now - route.down_at + SEEN_BEFORE) / SECOND)
         return min(relays, seers) * self.processes
 
+    def _warm_up(self, now: int, host: Host, back_at: int) -> None:
+        """The host is back from an outage since then: it gets what a cold one bears."""
+        host.sick, host.back_at, host.failing, host.warm_at = False, back_at, FAIL_STEP / 2, now
+        host.warm_credit = self.chance.below(1000) / 1000  # many small parts add up to what is safe
+
     def _come_back(self, now: int, route: Route) -> None:
         for host in [each for each in route.hosts if each.sick]:
-            host.sick, host.back_at, host.failing, host.warm_at = False, now, FAIL_STEP / 2, now
-            host.warm_credit = self.chance.below(1000) / 1000  # many small parts add up to what is safe
+            self._warm_up(now, host, now)
             self.log.append(LogLine(f"back after {route.tries} trials, warming", host.id,
                                     Health.WARMING))
         route.tries = 0
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -12,7 +12,7 @@
 from test_crossings import Running, ledger_in, take
 
 from limelatch.interface import Health
-from limelatch.key_order import Hold, KeyOrder, Place
+from limelatch.key_order import Hold, KeyOrder, Place, Rest
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.handover import SIBLING_LOOK, Handover
 from limelatch.relay.ledger import Ledger
@@ -74,11 +74,11 @@
     order = order_of(Place(b"a", 1), Place(b"b", 2))
     order.rest(KEY, b"a", NOW + 5)
     order.rest(KEY, b"x", NOW + 3)
-    assert hold(order, b"a") is None and order.rest_left(NOW, KEY) == 5
+    assert hold(order, b"a") is None and order.rests[KEY] == Rest(NOW + 5, b"a")
     order.over(KEY, b"a")
     assert hold(order, b"b") is Hold.REST and hold(order, b"b", NOW + 5) is None
     order.forget_rests(NOW + 5)
-    assert order.rests == {} and order.rest_left(NOW, KEY) == 0
+    assert order.rests == {}
 
 
 STEPS = st.lists(
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -266,9 +266,11 @@
 
 def test_an_outage_that_the_other_process_found_is_known_here(relay):
     """In an upgrade: a returning host is not pushed over by a process that has seen nothing of its outage."""
+    relay.list(TWIN)
     relay.policy.health_told_to_sibling(NOW, HOST, Health.SICK, NOW - S)
     texts = [relay.take(REPORT) for _ in range(8)]
-    assert relay.host().sick and len(relay.sent(NOW + S // 10)) <= 1  # trials alone
+    assert relay.host().sick and relay.host(TWIN).sick  # one outage takes the hosts of a route
+    assert len(relay.sent(NOW + S // 10)) <= 1  # trials alone
     relay.policy.health_told_to_sibling(NOW + 2 * S, HOST, Health.WARMING, NOW + 2 * S)
     assert not relay.host().sick and relay.host().back_at == NOW + 2 * S
     assert len(relay.sent(NOW + 2 * S + 1)) <= 2 < len(texts)
--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -16,7 +16,7 @@
 from limelatch.relay.clock import Anchor
 from limelatch.relay.whole_file import replace_whole
 
-KILLED_AFTER = 3.7  # seconds from SIGTERM to SIGKILL at the least, by the protocol
+ENDS_WITHIN = 1.0  # seconds from a relay's last word to its process's end, on a machine with load too
 SLACK = 0.3  # seconds after a text's time within which it must have its end, as the protocol allows
 CLIENT_WAIT = 0.4  # seconds that a client waits for the answer to its handing in
 
@@ -201,7 +201,7 @@
     program.says("event=stopped")
     assert time.monotonic() - began < 1.5 + SLACK
     assert program.process.wait(WAIT) == 0
-    assert time.monotonic() - began < KILLED_AFTER
+    assert time.monotonic() - began < 1.5 + SLACK + ENDS_WITHIN
 
 
 @pytest.mark.parametrize("step", [-3600, 3600])
