--- a/tests/test_order_over_processes.py
+++ b/tests/test_order_over_processes.py
@@ -13,6 +13,9 @@
 
 import pytest
 from conftest import SETTINGS, WAIT
+from test_crossings import until
+
+from limelatch.relay.inspection import look
 
 REST = 3.0  # seconds
 NOTICE, CHARGE, REPORT = SETTINGS["classes"]
@@ -214,7 +217,8 @@
     charge(relay.start(), "t1", valid=500)
     closed = host.close_of("t1")
     assert relay.agent.notice()["ref"] == "t1"
-    time.sleep(0.02)  # the answer's way to the relay
+    if heard:
+        until(lambda: b"t1" not in look(str(relay.program.state)).entries)
     relay.program.kill()
     relay.agent.notice_status = 204
     charge(relay.start(), "t2")
@@ -289,5 +293,6 @@
     charge(relay.client_of_new(), "t1")
     relay.program.kill()
     assert relay.agent.notice()["ref"] == "t1"
-    time.sleep(1.0)  # a second call would have come by now
+    charge(relay.program.client(), "t2")  # of the same key: it goes when the first is over and has rested
+    host.call("t2")
     assert len(host.began["t1"]) == 1 and relay.agent.notices.empty()
