--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,7 +17,18 @@
 
 from limelatch.configuration import plan_of
 from limelatch.configuration.platform import read_platform
-from limelatch.interface import SECOND, HostEntry, Listing, Nack, Past, Result, Submit, Text
+from limelatch.interface import (
+    SECOND,
+    Health,
+    HostEntry,
+    Listing,
+    LogLine,
+    Nack,
+    Past,
+    Result,
+    Submit,
+    Text,
+)
 from limelatch.policy import Policy
 from limelatch.relay import __main__ as entry
 from limelatch.relay.clock import Anchor, Resumption
@@ -278,6 +289,20 @@
     beside.close()
 
 
+def test_an_outage_that_one_process_finds_is_the_module_s_in_the_other(clock, driver, tmp_path):
+    """From the module's word to the ledger, and from the other process's ledger to the module."""
+    driver.handover.start()
+    driver._tell(clock.now(), [HostEntry(each, 1, 0, 0, 1.0, Listing.READY) for each in (HOST, TWIN)])
+    driver.policy.log.append(LogLine("sick", TWIN, Health.SICK))
+    beside = Ledger(str(tmp_path), 100_000, 10_000_000)
+    clock.advance(0.3)  # the old process has seen it, and has turned
+    assert driver.ledger.book.healths[TWIN].health is Health.SICK
+    beside.found_health(HOST, Health.SICK, clock.now())
+    clock.advance(0.2)
+    assert driver.policy.hosts[HOST].sick and driver.policy.processes == 2
+    beside.close()
+
+
 def test_a_relay_that_ends_waits_for_what_a_connection_just_made_will_ask(clock, driver):
     driver.stop()
     clock.advance(0.49)
