Log surplus responses, the connection of each submit, and counts of connections

Cause: the logs of the incident show a surplus response as `garbled` alone, without its status line, the text whose outcome it puts in doubt, or the connection; no line names the connection of a submit or how often it has been used. Change: event surplus-response (bounded, with left_out); submit-going and submit-ended name connection, uses, idle time and status; host-connections counts calls, reused, opened and surplus every 60 s and at the end. Bytes between two requests end their connection as they come, before a whole line of them is there. No outcome is decided differently.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -25,6 +25,8 @@
 PEER = "the client's address"
 TEXT = "its id"
 KEY = "its ordering key, if its product has one"
+CONNECTION = "number of the connection to the host, in this process"
+USES = "requests sent on it, the last one included"
 LEFT_OUT = "how many more such events the second before had"  # in events whose rate is limited
 MEMBER = {
     "member": "its address in `membership.peers`",
@@ -144,7 +146,15 @@
         "driver",
         DEBUG,
         "a submit is sent to a host",
-        {"text": TEXT, "key": KEY, "host": HOST, "submit": "the number of the submit, from 1"},
+        {
+            "text": TEXT,
+            "key": KEY,
+            "host": HOST,
+            "submit": "the number of the submit, from 1",
+            "connection": CONNECTION,
+            "uses": "requests sent on it before",
+            "idle_ms": "how long it had been idle; 0 for a new one",
+        },
     ),
     "submit-held": Event(
         "driver",
@@ -166,6 +176,9 @@
             "text": TEXT,
             "key": KEY,
             "host": HOST,
+            "connection": CONNECTION,
+            "uses": USES,
+            "status": "HTTP status of the response, if it was read",
             "result": "how it ended",
             "took_ms": "time since it was sent",
             "wait_ms": "the retry delay given by the host",
@@ -254,6 +267,33 @@
             "left_out": LEFT_OUT,
         },
     ),
+    "surplus-response": Event(
+        "hosts",
+        WARNING,
+        "a host has sent bytes that no request asked for; on a connection that has been used before, the "
+        "outcome of its last call is in doubt",
+        {
+            "host": HOST,
+            "connection": CONNECTION,
+            "uses": USES,
+            "text": "ids of the texts of its last call",
+            "idle_ms": "time since that call's response; absent if they came with the response",
+            "starts": "the first line of what has come, up to 64 bytes",
+            "left_out": LEFT_OUT,
+        },
+    ),
+    "host-connections": Event(
+        "hosts",
+        INFO,
+        "counts of this process, every 60 s and at its end",
+        {
+            "calls": "calls sent",
+            "reused": "those on a connection that had carried one before",
+            "opened": "connections opened or tried",
+            "surplus": "surplus responses",
+            "open": "connections in the table now",
+        },
+    ),
     "host-connection-ended": Event(
         "hosts", DEBUG, "a connection to a host has ended", {"host": HOST, "why": "how it ended"}
     ),
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -38,6 +38,7 @@
 PORT_TIMEOUT = li.SECOND  # for a port that is in use at the start
 PORT_RETRY_INTERVAL = li.SECOND // 20
 RESOURCE_TIMEOUT = 20 * li.SECOND  # for a machine without buffers or descriptors at the start
+COUNTS_INTERVAL = 60 * li.SECOND  # between two lines with the counts of connections
 IDLE_CHECK_INTERVAL = 20 * li.MS  # between two checks for requests of clients, before an early end
 
 
@@ -166,6 +167,7 @@
         if self.peers is not None:
             self.peers.start()
         self.wall_clock_monitor.start()
+        self.deadlines.after(COUNTS_INTERVAL, self._log_counts)
         log_event(log, "waiting", on="list", most_ms=self.plan.list_timeout // li.MS)
         self.deadlines.after(self.plan.list_timeout, self.serve)
         if not self.plan.settings.list_on_request:
@@ -319,6 +321,11 @@
         self.deadlines.after(self.plan.min_stop_time, self._exit_if_idle)
         self.deadlines.at(self._stop_deadline, self._exit)
 
+    def _log_counts(self) -> None:
+        """Log the counts of connections to hosts, now and in regular intervals."""
+        self.pool.log_counts()
+        self.deadlines.after(COUNTS_INTERVAL, self._log_counts)
+
     def _exit_if_idle(self) -> None:
         """End early: when no text is pending, no call is in flight and clients send no more requests."""
         if self.clock.now() >= self._earliest_stop_at and not self.accepted and not self.pool.calls_in_flight:
@@ -338,6 +345,7 @@
             self.listener.stop_reading()
             if self.peers is not None:
                 self.peers.stop()
+            self.pool.log_counts()
             log_event(log, "stopped", owed=len(self.accepted), calls=self.pool.calls_in_flight)
             self.deadlines.after(0, self.reactor.stop)
 
@@ -522,9 +530,7 @@
         zone = self.hosts[call.host].zone if call.host in self.hosts else -1
         accepted.submit_in_flight = self.ledger.record_submit(text, call.sent_at, zone)
         if accepted.submit_in_flight:
-            self.text_log.submit_started(
-                text, accepted.key, call.host, self.ledger.entries[text].submit_count
-            )
+            self.text_log.submit_started(text, accepted.key, call, self.ledger.entries[text].submit_count)
         return accepted.submit_in_flight
 
     def _cooldown_until(self, accepted: AcceptedText, now: int) -> int | None:
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -33,6 +33,7 @@
 
 MAX_RESPONSE_SIZE = 64 * 1024  # bytes of a response's body
 OUTBOUND_BUFFER_SIZE = 32 * 1024  # bytes of a connection's requests that wait to be written
+MAX_STATUS_LINE_SHOWN = 64  # bytes of a surplus response that are logged
 MAX_REPORT_VALUE = 1e6  # a report with a larger value is ignored
 REPORT_PATTERN = re.compile(
     rb"\s*([0-9A-Za-z_]+)\s*=\s*([0-9]{1,9}(?:\.[0-9]{0,18})?(?:[eE]-?[0-9]{1,2})?)\s*\Z"
@@ -73,6 +74,7 @@
     deadline: Deadline | None = None
     connection: Connection | None = None
     response_started_at: int = 0  # when the status line of its response was read
+    status: int | None = None  # of its response, once that is complete
 
     def is_late(self, now: int) -> bool:
         """Whether the proof of a delivery was read only after the deadline: the status line, or in a batch
@@ -80,6 +82,17 @@
         return (now if self.batched else self.response_started_at) >= self.deadline.when
 
 
+@dataclass(slots=True)
+class ConnectionCounts:
+    """Counts of this process: calls written, those of them on a connection that had carried one before,
+    connections opened, and surplus responses."""
+
+    calls: int = 0
+    reused: int = 0
+    opened: int = 0
+    surplus: int = 0
+
+
 def read_retry_after(headers: dict[bytes, bytes]) -> int:
     """The Retry-After header, in seconds with decimals, as tenths of a millisecond, rounded up; else 0."""
     match = re.fullmatch(rb"[0-9]{1,6}(\.[0-9]{1,9})?", headers.get(b"retry-after", b""))
@@ -155,6 +168,8 @@
         self.pool, self.host, self.call = pool, host, call
         self.slot, self.connector, self.deadline = None, None, None
         self.is_connected, self.idle_since, self.address = False, 0, pool.addresses.get(host)
+        self.number = pool.counts.opened  # in this process, for the log
+        self.last_texts: list[bytes] = []  # ids of the texts of its last call
 
     def is_reusable(self) -> bool:
         """Whether all of its last call was written and read, and the peer has sent nothing since.
@@ -185,6 +200,10 @@
         """Pass the response to the pool."""
         self.pool.response_received(self, response, body)
 
+    def surplus_received(self, data: bytes) -> None:
+        """Pass a surplus response to the pool."""
+        self.pool.surplus_received(self, data)
+
     def connection_ended(self, end_reason: EndReason) -> None:
         """Tell the pool, and whether the request was written completely."""
         if end_reason is EndReason.CONNECTION_LOST and not self.outbound_writer.empty:
@@ -240,6 +259,7 @@
         self.idle: defaultdict[HostId, list[Connection]] = defaultdict(list)
         self.addresses: dict[HostId, Address] = {}
         self.calls_in_flight, self.limited_log = 0, LimitedLog(log, clock)
+        self.counts = ConnectionCounts()
 
     def send(self, host: HostId, texts: list[OutgoingText]) -> None:
         """Start one call with these texts, or a probe without any; its outcomes go to the driver."""
@@ -261,6 +281,7 @@
     def _connect(self, call: Call) -> None:
         if self.connections.is_full:
             self._close_oldest_idle()
+        self.counts.opened += 1
         connection = call.connection = Connection(self, call.host, call)
         connection.slot = self.connections.take(connection)
         address = self.addresses.get(call.host)
@@ -275,6 +296,19 @@
             address.host, address.port, ConnectAttempt(connection), timeout=None
         )
 
+    def log_counts(self) -> None:
+        """Log the counts of this process."""
+        counts = self.counts
+        log_event(
+            log,
+            "host-connections",
+            calls=counts.calls,
+            reused=counts.reused,
+            opened=counts.opened,
+            surplus=counts.surplus,
+            open=len(self.connections),
+        )
+
     def set_limit(self, max_connections: int) -> None:
         """Change the size of the table; idle connections beyond it are closed."""
         self.connections.size = max_connections
@@ -312,8 +346,25 @@
                 self._keep_idle(connection, withdrawn[0].idle_limit)
                 return
         call.batched = len(call.texts) > 1
+        connection.last_texts = [each.text for each in call.texts]
+        self.counts.calls += 1
+        self.counts.reused += connection.use_count > 0
         connection.send_request(*write_call(call, str(self.addresses.get(call.host, "")), now))
 
+    def surplus_received(self, connection: Connection, data: bytes) -> None:
+        """Log bytes that no request asked for, with what they may belong to."""
+        self.counts.surplus += 1
+        is_idle = connection.call is None
+        self.limited_log(
+            "surplus-response",
+            host=connection.host,
+            connection=connection.number,
+            uses=connection.use_count,
+            text=b",".join(connection.last_texts),
+            idle_ms=(self.clock.now() - connection.idle_since) // MS if is_idle else None,
+            starts=data.partition(b"\r\n")[0][:MAX_STATUS_LINE_SHOWN],
+        )
+
     def response_received(self, connection: Connection, response: Response, body: bytes) -> None:
         """Report the outcomes of the connection's call, and keep the connection if it can be reused."""
         call = connection.call
@@ -327,7 +378,7 @@
             self.limited_log("answer-not-read", host=call.host, why=repr(error))
             connection.abandon(EndReason.MALFORMED)
             return
-        late = call.is_late(self.clock.now())
+        late, call.status = call.is_late(self.clock.now()), response.status
         self._finish(call)
         if not call.texts:
             result = RESULT_BY_STATUS.get(response.status, Result.ERROR)
--- a/limelatch/relay/http.py
+++ b/limelatch/relay/http.py
@@ -13,6 +13,7 @@
 LENGTH_PATTERN = re.compile(rb"[0-9]{1,15}\Z")
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 MAX_HEAD_SIZE = 16 * 1024  # bytes of a response's heads and trailers, interim responses included
+MAX_SURPLUS_SHOWN = 256  # bytes of a surplus response that a subclass gets to see
 
 
 @dataclass(slots=True)
@@ -46,6 +47,7 @@
         self.max_body_size, self._part_size = max_body_size, part_size
         self._remaining = 0  # bytes of the body, or of its current chunk, still to come
         self.awaiting_response = False  # a request has been sent
+        self.use_count = 0  # requests sent on this connection
         self.response: Response | None = None
         self._body: list[bytes] = []
         self._body_size = self._head_size = 0  # bytes collected of the body; of the heads so far
@@ -55,6 +57,7 @@
         """Send a complete request, head and body."""
         self.awaiting_response, self.response, self._body, self._read_line = True, None, [], self._read_status
         self._body_size = self._head_size = 0
+        self.use_count += 1
         self.send(*pieces)
 
     def response_started(self) -> None:
@@ -68,10 +71,23 @@
         """Part of a body that arrives in parts or chunks; True if the subclass consumed it."""
         return False
 
+    def surplus_received(self, data: bytes) -> None:
+        """Bytes have arrived that no request asked for: behind a complete response, or between two requests.
+
+        `data`: at most MAX_SURPLUS_SHOWN of them. The connection is not reused."""
+
     def connection_ended(self, end_reason: EndReason) -> None:
         """The connection has ended, whichever side closed it."""
         raise NotImplementedError
 
+    def dataReceived(self, data: bytes) -> None:
+        """Parse a response; bytes that no request asked for end the connection."""
+        if self.end_reason is None and not self.awaiting_response:
+            self.surplus_received(data[:MAX_SURPLUS_SHOWN])
+            self.close(EndReason.MALFORMED)
+            return
+        super().dataReceived(data)
+
     def lineReceived(self, line: bytes) -> None:
         """Parse a line of a head, a chunk or a trailer."""
         if self._read_line not in (self._read_chunk_size, self._read_chunk_end):
@@ -173,6 +189,8 @@
     def _finish_response(self) -> None:
         response, body, self.awaiting_response = self.response, b"".join(self._body), False
         self._body, self._read_line = [], self._read_status
+        if self.inbound:
+            self.surplus_received(self.inbound.peek(MAX_SURPLUS_SHOWN))
         self.response_received(response, body)
 
     def connectionLost(self, reason) -> None:
--- a/limelatch/relay/text_log.py
+++ b/limelatch/relay/text_log.py
@@ -44,10 +44,20 @@
                 answered=is_answered,
             )
 
-    def submit_started(self, text: bytes, key: bytes | None, host: li.HostId, submit: int) -> None:
+    def submit_started(self, text: bytes, key: bytes | None, call: Call, submit: int) -> None:
         """A submit of the text is about to be sent; `submit` is its number."""
         if log.isEnabledFor(DEBUG):
-            log_event(log, "submit-going", text=text, key=key, host=host, submit=submit)
+            log_event(
+                log,
+                "submit-going",
+                text=text,
+                key=key,
+                host=call.host,
+                submit=submit,
+                connection=call.connection.number,
+                uses=call.connection.use_count,
+                idle_ms=call.idle_time // li.MS,
+            )
 
     def submit_blocked(self, text: bytes, key: bytes, host: li.HostId, why: str) -> None:
         """A submit is not sent, since the order of its key does not allow it."""
@@ -66,6 +76,9 @@
             text=text,
             key=key,
             host=call.host,
+            connection=call.connection.number,
+            uses=call.connection.use_count,
+            status=call.status,
             result=outcome.result.value,
             took_ms=(now - call.sent_at) // li.MS,
             wait_ms=outcome.retry_after // li.MS or None,
