Failing reproduction of the incident: repeated responses end other texts' calls

Cause found (hypothesis A): a response is matched to a request by its place on a kept-alive connection; a copy that a host writes after the relay has reused the connection ends the next text's call.

--- /dev/null
+++ b/tests/test_surplus_responses.py
@@ -0,0 +1,104 @@
+"""Responses that no request asked for, on real relay processes over loopback: hosts that repeat a response
+later on the same connection. No outcome may rest on a response to another request.
+"""
+
+import itertools
+import threading
+import time
+
+from conftest import WAIT_TIMEOUT
+
+SPREAD = 0.02  # seconds from a response to its copy, at the most, unless the next request comes before
+FAR = 2.0  # the same, for texts that are sent on connections of their own
+LONG = 20_000  # milliseconds of validity
+
+
+class RepeatingHost:
+    """A host that repeats responses: on the same connection, as soon as the next request has come on it, or
+    else after the spread."""
+
+    def __init__(self, make_host, spread=SPREAD):
+        self.spread, self.lock = spread, threading.Condition()
+        self.statuses = {}  # status of each call of a text, by its id; 200 after the last
+        self.repeated = set()  # texts whose responses are repeated
+        self.calls = []  # id of the text, number of the connection, and time of each call
+        self.copies = 0  # copies written while the next request was out
+        self.delivered = []
+        self.server = make_host(self._called)
+
+    def _called(self, request):
+        text, handler = request.headers["X-Txn"], request.handler
+        self._repeat(handler)
+        with self.lock:
+            status = (self.statuses.get(text) or [200]).pop(0)
+            self.calls.append((text, id(handler), time.monotonic()))
+            if status == 200:
+                self.delivered.append(text)
+            self.lock.notify_all()
+        if text in self.repeated:
+            handler.copy = b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+            threading.Timer(self.spread, self._repeat, [handler, False]).start()
+        request.answer(status)
+
+    def _repeat(self, handler, is_next_request=True):
+        """Write the copy of the connection's last response, once."""
+        with self.lock:
+            copy, handler.copy = getattr(handler, "copy", None), None
+            if copy is None:
+                return
+            self.copies += is_next_request
+        try:
+            handler.wfile.write(copy)
+        except (OSError, ValueError):
+            pass  # the relay has closed the connection
+
+    def wait_for(self, condition):
+        """Wait until the condition holds; False after WAIT_TIMEOUT seconds."""
+        with self.lock:
+            return self.lock.wait_for(condition, WAIT_TIMEOUT)
+
+    def calls_of(self, text):
+        return [call for call in self.calls if call[0] == text]
+
+
+def submit_in_turn(client, host, texts, **fields):
+    """Hand in each text as soon as the first call of the one before has come to the host."""
+    for text in texts:
+        assert client.submit(text, d=LONG, **fields) == "+OK"
+        assert host.wait_for(lambda text=text: host.calls_of(text)), f"{text} was not sent"
+
+
+def test_a_repeated_200_does_not_end_a_text_that_its_host_refused(program, agent, make_host):
+    host = RepeatingHost(make_host)
+    texts = [f"a{number}" for number in range(12)]
+    host.repeated = set(texts[::2])
+    host.statuses = {text: [503] for text in texts[1::2]}
+    agent.list(host.server.address)
+    client = program.start()
+    submit_in_turn(client, host, texts)
+    assert host.wait_for(lambda: set(host.delivered) == set(texts)), set(texts) - set(host.delivered)
+
+
+def test_a_repeated_503_does_not_send_a_text_again_that_its_host_took(program, agent, make_host):
+    host = RepeatingHost(make_host)
+    texts = [f"a{number}" for number in range(12)]
+    host.repeated = set(texts[::2])
+    host.statuses = {text: [503] for text in texts[::2]}
+    agent.list(host.server.address)
+    client = program.start()
+    submit_in_turn(client, host, texts, product="notice")
+    assert host.wait_for(lambda: set(host.delivered) == set(texts)), set(texts) - set(host.delivered)
+    assert [text for text in texts if host.delivered.count(text) > 1] == []
+
+
+def test_a_once_only_text_never_gets_the_response_to_another_one_however_late(program, agent, make_host):
+    host = RepeatingHost(make_host, FAR)
+    texts = [f"a{number}" for number in range(12)]
+    statuses = itertools.cycle([200, 503, 503, 200])  # the response and, for the next text, not the same one
+    host.repeated = set(texts[::2])
+    host.statuses = {text: [next(statuses)] for text in texts}
+    agent.list(host.server.address)
+    client = program.start()
+    submit_in_turn(client, host, texts, product="charge")
+    assert host.wait_for(lambda: set(host.delivered) == set(texts)), set(texts) - set(host.delivered)
+    assert [text for text in texts if host.delivered.count(text) > 1] == []
