A batch's response that names other texts, or one twice, ends none of the call's texts

Cause: of a batch's 200 the rows of the call's texts were taken, whatever else it named, and of a text named twice the last row. A response to another batch, or one put together of two, passed where it named all texts. Change: a response that names a text twice, or one that is not in the call, can't be read: each text may have run. One that names too few was refused already. Evidence: the new test fails on the commit before, in both cases, and passes now. The test of a batch with one text left is replaced: no text leaves a call that has been written, so a response that names more texts than the call is not that call's. It wanted the outcome of such a response; the new test wants it refused, and a whole one read.

--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -113,16 +113,29 @@
     return found if all(pairs) and all(value <= MAX_REPORT_VALUE for value in found.values()) else {}
 
 
+def read_states(body: bytes) -> dict[bytes, str]:
+    """The state of each text in a batch's response, by id. Raises ValueError, KeyError, TypeError or
+    AttributeError if it can't be read or names a text twice."""
+    rows = json.loads(body)
+    states = {row["id"].encode(): row["state"] for row in rows}
+    if len(states) < len(rows):
+        raise ValueError("the response names a text twice")
+    return states
+
+
 def read_outcomes(call: Call, response: Response, body: bytes) -> list[Outcome]:
     """The outcome of each text of a call, by its response. Raises ValueError, KeyError, TypeError or
     AttributeError if a batch's body can't be read."""
     wait, report = read_retry_after(response.headers), read_report(response.headers)
     if call.batched and response.status == 200:
-        states = {row["id"].encode(): row["state"] for row in json.loads(body)}
-        return [
+        states = read_states(body)
+        outcomes = [
             Outcome(RESULT_BY_STATE[states[each.text]], states[each.text] in FINISHED_STATES, wait, report)
             for each in call.texts
         ]
+        if len(states) > len(outcomes):
+            raise ValueError("the response names texts that are not in the call")
+        return outcomes
     result = RESULT_BY_STATUS.get(response.status, Result.ERROR)
     if call.batched and response.status in (410, 504):  # these statuses describe a single text
         result = Result.ERROR
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -413,10 +413,13 @@
         outcomes(200, body, (b"a", b"c"))
 
 
-def test_a_batch_with_one_text_left_still_gets_a_batch_response():
-    call = Call(b"s-1", [OutgoingText(b"a", b"", b"", 0, 0)], 0, batched=True)  # the other text has expired
+@pytest.mark.parametrize("others", [b'{"id":"c","state":"delivered"}', b'{"id":"a","state":"delivered"}'])
+def test_a_batch_response_that_names_other_texts_or_one_twice_ends_none_of_them(others):
+    call = Call(b"s-1", [OutgoingText(text, b"", b"", 0, 0) for text in (b"a", b"b")], 0, batched=True)
     body = b'[{"id":"b","state":"delivered"},{"id":"a","state":"refused"}]'
-    assert read_outcomes(call, Response(200), body) == [Outcome(Result.FULL)]
+    assert read_outcomes(call, Response(200), body) == [Outcome(Result.FULL), Outcome(Result.DELIVERED, True)]
+    with pytest.raises(ValueError):
+        read_outcomes(call, Response(200), body.replace(b"]", b"," + others + b"]"))
 
 
 class RecordingDriver:
