Each request with notices has a connection of its own

Seen by callers: texts lost where the platform's response came twice: neither delivered nor ended by a notice that the platform kept. Cause: the notifier kept one connection and took any 204 on it for the response to the notices that were out; a copy of an earlier 204 acknowledged notices that the platform had not kept. Change: a request has a connection of its own and is followed by no other one; pending notices go with the next. The state of the connection and that of the request are one now. The test of a second 204 is stricter: the next notice's request is on another connection.

--- a/limelatch/relay/end_reason.py
+++ b/limelatch/relay/end_reason.py
@@ -21,6 +21,7 @@
     NOT_SENT = "held-back"  # the call was no longer to be sent when the connection opened
     CLOSED_BY_PEER = "closed-by-peer"  # between requests
     IDLE = "idle"  # closed by the relay between requests
+    FINISHED = "finished"  # closed by the relay after the response to the connection's only request
     NO_SLOT = "crowded"  # all connection slots are taken
     STOPPING = "stopping"  # the relay stops
     ADDRESS_CHANGED = "moved"  # the catalog or the platform has a new address
@@ -39,6 +40,7 @@
     EndReason.NOT_SENT: Result.NOT_SENT,
     EndReason.CLOSED_BY_PEER: Result.RESET,
     EndReason.IDLE: Result.CONNECT,
+    EndReason.FINISHED: Result.CONNECT,
     EndReason.NO_SLOT: Result.CONNECT,
     EndReason.STOPPING: Result.CANCELLED,
     EndReason.ADDRESS_CHANGED: Result.CANCELLED,
--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -1,4 +1,7 @@
-"""Reports texts that ended undelivered to the platform; each notice is repeated until it is acknowledged."""
+"""Reports texts that ended undelivered to the platform; each notice is repeated until it is acknowledged.
+
+Each request has a connection of its own, so a response can't be a delayed copy of an earlier one: a notice
+that is taken for acknowledged by mistake would be lost."""
 
 from __future__ import annotations
 
@@ -18,24 +21,27 @@
 MAX_NOTICES = 200  # in one request
 
 
-class PlatformConnection(HttpClientProtocol):
-    """The HTTP connection to the platform."""
+class NoticeRequest(HttpClientProtocol):
+    """One request with notices, on its own connection to the platform."""
 
     def __init__(self, notifier: Notifier) -> None:
         super().__init__(MAX_BODY_BYTES, 32 * 1024)
         self.notifier = notifier
 
     def connectionMade(self) -> None:
+        """Send the notices that are pending by now."""
         super().connectionMade()
-        self.notifier.send()
+        self.notifier.send_on(self)
 
     def response_received(self, response: Response, body: bytes) -> None:
-        if not response.keep_alive or self.inbound:  # extra bytes would be taken for the next answer
-            self.close(EndReason.CLOSED_BY_PEER)
+        """Close the connection, and pass on the status."""
+        self.close(EndReason.FINISHED, finish_writing=True)
         self.notifier.response_received(response.status)
 
     def connection_ended(self, end_reason: EndReason) -> None:
-        self.notifier.connection_ended(self, end_reason)
+        """Tell the notifier, unless the request has had its response."""
+        if end_reason is not EndReason.FINISHED:
+            self.notifier.request_failed(end_reason)
 
 
 class Notifier(ClientFactory):
@@ -60,17 +66,14 @@
         self.timeout, self.retry_interval, self.on_acknowledged = timeout, retry_interval, on_acknowledged
         self.pending: dict[bytes, dict] = {}
         self.in_flight: list[bytes] = []
-        self.connection: PlatformConnection | None = None
-        self._connector, self._deadline, self._paused, self._loss_count = None, None, False, 0
+        self.request: NoticeRequest | None = None
+        self._connector, self._deadline, self._paused, self._failure_count = None, None, False, 0
 
     def change_address(self, address: Address) -> None:
         """Send notices to another address from now on, including those not yet acknowledged."""
         if address != self.address:
             self.address = address
-            if self.connection is not None:
-                self.connection.close(EndReason.ADDRESS_CHANGED)
-            elif self._connector is not None:
-                self._connector.stopConnecting()
+            self._abandon(EndReason.ADDRESS_CHANGED)
 
     def add_notice(self, text: bytes, fields: dict) -> None:
         """Report a text; `fields` are those of its row in the request, beside its id."""
@@ -78,44 +81,50 @@
         self.send()
 
     def send(self) -> None:
-        """Send pending notices, unless a request is in flight or the notifier is paused."""
-        if not self.pending or self.in_flight or self._paused:
-            return
-        if self.connection is None:
-            if self._connector is None:
-                address = self.address
-                self._connector = self.reactor.connectTCP(address.host, address.port, self, timeout=None)
-                self._deadline = self.deadlines.after(self.timeout, self._timed_out)
-            return
-        if not self.connection.connected or self.connection.end_reason is not None:
-            return
+        """Start a request, if notices are pending, none is out and the notifier is not paused."""
+        is_busy = self.request is not None or self._connector is not None
+        if self.pending and not is_busy and not self._paused:
+            address = self.address
+            self._connector = self.reactor.connectTCP(address.host, address.port, self, timeout=None)
+            self._set_deadline()
+
+    def send_on(self, request: NoticeRequest) -> None:
+        """The connection of the request is established: send the pending notices."""
         self.in_flight = list(self.pending)[:MAX_NOTICES]
         rows = [json.dumps({"ref": text.decode()} | self.pending[text]) + "\n" for text in self.in_flight]
         body = "".join(rows).encode()
-        head = request_head(
-            "POST", "/reports", str(self.address), len(body), [("Content-Type", "application/x-ndjson")]
-        )
+        headers = [("Content-Type", "application/x-ndjson"), ("Connection", "close")]
+        self._set_deadline()
+        request.send_request(request_head("POST", "/reports", str(self.address), len(body), headers) + body)
+
+    def _set_deadline(self) -> None:
         self._cancel_deadline()
-        self._deadline = self.deadlines.after(self.timeout, self._timed_out)
-        self.connection.send_request(head + body)
+        self._deadline = self.deadlines.after(self.timeout, lambda: self._abandon(EndReason.ANSWER_TIMEOUT))
 
     def _cancel_deadline(self) -> None:
         if self._deadline is not None:
             self._deadline.cancel()
             self._deadline = None
 
-    def _timed_out(self) -> None:
-        if self.connection is not None:
-            self.connection.close(EndReason.ANSWER_TIMEOUT)
+    def _abandon(self, end_reason: EndReason) -> None:
+        """Give up the request that is out; its notices stay pending."""
+        if self.request is not None:
+            self.request.close(end_reason)
         elif self._connector is not None:
             self._connector.stopConnecting()
 
-    def response_received(self, status: int) -> None:
-        """Handle the status of the platform's response: 204 acknowledges all notices of the request."""
+    def _finish_request(self) -> list[bytes]:
+        """The request is over; return the texts whose notices it carried."""
         self._cancel_deadline()
+        self.request = self._connector = None
         in_flight, self.in_flight = self.in_flight, []
+        return in_flight
+
+    def response_received(self, status: int) -> None:
+        """Handle the status of the platform's response: 204 acknowledges all notices of the request."""
+        in_flight = self._finish_request()
         if status == 204:
-            self._loss_count = 0
+            self._failure_count = 0
             for text in in_flight:
                 self.pending.pop(text, None)
                 self.on_acknowledged(text)
@@ -124,6 +133,15 @@
             log_event(log, "notices-not-taken", status=status, notices=len(in_flight))
             self._pause(self.retry_interval)
 
+    def request_failed(self, end_reason: EndReason) -> None:
+        """The request's connection has ended without a response; the first time it is repeated at once."""
+        self._finish_request()
+        if end_reason is not EndReason.ADDRESS_CHANGED and self.reactor.running:
+            log_event(log, "platform-lost", why=end_reason.value, owed=len(self.pending))
+        if not self._paused:
+            self._pause(self.retry_interval if self._failure_count else 0)
+        self._failure_count += 1
+
     def _pause(self, wait: int) -> None:
         self._paused = True
         self.deadlines.after(wait, self._resume)
@@ -132,20 +150,11 @@
         self._paused = False
         self.send()
 
-    def buildProtocol(self, address) -> PlatformConnection:
-        self.connection = PlatformConnection(self)
-        return self.connection
+    def buildProtocol(self, address) -> NoticeRequest:
+        """The request whose connection has been established."""
+        self.request = NoticeRequest(self)
+        return self.request
 
     def clientConnectionFailed(self, connector, reason) -> None:
-        self.connection_ended(None, EndReason.REFUSED)
-
-    def connection_ended(self, connection: PlatformConnection | None, end_reason: EndReason) -> None:
-        """Handle the end of the connection: notices in flight stay pending and are sent again."""
-        self._cancel_deadline()
-        self.connection = self._connector = None
-        self.in_flight = []
-        if end_reason not in (EndReason.CLOSED_BY_PEER, EndReason.ADDRESS_CHANGED) and self.reactor.running:
-            log_event(log, "platform-lost", why=end_reason.value, owed=len(self.pending))
-        if self.pending and not self._paused:  # at once the first time: a kept-alive connection may close
-            self._pause(self.retry_interval if self._loss_count else 0)
-        self._loss_count += 1
+        """The connection was refused, or the attempt stopped."""
+        self.request_failed(EndReason.REFUSED)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,7 +15,7 @@
 from test_parts import VALID_CONFIG, CONFIGURED_NAMES, SocketPairTransport
 from twisted.internet.task import Clock as Reactor
 
-from limelatch.configuration import plan_of
+from limelatch.configuration import Address, plan_of
 from limelatch.configuration.platform_form import read_platform
 from limelatch.interface import (
     SECOND,
@@ -223,19 +223,31 @@
 # Notices.
 
 
+class RecordingConnector:
+    """A reactor that records attempts to connect."""
+
+    running = True
+
+    def __init__(self):
+        self.attempts = []
+
+    def connectTCP(self, host, port, factory, timeout):
+        self.attempts.append((host, port))
+
+
 def test_a_second_response_is_not_attributed_to_the_next_notice(clock):
-    confirmed = []
-    notifier = Notifier(clock, Deadlines(clock, clock), None, SECOND, SECOND, confirmed.append)
-    connection = notifier.buildProtocol(None)
+    confirmed, reactor = [], RecordingConnector()
+    platform = Address("127.0.0.1", 80)
+    notifier = Notifier(reactor, Deadlines(clock, clock), platform, SECOND, SECOND, confirmed.append)
+    request = notifier.buildProtocol(None)
     notifier.add_notice(b"a", {"result": "dead"})
-    connection.makeConnection(SocketPairTransport())
+    request.makeConnection(SocketPairTransport())
     notifier.add_notice(b"b", {"result": "dead"})  # while the request of the first is in flight
-    connection.dataReceived(b"HTTP/1.1 204 No Content\r\n\r\n" * 2)
-    assert (
-        confirmed == [b"a"]
-        and list(notifier.pending) == [b"b"]
-        and connection.end_reason is EndReason.CLOSED_BY_PEER
-    )
+    request.dataReceived(b"HTTP/1.1 204 No Content\r\n\r\n" * 2)
+    assert confirmed == [b"a"] and list(notifier.pending) == [b"b"]
+    assert request.end_reason is EndReason.FINISHED and len(reactor.attempts) == 1
+    request.connectionLost(None)
+    assert notifier.in_flight == [] and len(reactor.attempts) == 1  # the next request is not disturbed
 
 
 # Clients.
--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -1,12 +1,14 @@
-"""Responses that no request asked for, on real relay processes over loopback: hosts that repeat a response
-later on the same connection. No outcome may rest on a response to another request.
+"""Responses that no request asked for, on real relay processes over loopback: hosts and a platform that
+repeat a response later on the same connection. No outcome may rest on a response to another request.
 """
 
 import itertools
+import queue
 import threading
 import time
 
-from conftest import WAIT_TIMEOUT
+import pytest
+from conftest import WAIT_TIMEOUT, Agent
 
 SPREAD = 0.02  # seconds from a response to its copy, at the most, unless the next request comes before
 FAR = 2.0  # the same, for texts that are sent on connections of their own
@@ -102,3 +104,46 @@
     submit_in_turn(client, host, texts, product="charge")
     assert host.wait_for(lambda: set(host.delivered) == set(texts)), set(texts) - set(host.delivered)
     assert [text for text in texts if host.delivered.count(text) > 1] == []
+
+
+class RepeatingPlatform(Agent):
+    """A platform that repeats a 204 as the next request comes on its connection, and keeps no notices of
+    every second request: it ends their connection without a response."""
+
+    def __init__(self):
+        self.report_count, self.reported = 0, queue.Queue()
+        super().__init__()
+
+    def act(self, request):
+        if request.path != "/reports":
+            return super().act(request)
+        if getattr(request.handler, "has_answered", False):
+            request.answer(204)
+        self.report_count += 1
+        self.reported.put(request.body)
+        if self.report_count % 2 == 0:
+            request.cut()
+            return None
+        request.handler.has_answered = True
+        return super().act(request)
+
+
+@pytest.fixture
+def agent():
+    agent = RepeatingPlatform()
+    yield agent
+    agent.released.set()
+    agent.shutdown()
+
+
+def test_a_repeated_204_does_not_acknowledge_notices_that_the_platform_did_not_keep(
+    program, agent, make_host
+):
+    host, texts = make_host(lambda request: (500,)), [f"a{number}" for number in range(8)]
+    for number, _ in enumerate(texts):
+        agent.list(host.address, name=f"s-{number}", dest=number)
+    client = program.start()
+    for number, text in enumerate(texts):
+        assert client.submit(text, product="charge", d=LONG, dest=number) == "+OK"
+        agent.reported.get(timeout=WAIT_TIMEOUT)
+    assert {agent.notice()["ref"] for _ in texts} == set(texts)
