The connection used last is taken of those silent for long enough, and idle ones don't add up

Cause: with the longest silent one first no idle connection ever reached the end of its idle time, and each once-only text added one. Hosts hold only so many connections. Change: of the idle connections that have been silent for long enough the one used last is taken; a connection of a call that shared none is kept only where the host has no other idle one. Nothing is used sooner than before.

--- a/limelatch/connection_reuse.py
+++ b/limelatch/connection_reuse.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections.abc import Sequence
 
 from limelatch.interface import MS, SECOND, HostId
@@ -63,14 +64,20 @@
     def choose(self, now: int, idle_since: Sequence[int]) -> int | None:
         """The idle connection to use next, as its index; None if no one has been silent for long enough.
 
+        Of several the one used last, so that those that are not needed reach the end of their idle time.
         `idle_since`: when the last response on each connection came, the earliest first."""
-        return 0 if idle_since and now - idle_since[0] >= self._silence else None
-
-    def idle_limit(self, now: int, host: HostId, idle_limit: int) -> int:
-        """How long a connection is kept after a call, `idle_limit` at the most.
-
-        To a distrusted host: only for as long as further surplus responses are looked out for."""
-        return min(idle_limit, self._silence) if self.is_distrusted(now, host) else idle_limit
+        silent_count = bisect_right(idle_since, now - self._silence)
+        return silent_count - 1 if silent_count else None
+
+    def idle_limit(self, now: int, host: HostId, idle_limit: int, idle_count: int, was_own: bool) -> int:
+        """How long a connection is kept after a call, `idle_limit` at the most; 0: not at all.
+
+        `idle_count`: other idle connections to the host; `was_own`: the call needed a connection of its own,
+        so that an idle one was left as it was. To a distrusted host a connection is kept only for as long as
+        further surplus responses are looked out for."""
+        if self.is_distrusted(now, host):
+            return min(idle_limit, self._silence)
+        return 0 if was_own and idle_count else idle_limit
 
 
 def is_certain(use_count: int, has_surplus: bool) -> bool:
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -81,6 +81,7 @@
     deadline: Deadline | None = None
     connection: Connection | None = None
     response_started_at: int = 0  # when the status line of its response was read
+    needs_own_connection: bool = False
     status: int | None = None  # of its response, once that is complete
 
     def is_late(self, now: int) -> bool:
@@ -297,8 +298,9 @@
         """An idle connection for the call; None if it needs a new one."""
         once_only = any(each.once_only for each in call.texts)
         ordered = any(each.ordered for each in call.texts)
+        call.needs_own_connection = self.reuse.needs_own_connection(now, call.host, once_only, ordered)
         idle_connections = self.idle.get(call.host, [])
-        while not self.reuse.needs_own_connection(now, call.host, once_only, ordered):
+        while not call.needs_own_connection:
             index = self.reuse.choose(now, [each.idle_since for each in idle_connections])
             if index is None:
                 return None
@@ -450,7 +452,16 @@
             connection.abandon(EndReason.SURPLUS if connection.has_surplus else EndReason.IDLE)
             return
         connection.idle_since = self.clock.now()
-        idle_limit = self.reuse.idle_limit(connection.idle_since, connection.host, idle_limit)
+        idle_limit = self.reuse.idle_limit(
+            connection.idle_since,
+            connection.host,
+            idle_limit,
+            len(self.idle.get(connection.host, [])),
+            connection.last_call is not None and connection.last_call.needs_own_connection,
+        )
+        if idle_limit <= 0:
+            connection.abandon(EndReason.IDLE)
+            return
         connection.deadline = self.deadlines.after(idle_limit, lambda: connection.abandon(EndReason.IDLE))
         self.idle[connection.host].append(connection)
 
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -29,10 +29,17 @@
     return ConnectionReuse()
 
 
-def test_a_connection_is_used_again_only_after_a_silence_and_the_longest_silent_one_first(reuse):
+def test_a_connection_is_used_again_only_after_a_silence_and_the_last_used_one_first(reuse):
     assert reuse.choose(NOW, []) is None
     assert reuse.choose(NOW, [NOW - MIN_SILENCE + 1]) is None
-    assert reuse.choose(NOW, [NOW - 2 * MIN_SILENCE, NOW - MIN_SILENCE]) == 0
+    assert reuse.choose(NOW, [NOW - 2 * MIN_SILENCE, NOW - MIN_SILENCE, NOW - MIN_SILENCE + 1]) == 1
+
+
+@pytest.mark.parametrize("idle_count, was_own, kept", [(0, True, 9), (1, True, 0), (1, False, 9)])
+def test_the_connection_of_a_call_that_shared_none_is_kept_only_where_no_other_one_is_idle(
+    reuse, idle_count, was_own, kept
+):
+    assert reuse.idle_limit(NOW, HOST, 9 * SECOND, idle_count, was_own) == kept * SECOND
 
 
 @pytest.mark.parametrize(
@@ -50,8 +57,7 @@
     assert reuse.needs_own_connection(NOW + 1, HOST, False, False)
     assert not reuse.needs_own_connection(NOW + 1, b"s-2", False, False)
     assert reuse.needs_own_connection(NOW + 1, b"s-2", False, True)
-    assert reuse.idle_limit(NOW + 1, HOST, 9 * SECOND) == MIN_SILENCE
-    assert reuse.idle_limit(NOW + 1, b"s-2", 9 * SECOND) == 9 * SECOND
+    assert reuse.idle_limit(NOW + 1, HOST, 9 * SECOND, 3, True) == MIN_SILENCE
     assert not reuse.is_distrusted(NOW + 1 + DISTRUST_TIME, HOST)
 
 
