The operators' port is opened with retries, as the clients' port is

Cause: socket() gave ENFILE for a moment as `Driver.start` opened the operators' port, which raised CannotListenError; the clients' port waits up to 20 s in such a shortage. Change: limelatch/relay/port_opening.py holds the retries, once for both ports; clients are served only when the operators' port is open. A port that stays taken ends the relay with 2 after 1 s, as the clients' one does (it was 1, with a traceback, at once).

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -85,13 +85,14 @@
     "port-taken": Event(
         "driver",
         WARNING,
-        "the clients' port is in use at the start; it is retried for 1 s",
+        "the clients' or the operators' port can't be opened at the start: it is retried, for 1 s if it is "
+        "in use, for 20 s if the machine lacks descriptors or buffers",
         {"listen": "the address", "why": WHY},
     ),
     "not-serving": Event(
         "driver",
         ERROR,
-        "the clients' port can't be opened; the relay exits",
+        "the clients' or the operators' port can't be opened; the relay exits",
         {"listen": "the address", "why": WHY},
     ),
     "ledger-cut": Event(
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -4,8 +4,6 @@
 
 from dataclasses import dataclass, replace
 
-from twisted.internet.error import CannotListenError
-
 from limelatch import interface as li
 from limelatch.configuration import RelayPlan
 from limelatch.configuration.changes import changes
@@ -27,17 +25,14 @@
 from limelatch.relay.list_copy import ListCopy
 from limelatch.relay.operations import Operations
 from limelatch.relay.platform import Notifier
+from limelatch.relay.port_opening import PORT_RETRY_INTERVAL, PortOpening, PortUnavailable
 from limelatch.relay.records import Entry
 from limelatch.relay.slots import Slots
 from limelatch.relay.text_log import TextLog
-from limelatch.relay.transport import ACCEPT_RESOURCE_ERRORS
 from limelatch.relay.wall_clock_monitor import WallClockMonitor
 
 log, policy_log = logger("driver"), logger("policy")
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.NOT_SENT)  # the submit certainly did not run
-PORT_TIMEOUT = li.SECOND  # for a port that is in use at the start
-PORT_RETRY_INTERVAL = li.SECOND // 20
-RESOURCE_TIMEOUT = 20 * li.SECOND  # for a machine without buffers or descriptors at the start
 COUNTS_INTERVAL = 60 * li.SECOND  # between two lines with the counts of connections
 IDLE_CHECK_INTERVAL = 20 * li.MS  # between two checks for requests of clients, before an early end
 
@@ -104,7 +99,7 @@
         self.hosts: dict[li.HostId, li.HostEntry] = {}  # of the destinations in use, as last listed
         self.limited_log, self.text_log = LimitedLog(log, clock), TextLog(clock)
         self._turn_due, self.ready, self._stop_deadline, self._earliest_stop_at = False, False, None, 0
-        self.failed, self._is_ending, self._port_deadline = False, False, None
+        self.failed, self._is_ending = False, False
         self.pool = HostPool(
             reactor, self.deadlines, clock, self, plan.shares.hosts, plan.connect_timeout, plan.probe_timeout
         )
@@ -131,6 +126,19 @@
         self.listener = Listener(self, plan.shares.clients, plan.max_client_bytes, plan.shares.max_clients)
         self.operations = Operations(self, self.suspended_hosts)
         self.operator_server = OperatorServer(self, self.operations, plan.shares.operators)
+        listen, operator = plan.listen, plan.operator_address
+        self._client_port = PortOpening(
+            clock,
+            listen,
+            lambda: self.listener.listen(reactor, listen.host, listen.port, self.ledger.is_standby),
+        )
+        self._operator_port = (
+            PortOpening(
+                clock, operator, lambda: self.operator_server.listen(reactor, operator.host, operator.port)
+            )
+            if operator is not None
+            else None
+        )
         self.peers = None
         if plan.membership is not None:  # otherwise the membership code is not loaded at all
             from limelatch.relay.peers import Peers
@@ -160,10 +168,8 @@
             hosts=len(self.catalog.directory),
             ledger_bytes=self.ledger.size,
         )
-        if self.plan.operator_address is not None:  # before clients are served: STATUS reports that
-            self.operator_server.listen(
-                self.reactor, self.plan.operator_address.host, self.plan.operator_address.port
-            )
+        if self._operator_port is not None:
+            self._open_operator_port()
         if self.peers is not None:
             self.peers.start()
         self.wall_clock_monitor.start()
@@ -236,38 +242,33 @@
             self.deadlines.at(self._serve_at, self.serve)
             return
         if not self.ready and self._stop_deadline is None and not self.failed:
-            listen = self.plan.listen
-            try:
-                self.listener.listen(self.reactor, listen.host, listen.port, self.ledger.is_standby)
-            except CannotListenError as error:
-                self._port_taken(error)
+            is_operator_port_open = self._operator_port is None or self._operator_port.is_open
+            if not is_operator_port_open or not self._open_port(self._client_port):
+                self.deadlines.after(PORT_RETRY_INTERVAL, self.serve)
                 return
             self.ready = True
             log_event(
                 log,
                 "serving",
-                listen=listen,
+                listen=self.plan.listen,
                 hosts=len(self.catalog.directory),
                 fresh_list=self.catalog.is_fresh,
             )
             self.schedule_turn()
 
-    def _port_taken(self, error: CannotListenError) -> None:
-        """Try again for a while, then end the process.
-
-        Guards against an old process that is ending and has unlocked the state directory, but not yet closed
-        the port."""
-        now, listen = self.clock.now(), self.plan.listen
-        if self._port_deadline is None:
-            is_shortage = error.socketError.errno in ACCEPT_RESOURCE_ERRORS
-            self._port_deadline = now + (RESOURCE_TIMEOUT if is_shortage else PORT_TIMEOUT)
-            log_event(log, "port-taken", listen=listen, why=error.socketError)
-        if now < self._port_deadline:
-            self.deadlines.after(PORT_RETRY_INTERVAL, self.serve)
-        else:
-            log_event(log, "not-serving", listen=listen, why=error.socketError)
+    def _open_port(self, port: PortOpening) -> bool:
+        """Try to open a port; return whether it is open. The process ends after the last retry."""
+        try:
+            return port.attempt()
+        except PortUnavailable:
             self.failed = True
             self.reactor.stop()
+            return False
+
+    def _open_operator_port(self) -> None:
+        """Listen for operators, before clients are served: STATUS reports that."""
+        if not self.failed and not self._open_port(self._operator_port):
+            self.deadlines.after(PORT_RETRY_INTERVAL, self._open_operator_port)
 
     def reconfigure(self, plan: RelayPlan) -> None:
         """SIGHUP: apply the settings that can change while texts are pending; the others need a restart."""
--- a/tests/test_operator_server.py
+++ b/tests/test_operator_server.py
@@ -1,6 +1,7 @@
 """The operators' port of a running relay, over real loopback sockets."""
 
 import copy
+import errno
 import json
 import socket
 import time
@@ -187,3 +188,27 @@
         assert program.process.wait(WAIT_TIMEOUT) == 0
     finally:
         successor.kill()
+
+
+def test_a_start_waits_until_the_machine_has_a_descriptor_for_the_operators_port(
+    make_faulty_program, faults, agent
+):
+    program = make_faulty_program()
+    agent.list("127.0.0.1:1")
+    with socket.create_server((program.address, 0)) as spare:
+        address = spare.getsockname()[:2]
+    program.configure_file(operator="{}:{}".format(*address))
+    rule = faults.fail("socket", errno.ENFILE, times=6)
+    program.launch()
+    assert "listen={}:{}".format(*address) in program.wait_for_log("event=port-taken")
+    program.wait_for_log("event=serving")
+    assert rule.hits == 6 and OperatorClient(address).call("STATUS").startswith("+OK serving")
+
+
+def test_a_start_ends_with_a_usage_error_where_the_operators_port_stays_taken(program, agent):
+    agent.list("127.0.0.1:1")
+    with socket.create_server((program.address, 0)) as taken:
+        program.configure_file(operator="{}:{}".format(*taken.getsockname()[:2]))
+        program.launch()
+        program.wait_for_log("event=not-serving")
+        assert program.process.wait(WAIT_TIMEOUT) == 2
