Split the hosts' module: calls, outcomes, one connection, and the pool

Requests are in host_calls.py, outcomes by responses in host_outcomes.py, the protocol of one connection in host_connection.py; the pool stays.

--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -20,7 +20,9 @@
 from limelatch.relay.operator_server import OperatorServer, SuspendedHosts
 from limelatch.relay.storage_monitor import StorageMonitor
 from limelatch.relay.handover import SUCCESSOR_NOTICED_AFTER, Handover
-from limelatch.relay.hosts import Call, HostPool, Outcome, OutgoingText
+from limelatch.relay.host_calls import Call, OutgoingText
+from limelatch.relay.host_outcomes import Outcome
+from limelatch.relay.hosts import HostPool
 from limelatch.relay.ledger import Ledger
 from limelatch.relay.list_copy import ListCopy
 from limelatch.relay.operations import Operations
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -1,93 +1,36 @@
-"""Connections to hosts: single calls, batches and probes over HTTP/1.1, one call at a time on a connection.
+"""The pool of connections to hosts: which connection carries a call, and what becomes of the call.
 
-A call is never repeated here: retries are decided by the policy."""
+A call is never repeated here: retries are decided by the policy, and which connections are used again by
+limelatch/connection_reuse.py."""
 
 from __future__ import annotations
 
-import base64
-import json
-import re
 from collections import defaultdict
-from dataclasses import dataclass, field
-
-from twisted.internet.protocol import ClientFactory
+from dataclasses import dataclass
 
 from limelatch.configuration import Address
 from limelatch.connection_reuse import ConnectionReuse, is_certain
-from limelatch.interface import MS, SECOND, HostId, Result
+from limelatch.interface import MS, HostId, Result
 from limelatch.logs import LimitedLog, logger, log_event
 from limelatch.relay.clock import Clock
-from limelatch.relay.deadlines import Deadline, Deadlines
-from limelatch.relay.end_reason import (
-    FINISHED_STATES,
-    FINISHED_STATUSES,
-    RESULT_BY_END_REASON,
-    RESULT_BY_STATE,
-    RESULT_BY_STATUS,
-    EndReason,
+from limelatch.relay.deadlines import Deadlines
+from limelatch.relay.end_reason import RESULT_BY_END_REASON, RESULT_BY_STATUS, EndReason
+from limelatch.relay.host_calls import Call, OutgoingText, write_call
+from limelatch.relay.host_connection import ConnectAttempt, Connection
+from limelatch.relay.host_outcomes import (
+    Outcome,
+    doubted_outcome,
+    late_outcome,
+    read_outcomes,
+    read_report,
+    read_retry_after,
 )
-from limelatch.relay.http import HttpClientProtocol, Response, read_headers, request_head
+from limelatch.relay.http import Response, read_headers
 from limelatch.relay.slots import Slots
 
 log = logger("hosts")
 
-MAX_RESPONSE_SIZE = 64 * 1024  # bytes of a response's body
-OUTBOUND_BUFFER_SIZE = 32 * 1024  # bytes of a connection's requests that wait to be written
 MAX_STATUS_LINE_SHOWN = 64  # bytes of a surplus response that are logged
-MAX_REPORT_VALUE = 1e6  # a report with a larger value is ignored
-REPORT_PATTERN = re.compile(
-    rb"\s*([0-9A-Za-z_]+)\s*=\s*([0-9]{1,9}(?:\.[0-9]{0,18})?(?:[eE]-?[0-9]{1,2})?)\s*\Z"
-)
-
-
-@dataclass(slots=True)
-class OutgoingText:
-    """One text in a call; `text` is its id. Times in tenths of a millisecond.
-
-    `once_only`: it must not be repeated; `ordered`: it waits for its turn in the order of its key."""
-
-    text: bytes
-    idempotency_key: bytes
-    body: bytes
-    due_at: int  # when the relay stops waiting for the response
-    idle_limit: int  # how long the connection may stay idle after the call
-    once_only: bool = False
-    ordered: bool = False
-
-
-@dataclass(slots=True)
-class Outcome:
-    """The outcome of one text of a call; `retry_after` in tenths of a millisecond, 0 for none.
-
-    `in_doubt`: the response may belong to another request; only its Retry-After holds."""
-
-    result: Result
-    finished: bool = False
-    retry_after: int = 0
-    report: dict[str, float] = field(default_factory=dict)
-    unsent: bool = False  # withdrawn before its request was sent
-    in_doubt: bool = False
-
-
-@dataclass(slots=True, eq=False)
-class Call:
-    """One call, or a probe if it has no texts. Times in tenths of a millisecond."""
-
-    host: HostId
-    texts: list[OutgoingText]
-    sent_at: int
-    batched: bool = False  # written as a batch, so the response is that of a batch
-    idle_time: int = 0  # how long its connection had been idle; 0 for a new one
-    deadline: Deadline | None = None
-    connection: Connection | None = None
-    response_started_at: int = 0  # when the status line of its response was read
-    needs_own_connection: bool = False
-    status: int | None = None  # of its response, once that is complete
-
-    def is_late(self, now: int) -> bool:
-        """Whether the proof of a delivery was read only after the deadline: the status line, or in a batch
-        the whole response."""
-        return (now if self.batched else self.response_started_at) >= self.deadline.when
 
 
 @dataclass(slots=True)
@@ -101,162 +44,6 @@
     surplus: int = 0
 
 
-def read_retry_after(headers: dict[bytes, bytes]) -> int:
-    """The Retry-After header, in seconds with decimals, as tenths of a millisecond, rounded up; else 0."""
-    match = re.fullmatch(rb"[0-9]{1,6}(\.[0-9]{1,9})?", headers.get(b"retry-after", b""))
-    return -int(-float(match[0]) * SECOND // 1) if match else 0
-
-
-def read_report(headers: dict[bytes, bytes]) -> dict[str, float]:
-    """The X-Pressure header: names and values; empty if any part is unreadable or over MAX_REPORT_VALUE."""
-    pairs = [REPORT_PATTERN.match(pair) for pair in headers.get(b"x-pressure", b"").split(b",")]
-    found = {match[1].decode(): float(match[2]) for match in pairs if match}
-    return found if all(pairs) and all(value <= MAX_REPORT_VALUE for value in found.values()) else {}
-
-
-def read_states(body: bytes) -> dict[bytes, str]:
-    """The state of each text in a batch's response, by id. Raises ValueError, KeyError, TypeError or
-    AttributeError if it can't be read or names a text twice."""
-    rows = json.loads(body)
-    states = {row["id"].encode(): row["state"] for row in rows}
-    if len(states) < len(rows):
-        raise ValueError("the response names a text twice")
-    return states
-
-
-def read_outcomes(call: Call, response: Response, body: bytes) -> list[Outcome]:
-    """The outcome of each text of a call, by its response. Raises ValueError, KeyError, TypeError or
-    AttributeError if a batch's body can't be read."""
-    wait, report = read_retry_after(response.headers), read_report(response.headers)
-    if call.batched and response.status == 200:
-        states = read_states(body)
-        outcomes = [
-            Outcome(RESULT_BY_STATE[states[each.text]], states[each.text] in FINISHED_STATES, wait, report)
-            for each in call.texts
-        ]
-        if len(states) > len(outcomes):
-            raise ValueError("the response names texts that are not in the call")
-        return outcomes
-    result = RESULT_BY_STATUS.get(response.status, Result.ERROR)
-    if call.batched and response.status in (410, 504):  # these statuses describe a single text
-        result = Result.ERROR
-    if response.status == 503 and response.headers.get(b"x-no-slot") == b"1":
-        result = Result.NOT_SENT
-    elif response.status == 503 and not (call.idle_time or response.keep_alive or report or wait):
-        result = Result.CONNECT  # a new connection, refused and closed: the host's table is full
-    if call.batched and response.status == 400:
-        result = Result.NOT_SENT  # the host did not read the batch
-    finished = response.status in FINISHED_STATUSES and result is not Result.ERROR
-    return [Outcome(result, finished, wait, report) for _ in call.texts]
-
-
-def doubted_outcome(retry_after: int = 0) -> Outcome:
-    """The outcome of a text whose response may belong to another request: it may have run."""
-    return Outcome(Result.MALFORMED, False, retry_after, in_doubt=True)
-
-
-def late_outcome(outcome: Outcome) -> Outcome:
-    """The outcome of a response that would finish a text but arrives after the deadline: the same as of a
-    time-out, whichever of the two the reactor handles first. Its Retry-After still holds.
-
-    Guards against a delivery that only the relay counts, which leaves the text without any final answer:
-    whether such a response was sent in time can't be known. A second final answer does no harm."""
-    result = Result.TIMEOUT if outcome.result is Result.DELIVERED else outcome.result
-    return Outcome(result, False, outcome.retry_after, outcome.report)
-
-
-def write_call(call: Call, host: str, now: int) -> list[bytes]:
-    """The request of a call, a batch or a probe, as pieces to be written in order."""
-    if not call.texts:
-        return [request_head("GET", "/ping", host, None, [])]
-    wait = max(1, (min(each.due_at for each in call.texts) - now) // MS)
-    headers = [("X-Remaining", f"{wait}m")]
-    if len(call.texts) == 1:
-        only_text = call.texts[0]
-        headers.append(("X-Txn", only_text.text.decode()))
-        if only_text.idempotency_key:
-            headers.append(("Idempotency-Key", only_text.idempotency_key.decode()))
-        return [request_head("POST", "/v1/messages", host, len(only_text.body), headers), only_text.body]
-    rows = []
-    for each in call.texts:
-        row = {"id": each.text.decode(), "body": base64.b64encode(each.body).decode()}
-        rows.append(row | ({"key": each.idempotency_key.decode()} if each.idempotency_key else {}))
-    body = json.dumps(rows, separators=(",", ":")).encode()
-    headers.append(("Content-Type", "application/json"))
-    return [request_head("POST", "/v1/messages:batch", host, len(body), headers), body]
-
-
-class Connection(HttpClientProtocol):
-    """One connection to a host, from the attempt to connect until it has ended."""
-
-    def __init__(self, pool: HostPool, host: HostId, call: Call) -> None:
-        super().__init__(MAX_RESPONSE_SIZE, OUTBOUND_BUFFER_SIZE)
-        self.pool, self.host, self.call = pool, host, call
-        self.slot, self.connector, self.deadline = None, None, None
-        self.is_connected, self.idle_since, self.address = False, 0, pool.addresses.get(host)
-        self.number = pool.counts.opened  # in this process, for the log
-        self.last_call: Call | None = None  # the last call that was sent on it
-
-    def is_reusable(self) -> bool:
-        """Whether all of its last call was written and read, and the peer has sent nothing since."""
-        is_at_rest = self.end_reason is None and self.connected and self.outbound_writer.empty
-        return bool(is_at_rest) and not self.has_surplus and self.unread() is None
-
-    def connectionMade(self) -> None:
-        """The connection is established: stop the timer and write the call."""
-        super().connectionMade()
-        self.is_connected = True
-        self.deadline.cancel()
-        self.pool.send_on(self)
-
-    def response_started(self) -> None:
-        """Note when the status line was read; after an interim response, that of the last one."""
-        if self.call is not None:
-            self.call.response_started_at = self.pool.clock.now()
-
-    def response_received(self, response: Response, body: bytes) -> None:
-        """Pass the response to the pool."""
-        self.pool.response_received(self, response, body)
-
-    def surplus_received(self, data: bytes) -> None:
-        """Pass a surplus response to the pool."""
-        self.pool.surplus_received(self, data)
-
-    def connection_ended(self, end_reason: EndReason) -> None:
-        """Tell the pool, and whether the request was written completely."""
-        if end_reason is EndReason.CONNECTION_LOST and not self.outbound_writer.empty:
-            end_reason = self.end_reason = EndReason.REQUEST_INCOMPLETE
-        self.pool.connection_lost(self, end_reason)
-
-    def abandon(self, end_reason: EndReason) -> None:
-        """Close the connection, or stop the attempt to establish it."""
-        if self.is_connected:
-            self.close(end_reason)
-        elif self.end_reason is None:
-            self.end_reason = end_reason
-            if self.connector is not None:
-                self.connector.stopConnecting()
-
-
-class ConnectAttempt(ClientFactory):
-    """One attempt to connect."""
-
-    noisy = False
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-
-    def buildProtocol(self, address) -> Connection:
-        """The connection that the attempt was made for."""
-        return self.connection
-
-    def clientConnectionFailed(self, connector, reason) -> None:
-        """End the connection as refused, unless the relay stopped the attempt."""
-        connection = self.connection
-        connection.end_reason = connection.end_reason or EndReason.REFUSED
-        connection.pool.connection_lost(connection, connection.end_reason)
-
-
 class HostPool:
     """All connections to hosts, in a table of limited size. `reuse` decides which idle ones carry calls."""
 
--- a/limelatch/relay/text_log.py
+++ b/limelatch/relay/text_log.py
@@ -6,7 +6,8 @@
 
 from limelatch import interface as li
 from limelatch.logs import logger, log_event
-from limelatch.relay.hosts import Call, Outcome
+from limelatch.relay.host_calls import Call
+from limelatch.relay.host_outcomes import Outcome
 from limelatch.relay.records import Entry
 
 log = logger("driver")
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -13,7 +13,8 @@
 )
 from limelatch.interface import MS, SECOND, Result, Submit
 from limelatch.relay.end_reason import EndReason
-from limelatch.relay.hosts import OutgoingText
+from limelatch.relay.host_calls import OutgoingText
+from limelatch.relay.host_connection import Connection
 
 __all__ = ["deadlines"]  # a fixture
 
@@ -83,7 +84,7 @@
     assert not is_certain(2, has_surplus=True)
 
 
-# The pool. `Peer` is the other end of one connection.
+# The pool.
 
 
 def outgoing(text, **more):
@@ -113,15 +114,13 @@
 
 
 @pytest.fixture(autouse=True)
-def address(monkeypatch):
-    """Addresses of the pool are plain strings in these tests."""
+def instant_connections(monkeypatch):
+    """New connections are established at once, on a pair of sockets."""
     monkeypatch.setattr("limelatch.relay.hosts.HostPool._connect", connect)
 
 
 def connect(pool, call):
-    """In place of the pool's own: a connection that is established at once, on a pair of sockets."""
-    from limelatch.relay.hosts import Connection
-
+    """In place of the pool's own."""
     pool.counts.opened += 1
     connection = call.connection = Connection(pool, call.host, call)
     connection.slot = pool.connections.take(connection)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -20,16 +20,10 @@
 from limelatch.relay.clients import BadCommand, read_submit
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.end_reason import RESULT_BY_END_REASON, EndReason
-from limelatch.relay.hosts import (
-    Call,
-    Connection,
-    HostPool,
-    Outcome,
-    OutgoingText,
-    read_outcomes,
-    read_retry_after,
-    write_call,
-)
+from limelatch.relay.host_calls import Call, OutgoingText, write_call
+from limelatch.relay.host_connection import Connection
+from limelatch.relay.host_outcomes import Outcome, read_outcomes, read_retry_after
+from limelatch.relay.hosts import HostPool
 from limelatch.relay.http import HttpClientProtocol, Response
 from limelatch.relay.ledger import BLOCK, DirectoryInUse, IncompatibleLedger, Ledger
 from limelatch.relay.records import STATE_RESERVE, RecordKind, encode_record
--- a/tests/test_terms_restart.py
+++ b/tests/test_terms_restart.py
@@ -18,7 +18,8 @@
 from limelatch.storage_gate import RETRY_AFTER
 from limelatch.interface import MS, Result
 from limelatch.relay.driver import Driver
-from limelatch.relay.hosts import Call, Outcome
+from limelatch.relay.host_calls import Call
+from limelatch.relay.host_outcomes import Outcome
 
 WINDOW = S  # in which hosts recognise a repeat
 NOTICE, CHARGE, REPORT = SETTINGS["classes"]
