Notices are repeated soon after the first failures, then with growing pauses

Cause: the first failed request was repeated at once, each further one after the whole retry interval of 250 ms, so two drops in a row made a notice late. Change: the pause starts with 20 ms and doubles up to the interval (limelatch/notice_retry.py).

--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -12,6 +12,7 @@
 
 from limelatch.configuration import Address
 from limelatch.logs import logger, log_event
+from limelatch.notice_retry import wait_before_repeat
 from limelatch.relay.end_reason import EndReason
 from limelatch.relay.http import HttpClientProtocol, Response, request_head
 
@@ -47,9 +48,9 @@
 class Notifier(ClientFactory):
     """Holds the notices that the platform has not acknowledged and sends them, one request at a time.
 
-    `timeout` limits the time for a connection and for an answer; `retry_interval` is the pause after a
-    failure. Both are in tenths of a millisecond. `on_acknowledged` is called with the id of each acknowledged
-    text."""
+    `timeout` limits the time for a connection and for an answer; `retry_interval` is the longest pause after a
+    failure, and the pause after a refusal. Both are in tenths of a millisecond. `on_acknowledged` is called
+    with the id of each acknowledged text."""
 
     noisy = False
 
@@ -134,13 +135,13 @@
             self._pause(self.retry_interval)
 
     def request_failed(self, end_reason: EndReason) -> None:
-        """The request's connection has ended without a response; the first time it is repeated at once."""
+        """The request's connection has ended without a response: its notices are sent again."""
         self._finish_request()
         if end_reason is not EndReason.ADDRESS_CHANGED and self.reactor.running:
             log_event(log, "platform-lost", why=end_reason.value, owed=len(self.pending))
-        if not self._paused:
-            self._pause(self.retry_interval if self._failure_count else 0)
         self._failure_count += 1
+        if not self._paused:
+            self._pause(wait_before_repeat(self._failure_count, self.retry_interval))
 
     def _pause(self, wait: int) -> None:
         self._paused = True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,6 +20,7 @@
 from limelatch.interface import (
     SECOND,
     Health,
+    MS,
     HostEntry,
     Listing,
     LogLine,
@@ -39,6 +40,7 @@
 from limelatch.relay.end_reason import EndReason
 from limelatch.relay.inspection import inspect_ledger
 from limelatch.relay.ledger import STANDBY_DIR, Ledger, lock
+from limelatch.notice_retry import wait_before_repeat
 from limelatch.relay.platform import Notifier
 
 
@@ -250,6 +252,12 @@
     assert notifier.in_flight == [] and len(reactor.attempts) == 1  # the next request is not disturbed
 
 
+@pytest.mark.parametrize("count, wait", [(1, 0), (2, 20), (3, 40), (4, 80), (5, 100), (99, 100)])
+def test_notices_are_repeated_soon_after_the_first_failures(count, wait):
+    """A platform that drops some requests must not make notices late."""
+    assert wait_before_repeat(count, 100 * MS) == wait * MS
+
+
 # Clients.
 
 
