The soak draws surplus responses of hosts, platform and catalog, and notices that are not kept

Five guards of the change are mutants. Left out: a mutant of the notices' own connections (no single replacement makes one; the test on real processes has it).

--- a/limelatch/lab/soak/mutants.py
+++ b/limelatch/lab/soak/mutants.py
@@ -161,6 +161,36 @@
         "is_other_zone = not pending.product.retry_anywhere and host.zone != pending.first_run_zone",
         "is_other_zone = False",
     ),
+    Mutant(
+        "silence before a connection is used again",
+        "connection_reuse.py",
+        "silent_count = bisect_right(idle_since, now - self._silence)",
+        "silent_count = len(idle_since)",
+    ),
+    Mutant(
+        "connections of their own at a host after a surplus response",
+        "connection_reuse.py",
+        "return host in self._last_surplus_at",
+        "return False",
+    ),
+    Mutant(
+        "connections of their own for once-only texts",
+        "connection_reuse.py",
+        "return once_only or is_in_doubt or",
+        "return is_in_doubt or",
+    ),
+    Mutant(
+        "doubt about one of two responses on a reused connection",
+        "connection_reuse.py",
+        "return use_count == 1 or not has_surplus",
+        "return True",
+    ),
+    Mutant(
+        "end of a connection with a surplus response",
+        "relay/host_connection.py",
+        "return bool(is_at_rest) and not self.has_surplus and self.unread() is None",
+        "return bool(is_at_rest)",
+    ),
     Mutant(
         "trials of a destination in an outage",
         "policy.py",
--- a/limelatch/lab/soak/plan.py
+++ b/limelatch/lab/soak/plan.py
@@ -10,8 +10,11 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from msgspec import structs
+
 from limelatch.configuration.model import RepeatScope
 from limelatch.interface import MS, SECOND, Effect
+from limelatch.lab.soak.surplus import SurplusPlan, draw_surplus
 from limelatch.lab.scenario.model import (
     CatalogKeys,
     ClientKeys,
@@ -135,7 +138,8 @@
 class SoakPlan:
     """Everything that is generated from a seed.
 
-    `idle_clients`: their number at each relay; `faulty_client_rate`: clients per second and relay that send
+    `surplus`: surplus responses of hosts, platform and catalog. `idle_clients`: their number at each relay;
+    `faulty_client_rate`: clients per second and relay that send
     half a command, or disconnect before the reply."""
 
     seed: int
@@ -144,6 +148,7 @@
     machine_faults: list[MachineFault]
     idle_clients: int
     faulty_client_rate: float
+    surplus: SurplusPlan | None = None
 
     def count(self) -> dict[str, int]:
         """The number of faults and actions of each kind."""
@@ -152,6 +157,9 @@
             action.kind.value for action in self.actions
         ]
         kinds += [f"machine-{fault.call or 'step'}" for fault in self.machine_faults]
+        if self.surplus is not None:
+            kinds += [f"surplus-{form.value}" for form in self.surplus.forms]
+            kinds += ["notices-unkept"] * bool(self.surplus.unkept)
         for kind in kinds + ["crowd"] * bool(self.idle_clients):
             found[kind] = found.get(kind, 0) + 1
         return dict(sorted(found.items()))
@@ -172,13 +180,12 @@
         actions = self._actions()
         idle_clients = self.random.choice((20, 60)) if self.random.random() < IDLE_CLIENTS_RATIO else 0
         faulty_client_rate = self.random.choice((0.0, 2.0, 10.0))
+        scenario, machine_faults = self._scenario(actions), self._machine_faults(actions)
+        surplus = draw_surplus(self.seed)
+        if surplus is not None and surplus.is_alone:
+            scenario, machine_faults = structs.replace(scenario, faults=[]), []
         return SoakPlan(
-            self.seed,
-            self._scenario(actions),
-            actions,
-            self._machine_faults(actions),
-            idle_clients,
-            faulty_client_rate,
+            self.seed, scenario, actions, machine_faults, idle_clients, faulty_client_rate, surplus
         )
 
     def _machine_faults(self, actions: list[Action]) -> list[MachineFault]:
--- a/limelatch/lab/soak/stage.py
+++ b/limelatch/lab/soak/stage.py
@@ -11,7 +11,9 @@
 from limelatch.lab.machine.faults import Faults
 from limelatch.lab.soak.plan import MachineFault, SoakPlan
 from limelatch.lab.soak.relay import SoakRelay
+from limelatch.lab.soak.surplus import SurplusServer
 from limelatch.lab.stages.sockets import Sockets
+from limelatch.standin.http import Handler, Server
 
 INCOMPLETE_COMMAND = b"*5\r\n$6\r\nSUBMIT\r\n$4\r\n0000"
 PING_COMMAND = b"*1\r\n$4\r\nPING\r\n"
@@ -31,6 +33,13 @@
         super().__init__(plan.scenario, plan.seed, *rest)
         self.command = ["/bin/sh", "-c", START_SCRIPT, str(subject), *self.command]
 
+    def server(self, handler: Handler) -> Server:
+        """A server of hosts or of a catalog and platform, with surplus responses if the plan has any."""
+        if self.plan.surplus is None:
+            return super().server(handler)
+        host, port = self.address.host, self.address.port()
+        return SurplusServer(self.plan.surplus, self.random, handler, host, port)
+
     def make_relay(self, number: int) -> SoakRelay:
         """A relay, with machine faults if the plan has any."""
         listen = f"{self.address.host}:{self.address.port()}"
--- a/limelatch/relay/platform.py
+++ b/limelatch/relay/platform.py
@@ -48,8 +48,8 @@
 class Notifier(ClientFactory):
     """Holds the notices that the platform has not acknowledged and sends them, one request at a time.
 
-    `timeout` limits the time for a connection and for an answer; `retry_interval` is the longest pause after a
-    failure, and the pause after a refusal. Both are in tenths of a millisecond. `on_acknowledged` is called
+    `timeout` limits the time for a connection and for an answer; `retry_interval` is the longest pause after
+    a failure, and the pause after a refusal. Both are in tenths of a millisecond. `on_acknowledged` is called
     with the id of each acknowledged text."""
 
     noisy = False
--- a/limelatch/standin/http.py
+++ b/limelatch/standin/http.py
@@ -165,8 +165,12 @@
         """The address as HOST:PORT."""
         return f"{self.host}:{self.port}"
 
+    def make_connection(self) -> Connection:
+        """A new connection; subclasses make others."""
+        return Connection(self)
+
     def _connection(self) -> Connection:
-        connection = Connection(self)
+        connection = self.make_connection()
         self.connections.add(connection)
         return connection
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
 from limelatch.lab.soak import mutants, plan
 from limelatch.lab.soak.plan import ACTION_WEIGHTS, DRAWN_FAULTS, MAX_PAUSE, draw_plan
 from limelatch.lab.soak.run import HERE, error_lines
+from limelatch.lab.soak.surplus import SurplusForm
 from limelatch.lab.soak.timeline import timeline
 from limelatch.lab.stages.real import ALLOWANCES, STAGE
 
@@ -46,6 +47,7 @@
     assert plans == [draw_plan(seed, 40) for seed in range(1, 61)]
     kinds = {kind for each in plans for kind in each.count()}
     wanted = {kind.value for kind in ACTION_WEIGHTS} | {what.value for what in DRAWN_FAULTS} | {"crowd"}
+    wanted |= {f"surplus-{form.value}" for form in SurplusForm} | {"notices-unkept"}
     assert wanted <= kinds and {"machine-step", "machine-write", "machine-recv"} <= kinds
     assert {each.scenario.relays.count for each in plans} == {1, 2, 3, 4, 6}
     assert all(action.pause <= MAX_PAUSE for each in plans for action in each.actions)
