--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -13,6 +13,18 @@
 SPREAD = 0.02  # seconds from a response to its copy, at the most, unless the next request comes before
 FAR = 2.0  # the same, for texts that are sent on connections of their own
 LONG = 20_000  # milliseconds of validity
+FORMS = {  # what is written behind a response, by its status
+    "copy": lambda status: response(status),
+    "first half of a copy": lambda status: response(status)[:20],
+    "interim response": lambda status: b"HTTP/1.1 100 Continue\r\n\r\n",
+    "noise": lambda status: b"\x00\xffHTTP",
+    "other status": lambda status: response(703 - status),
+    "refusal with a wait": lambda status: response(429, b"Retry-After: 0.2\r\n"),
+}
+
+
+def response(status, headers=b""):
+    return b"HTTP/1.1 %d X\r\n%sContent-Length: 0\r\n\r\n" % (status, headers)
 
 
 class RepeatingHost:
@@ -21,6 +33,7 @@
 
     def __init__(self, make_host, spread=SPREAD):
         self.spread, self.lock = spread, threading.Condition()
+        self.form = FORMS["copy"]
         self.statuses = {}  # status of each call of a text, by its id; 200 after the last
         self.repeated = set()  # texts whose responses are repeated
         self.calls = []  # id of the text, number of the connection, and time of each call
@@ -38,9 +51,12 @@
                 self.delivered.append(text)
             self.lock.notify_all()
         if text in self.repeated:
-            handler.copy = b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
-            threading.Timer(self.spread, self._repeat, [handler, False]).start()
+            handler.copy = self.form(status)
         request.answer(status)
+        if self.spread:
+            threading.Timer(self.spread, self._repeat, [handler, False]).start()
+        else:
+            self._repeat(handler, False)
 
     def _repeat(self, handler, is_next_request=True):
         """Write the copy of the connection's last response, once."""
@@ -106,6 +122,21 @@
     assert [text for text in texts if host.delivered.count(text) > 1] == []
 
 
+@pytest.mark.parametrize("spread", [0, SPREAD], ids=["at once", "later"])
+@pytest.mark.parametrize("form", FORMS)
+def test_no_form_of_a_surplus_response_decides_about_another_text(program, agent, make_host, form, spread):
+    host = RepeatingHost(make_host, spread)
+    texts = [f"a{number}" for number in range(8)]
+    statuses = itertools.cycle([200, 503, 503, 200])
+    host.form, host.repeated = FORMS[form], set(texts[::2])
+    host.statuses = {text: [next(statuses)] for text in texts}
+    agent.list(host.server.address)
+    client = program.start()
+    submit_in_turn(client, host, texts, product="notice")
+    assert host.wait_for(lambda: set(host.delivered) == set(texts)), set(texts) - set(host.delivered)
+    assert [text for text in texts if host.delivered.count(text) > 1] == []
+
+
 class RepeatingPlatform(Agent):
     """A platform that repeats a 204 as the next request comes on its connection, and keeps no notices of
     every second request: it ends their connection without a response."""
