--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -8,7 +8,7 @@
 import time
 
 import pytest
-from conftest import WAIT_TIMEOUT, Agent
+from conftest import WAIT_TIMEOUT, Agent, Program
 
 SPREAD = 0.02  # seconds from a response to its copy, at the most, unless the next request comes before
 FAR = 2.0  # the same, for texts that are sent on connections of their own
@@ -159,6 +159,50 @@
         return super().act(request)
 
 
+class RepeatingCatalog(Agent):
+    """A catalog that repeats the whole list, as an old copy, before the response to the watch."""
+
+    def act(self, request):
+        if request.path == "/catalog/members":
+            status, body = super().act(request)
+            request.handler.copy = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+            return status, body
+        if copy := getattr(request.handler, "copy", b""):
+            request.handler.copy = b""
+            request.handler.wfile.write(copy)
+        return super().act(request)
+
+
+def test_a_repeated_list_hides_no_change(tmp_path, make_host):
+    catalog = RepeatingCatalog()
+    program = Program(tmp_path, catalog)
+    try:
+        host, other = make_host(), make_host()
+        catalog.list(host.address)
+        client = program.start()
+        assert client.submit("a1") == "+OK" and host.next().headers["X-Txn"] == "a1"
+        watch = catalog.watches.get(timeout=WAIT_TIMEOUT)
+        catalog.list(other.address, "s-2", dest=2)
+        catalog.tell(watch)
+        assert client.submit("a2") == "+OK" and host.next().headers["X-Txn"] == "a2"
+        while (answer := client.submit("a3", dest=2)) != "+OK":
+            assert answer == "-ERR unknown destination"  # the change is on its way
+        assert other.next().headers["X-Txn"] == "a3"
+    finally:
+        program.kill()
+        catalog.released.set()
+        catalog.shutdown()
+
+
+def test_a_submit_that_comes_twice_is_taken_once_and_the_answers_can_be_told_apart(program, agent, make_host):
+    host = make_host(lambda request: request.hang())
+    agent.list(host.address)
+    client = program.start()
+    assert client.submit("a1") == "+OK"
+    assert client.submit("a1").startswith("-ERR this id was handed in before")
+    assert host.next().headers["X-Txn"] == "a1" and host.requests.empty()
+
+
 @pytest.fixture
 def agent():
     agent = RepeatingPlatform()
