A text that ends while its relay is restarted is due once the new process serves

So the start was late on a machine with more work than cores, not the end: by the protocol no notice is overdue until 1.5 s after a relay is ready again.

--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -69,11 +69,15 @@
     threading.Event().wait(max(0.0, moment - time.monotonic()))
 
 
-def assert_notice_in_time(agent, text, accepted_at, valid):
-    """The notice must come at the end of the text's validity by the monotonic clock, not early, not late."""
+def assert_notice_in_time(agent, text, accepted_at, valid, ready_at=0.0):
+    """The notice must come at the end of the text's validity by the monotonic clock, not early, not late.
+
+    `ready_at`: when the process that reports it began to serve; a text that has ended by then is due then."""
     assert agent.notice()["ref"] == text
-    passed = time.monotonic() - accepted_at
-    assert valid - 0.5 < passed < valid + MAX_LATE_SECONDS, f"{text} ended after {passed:.3f} s of {valid}"
+    passed, due = time.monotonic() - accepted_at, max(valid, ready_at - accepted_at)
+    assert valid - 0.5 < passed < due + MAX_LATE_SECONDS, (
+        f"{text} ended after {passed:.3f} s, due at {due:.3f}"
+    )
 
 
 @pytest.mark.parametrize("step", STEPS)
@@ -113,8 +117,9 @@
     program.kill()
     faults.step(step)
     program.start()
+    ready_at = time.monotonic()
     assert "by=same-boot" in next(line for line in program.log_lines[::-1] if "event=clock-resumed" in line)
-    assert_notice_in_time(agent, "t1", accepted_at, 2.5)
+    assert_notice_in_time(agent, "t1", accepted_at, 2.5, ready_at)
 
 
 @pytest.mark.parametrize("step", STEPS)
