The lag of a surplus response counts from a response it can be a copy of, and idle connections hold no bodies

Cause: bytes right behind a response were counted from the response before, so one host that wrote twice at once raised the silent span of all to 2 s; the last call of an idle connection kept its texts' bodies; a connection was looked at for unread bytes twice after a response.

--- a/limelatch/lab/soak/mutants.py
+++ b/limelatch/lab/soak/mutants.py
@@ -188,8 +188,8 @@
     Mutant(
         "end of a connection with a surplus response",
         "relay/host_connection.py",
-        "return bool(is_at_rest) and not self.has_surplus and self.unread() is None",
-        "return bool(is_at_rest)",
+        "return is_open and self.outbound_writer.empty and not self.has_surplus",
+        "return is_open and self.outbound_writer.empty",
     ),
     Mutant(
         "trials of a destination in an outage",
--- a/limelatch/relay/host_connection.py
+++ b/limelatch/relay/host_connection.py
@@ -30,9 +30,13 @@
         self.last_call: Call | None = None  # the last call that was sent on it
 
     def is_reusable(self) -> bool:
-        """Whether all of its last call was written and read, and the peer has sent nothing since."""
-        is_at_rest = self.end_reason is None and self.connected and self.outbound_writer.empty
-        return bool(is_at_rest) and not self.has_surplus and self.unread() is None
+        """Whether it is at rest, and the peer has sent nothing that is not read yet."""
+        return self.is_at_rest() and self.unread() is None
+
+    def is_at_rest(self) -> bool:
+        """Whether it is open, all of its last call was written and read, and no more has been read."""
+        is_open = self.end_reason is None and bool(self.connected)
+        return is_open and self.outbound_writer.empty and not self.has_surplus
 
     def connectionMade(self) -> None:
         """The connection is established: stop the timer and write the call."""
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -178,7 +178,8 @@
         response to the connection's last call, its outcome is in doubt."""
         now, call = self.clock.now(), connection.last_call
         is_idle = connection.call is None
-        lag = now - connection.idle_since if connection.idle_since else 0
+        is_behind_response = not is_idle and not connection.awaiting_response
+        lag = 0 if is_behind_response or not connection.idle_since else now - connection.idle_since
         self.counts.surplus += 1
         self.limited_log(
             "surplus-response",
@@ -235,7 +236,7 @@
         if connection.end_reason is not None:
             return
         moved = connection.address is None or self.addresses.get(connection.host) != connection.address
-        if idle_limit <= 0 or moved or not connection.is_reusable():
+        if idle_limit <= 0 or moved or not connection.is_at_rest():
             connection.abandon(EndReason.SURPLUS if connection.has_surplus else EndReason.IDLE)
             return
         connection.idle_since = self.clock.now()
@@ -278,6 +279,8 @@
     def _finish(self, call: Call) -> None:
         self.calls_in_flight -= 1
         call.deadline.cancel()
+        for each in call.texts:
+            each.body = b""  # the connection refers to the call for as long as it is idle
 
     def connection_lost(self, connection: Connection, end_reason: EndReason) -> None:
         """A connection has ended; a call that was running on it gets its outcome."""
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -145,6 +145,8 @@
     assert pool.driver.outcomes[1:] == [(b"b", Result.MALFORMED)] and b"b" not in pool.driver.finished
     assert connection.end_reason is EndReason.SURPLUS and pool.counts.surplus == 1
     assert connection_of(pool, b"c") is not connection
+    now = pool.clock.now()  # the second response came right behind the first, so the silence is as before
+    assert pool.reuse.choose(now, [now - MIN_SILENCE]) == 0
 
 
 @pytest.mark.parametrize("first, result", [(OK_RESPONSE, Result.DELIVERED), (REFUSAL, Result.FULL)])
