--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -86,6 +86,11 @@
         assert host.wait_for(lambda text=text: host.calls_of(text)), f"{text} was not sent"
 
 
+def assert_each_delivered_once(host, texts):
+    assert host.wait_for(lambda: set(host.delivered) == set(texts)), set(texts) - set(host.delivered)
+    assert [text for text in texts if host.delivered.count(text) > 1] == []
+
+
 def test_a_repeated_200_does_not_end_a_text_that_its_host_refused(program, agent, make_host):
     host = RepeatingHost(make_host)
     texts = [f"a{number}" for number in range(12)]
@@ -105,8 +110,7 @@
     agent.list(host.server.address)
     client = program.start()
     submit_in_turn(client, host, texts, product="notice")
-    assert host.wait_for(lambda: set(host.delivered) == set(texts)), set(texts) - set(host.delivered)
-    assert [text for text in texts if host.delivered.count(text) > 1] == []
+    assert_each_delivered_once(host, texts)
 
 
 def test_a_once_only_text_never_gets_the_response_to_another_one_however_late(program, agent, make_host):
@@ -118,8 +122,7 @@
     agent.list(host.server.address)
     client = program.start()
     submit_in_turn(client, host, texts, product="charge")
-    assert host.wait_for(lambda: set(host.delivered) == set(texts)), set(texts) - set(host.delivered)
-    assert [text for text in texts if host.delivered.count(text) > 1] == []
+    assert_each_delivered_once(host, texts)
 
 
 @pytest.mark.parametrize("spread", [0, SPREAD], ids=["at once", "later"])
@@ -133,8 +136,7 @@
     agent.list(host.server.address)
     client = program.start()
     submit_in_turn(client, host, texts, product="notice")
-    assert host.wait_for(lambda: set(host.delivered) == set(texts)), set(texts) - set(host.delivered)
-    assert [text for text in texts if host.delivered.count(text) > 1] == []
+    assert_each_delivered_once(host, texts)
 
 
 class RepeatingPlatform(Agent):
