--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -179,6 +179,11 @@
     return found
 
 
+def test_relays_that_restart_after_an_outage_push_no_returning_partner_over():
+    done = soak("--seeds", "3", "--seconds", "30", "--jobs", "1")
+    assert done.returncode == 0 and "no rule broken" in done.stdout, done.stdout + done.stderr
+
+
 def test_a_short_soak_of_fixed_seeds_breaks_no_rule(tmp_path):
     args = ["--seeds", SHORT_SEEDS, "--seconds", str(SHORT_SECONDS), "--jobs", "2"]
     done = soak(*args, "--keep", str(tmp_path / "kept"))
