Test of a repeated list takes the change on whichever watch is open

Cause: the stub's copy comes within a millisecond of the relay's request for the watch. Where it comes before the kernel has taken that request, the relay closes the connection (`catalog-lost why=not-written`, in each of 3 traced failures), as it is meant to: bytes that come before a request can't answer it. It asks again from its index 20 ms later, and the list's next answer begins with the change. The test wrote the change to the first watch alone and took its end for an error.

Change: a first watch that the relay has closed is allowed; all that the test asserts of texts is as it was, and the text for the newly listed host shows that the change has come, on the first watch or the next.

--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -2,6 +2,7 @@
 repeat a response later on the same connection. No outcome may rest on a response to another request.
 """
 
+import contextlib
 import itertools
 import queue
 import threading
@@ -185,7 +186,8 @@
         assert client.submit("a1") == "+OK" and host.next().headers["X-Txn"] == "a1"
         watch = catalog.watches.get(timeout=WAIT_TIMEOUT)
         catalog.list(other.address, "s-2", dest=2)
-        catalog.tell(watch)
+        with contextlib.suppress(ConnectionError):  # the relay may have opened another watch
+            catalog.tell(watch)
         assert client.submit("a2") == "+OK" and host.next().headers["X-Txn"] == "a2"
         while (answer := client.submit("a3", dest=2)) != "+OK":
             assert answer == "-ERR unknown destination"  # the change is on its way
