Membership tests reserve all addresses of a fleet before any is released

Cause: the fixture took free UDP ports one after the other and released each at once; the network's front sockets, bound next, could get a member's own port, or two members one port. The relay then logs `membership-not-listening` and tries again for good, as it should.

Change: the members' sockets stay bound until the fronts are bound, and the addresses of one kind are taken together. No check or bound has changed.

--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -2,6 +2,7 @@
 
 Timeouts are shorter than the defaults (a pause of 2 s is tolerated), so that the tests take seconds."""
 
+import contextlib
 import json
 import os
 import queue
@@ -23,11 +24,20 @@
 FIELDS = ("alive", "suspect", "dead", "left", "unknown", "incarnation")
 
 
-def address_of(host, kind):
-    """A free address of the host for this kind of socket."""
-    with socket.socket(socket.AF_INET, kind) as spare:
-        spare.bind((host, 0))
-        return spare.getsockname()
+@contextlib.contextmanager
+def reserved_addresses(host, kind, count):
+    """Different addresses of the host for this kind of socket, which nothing else can bind in the context."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(count)]
+        for each in sockets:
+            each.bind((host, 0))
+        yield [each.getsockname() for each in sockets]
+
+
+def free_addresses(host, kind, count):
+    """Different free addresses of the host for this kind of socket."""
+    with reserved_addresses(host, kind, count) as addresses:
+        return addresses
 
 
 def poll(condition, seconds=AGREED, details=lambda: ""):
@@ -60,14 +70,15 @@
 
     def __init__(self, folder, agent):
         host = "127.{}.{}.{}".format(*(1 + number % 254 for number in os.urandom(3)))
-        listens = [address_of(host, socket.SOCK_DGRAM) for _ in range(COUNT)]
-        self.network = DatagramNetwork([(host, 0)] * COUNT, listens)
+        with reserved_addresses(host, socket.SOCK_DGRAM, COUNT) as listens:
+            self.network = DatagramNetwork([(host, 0)] * COUNT, listens)
+        operator_addresses = free_addresses(host, socket.SOCK_STREAM, COUNT)
         peers = ["{}:{}".format(*front) for front in self.network.front_addresses]
         self.relays, self.count = [], 0
         for number in range(COUNT):
             place = folder / f"relay-{number}"
             place.mkdir()
-            operator_address = address_of(host, socket.SOCK_STREAM)
+            operator_address = operator_addresses[number]
             relay = Relay(
                 place,
                 agent,
@@ -176,11 +187,12 @@
     agent.list(make_host().address)
     relays, peers = [], []
     host = "127.{}.{}.{}".format(*(1 + number % 254 for number in os.urandom(3)))
-    peers = ["{}:{}".format(*address_of(host, socket.SOCK_DGRAM)) for _ in range(3)]
+    peers = ["{}:{}".format(*address) for address in free_addresses(host, socket.SOCK_DGRAM, 3)]
+    operator_addresses = free_addresses(host, socket.SOCK_STREAM, 3)
     for number, peer in enumerate(peers):
         place = tmp_path / f"relay-{number}"
         place.mkdir()
-        operator_address = address_of(host, socket.SOCK_STREAM)
+        operator_address = operator_addresses[number]
         relays.append(
             Relay(
                 place,
@@ -312,7 +324,7 @@
 
 def test_members_replies_with_an_error_while_membership_is_off(make_program, agent):
     program = make_program()
-    host, port = address_of(program.address, socket.SOCK_STREAM)
+    [(host, port)] = free_addresses(program.address, socket.SOCK_STREAM, 1)
     program.file.write_text(
         json.dumps(
             json.loads(program.file.read_text())
