A host that refuses all calls for 3 s beside its limit is in an outage

Cause: the policy took a refusal for an outage only if it asked for a wait of more than 3 s, or after eight cuts of the pace in a row. The host was closed for 5 s and answered 429 with a wait of just 3 s; its limit was reported as not used up. Each relay was refused once or twice, held its texts through the wait, and sent all of them as it ended, just after the host's return, with no trial and no warm-up.

Change: what counts is how long the host refuses, not the length of one wait: refusals without a delivery between them, beside a limit with room, that cover 3 s, the wait told last included, are an outage. So shorter waits in a row count too. Where no limit is reported, one wait of 3 s counts, since waits in a row may come from the limit. Why it works: such a host gets one trial, then a warm-up that all relays share.

The three new unit tests (waits of 1, 2 and 3 s) and the changed bound of a fourth fail on the policy before.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -92,8 +92,9 @@
 
 # Signs in refusals.
 EXHAUSTED_LIMIT_SHARE = 0.15  # a refusal with less of the limit left is one by the limit
-OUTAGE_RETRY_AFTER = 3 * SECOND  # a longer Retry-After, with the limit not used up, means an outage
+OUTAGE_REFUSAL_TIME = 3 * SECOND  # all calls refused for so long, with the limit not used up: an outage
 OUTAGE_CUT_COUNT = 8  # so many cuts of the pace in a row do as well
+REFUSAL_GAP = 5 * SECOND  # refusals further apart don't belong together
 
 # The pace: calls a second of this relay on a route.
 PACE_CUT_RATIO = 0.6  # of the pace that is left by a refusal
@@ -207,6 +208,8 @@
         self.recent_deliveries = 0.0
         self.last_delivery_at = 0
         self.wait_until = 0  # end of the wait that the host asked for
+        # First refusal since the last delivery, and the end of the time for which calls are refused.
+        self.refused_since = self.refused_until = NEVER
         # Its outage and trials.
         self.outage_since = 0
         self.trial_count = 0
@@ -263,6 +266,13 @@
             scale = rate / self.limit if is_large_fleet and self.limit else 1.0
             self.limit, self.pace = rate, self.pace * scale or (rate / relays if is_large_fleet else rate)
 
+    def record_refusal(self, now: int, retry_after: int) -> int:
+        """Take in a refusal; returns for how long all calls are refused, a wait asked for now included."""
+        if self.refused_since == NEVER or now - self.refused_until > REFUSAL_GAP:
+            self.refused_since = now
+        self.refused_until = now + retry_after
+        return self.refused_until - self.refused_since
+
     def record_duration(self, duration: int) -> bool:
         """Update the usual duration of calls; True when the recent calls took twice as long as usual."""
         self.duration_count += 1
@@ -648,6 +658,7 @@
                 + 1.0
             )
             host.last_success_at, route.last_delivery_at, route.cut_count = now, now, 0
+            route.refused_since = NEVER
             limit_left = report.limit_left
             growth_ratio = SPARE_LIMIT_GROWTH if self.settings.relays > SMALL_FLEET_SIZE else 1.0
             # By what the other relays leave of the limit.
@@ -739,6 +750,7 @@
 
         Guards against hundreds of relays, each far under the limit, that use it up by being refused."""
         route, even_share = host.route, (host.route.limit or INITIAL_RATE) / self.settings.relays
+        refused_time = route.record_refusal(now, retry_after)
         # Refused though the limit is not used up: the host is closed.
         has_room = limit_left is not None and limit_left >= EXHAUSTED_LIMIT_SHARE
         if now - route.pace_cut_at > PACE_CUT_INTERVAL or not route.pace:
@@ -769,13 +781,23 @@
         )
         if host.in_outage:
             self._schedule_trial(now, route)
-        elif (retry_after > OUTAGE_RETRY_AFTER or route.cut_count >= OUTAGE_CUT_COUNT) and (
-            limit_left is None or has_room
-        ):
+        elif self._is_outage_refusal(route, retry_after, refused_time, limit_left, has_room):
             self._record_failure(
                 now, host, f"refused {route.cut_count} times, asked to wait {retry_after // MS} ms", 1.0
             )
 
+    @staticmethod
+    def _is_outage_refusal(
+        route: Route, retry_after: int, refused_time: int, limit_left: float | None, has_room: bool
+    ) -> bool:
+        """Whether a refusal is the sign of an outage, which a refusal by the limit is not.
+
+        Guards against a host that is closed for some waits in a row: at its return all that was held for it
+        would be sent at once."""
+        if limit_left is None:  # long waits may come from the limit, if several are asked for in a row
+            return retry_after >= OUTAGE_REFUSAL_TIME or route.cut_count >= OUTAGE_CUT_COUNT
+        return has_room and (refused_time >= OUTAGE_REFUSAL_TIME or route.cut_count >= OUTAGE_CUT_COUNT)
+
     def _schedule_trial(self, now: int, route: Route) -> None:
         """Schedule the next trial by the backoff, counted from the end of a wait that the host asked for."""
         route.trial_count, route.trial_base_at = route.trial_count + 1, max(now, route.wait_until) + 100 * MS
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -1,5 +1,6 @@
 """Health, pace, trials and warm-up, idle connections, the order of waiting texts, and memory."""
 
+import pytest
 from conftest import CHARGE, HOST, NOTICE, NOW, OTHER_HOST, REPORT, ROUTE, S
 
 from limelatch.interface import CloseIdle, Listing, LogLine, Nack, Result, Submit, Text, Wake
@@ -8,7 +9,7 @@
     MAX_STALE_SHARE_ONCE_ONLY,
     OUTAGE_CUT_COUNT,
     OUTAGE_FAILURE_SHARE,
-    OUTAGE_RETRY_AFTER,
+    OUTAGE_REFUSAL_TIME,
     SHORT_CALL_TIMEOUT,
     Call,
 )
@@ -194,15 +195,45 @@
 
 def test_a_long_retry_after_is_an_outage_unless_the_limit_is_used_up(relay):
     """At a small limit the waits for many relays are long. Guards against taking them for an outage."""
-    relay.send_text(
-        relay.accept_text(REPORT), Result.FULL, retry_after=OUTAGE_RETRY_AFTER + 1, limit_left=0.0
-    )
+    relay.send_text(relay.accept_text(REPORT), Result.FULL, retry_after=OUTAGE_REFUSAL_TIME, limit_left=0.0)
     assert not relay.host().in_outage
     relay.list_hosts(OTHER_HOST, dest=2)
-    relay.send_text(relay.accept_text(REPORT, dest=2), Result.FULL, retry_after=OUTAGE_RETRY_AFTER + 1)
+    relay.send_text(relay.accept_text(REPORT, dest=2), Result.FULL, retry_after=OUTAGE_REFUSAL_TIME)
     assert relay.host(OTHER_HOST).in_outage
 
 
+def answer_at(relay, now, result, **more):
+    """Have the host's wait end, and end all that is sent then with this result."""
+    host = relay.host()
+    host.route.wait_until, host.route.credit, host.destination.check_at = now, 1.0, 0
+    relay.accept_text(REPORT)
+    assert (texts := relay.sent_texts(now))
+    for text in texts:
+        relay.end_submit(text, result, now, **more)
+
+
+@pytest.mark.parametrize("wait", [S, 2 * S, 3 * S])
+def test_a_host_that_refuses_all_calls_beside_its_limit_for_3_s_is_in_an_outage(relay, wait):
+    """Guards against sending all that was held for a closed host at its return."""
+    now = NOW
+    while now + wait < NOW + OUTAGE_REFUSAL_TIME:
+        answer_at(relay, now, Result.FULL, retry_after=wait, limit_left=0.9)
+        assert not relay.host().in_outage
+        now += 2 * wait
+    answer_at(relay, now, Result.FULL, retry_after=wait, limit_left=0.9)
+    assert relay.host().in_outage
+
+
+@pytest.mark.parametrize("limit_left", [0.0, 0.9])
+def test_refusals_by_the_limit_or_with_deliveries_between_are_no_outage(relay, limit_left):
+    for number in range(5):
+        now = NOW + number * 4 * S
+        answer_at(relay, now, Result.FULL, retry_after=2 * S, limit_left=limit_left)
+        if limit_left:
+            answer_at(relay, now + 3 * S, Result.DELIVERED, finished=True)
+        assert not relay.host().in_outage
+
+
 def test_an_outage_covers_the_route_but_for_hosts_with_a_recent_delivery(relay):
     """Guards against finding out host by host that a whole destination is down."""
     relay.list_hosts(OTHER_HOST, ROUTE)
