A doubt about a submit that had ended outlasts its process

A text whose refusal turned out to be a copy may have run. After a kill or in an upgrade the next process took it for never run: it sent the text to another zone, or told its client that it might be repeated.

Cause: the doubt wrote an ENDED record for a submit that had ended already. At a replay that sets "may have run", but when and where were cleared by the refusal before, and both the window of repeats and the zone are read from these. If the text was out again, ENDED also took the mark of that call, and `ledger check` told of an outcome without a submit.

Change: the doubt writes a STATE record, the summary of a text that compacted files have, with the time and zone of the submit in doubt, and a REST record for the key's cooldown, which drops expired ones as ENDED does.

--- a/limelatch/lab/soak/mutants.py
+++ b/limelatch/lab/soak/mutants.py
@@ -60,7 +60,7 @@
     Mutant(
         "record of a submit before it is sent",
         "relay/driver.py",
-        "accepted.submit_in_flight = self.ledger.record_submit(text, call.sent_at, zone)",
+        "accepted.submit_in_flight = self.ledger.record_submit(text, call.sent_at, self._zone_of(call.host))",
         "accepted.submit_in_flight = True",
     ),
     Mutant(
@@ -179,6 +179,12 @@
         "return once_only or is_in_doubt or",
         "return is_in_doubt or",
     ),
+    Mutant(
+        "record of a doubt about a submit that had ended",
+        "relay/ledger.py",
+        "entry.with_possible_run(sent_at, zone).state_fields()",
+        "entry.state_fields()",
+    ),
     Mutant(
         "doubt about one of two responses on a reused connection",
         "connection_reuse.py",
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -530,12 +530,15 @@
     def _record_submit(self, accepted: AcceptedText, call: Call) -> bool:
         """Record a submit in the ledger; False where that can't be written."""
         text = accepted.text.id
-        zone = self.hosts[call.host].zone if call.host in self.hosts else -1
-        accepted.submit_in_flight = self.ledger.record_submit(text, call.sent_at, zone)
+        accepted.submit_in_flight = self.ledger.record_submit(text, call.sent_at, self._zone_of(call.host))
         if accepted.submit_in_flight:
             self.text_log.submit_started(text, accepted.key, call, self.ledger.entries[text].submit_count)
         return accepted.submit_in_flight
 
+    def _zone_of(self, host: li.HostId) -> int:
+        """The host's zone; -1 if it is not listed any more."""
+        return self.hosts[host].zone if host in self.hosts else -1
+
     def _cooldown_until(self, accepted: AcceptedText, now: int) -> int | None:
         """The end of its key's cooldown, where a call of this text has caused it; else None."""
         cooldown = None if accepted.key is None else self.policy.key_order.cooldowns.get(accepted.key)
@@ -585,7 +588,8 @@
         if accepted is None or not self.policy.submit_doubted(now, outgoing.text, call.host, call.sent_at):
             return
         self.text_log.submit_doubted(outgoing.text, accepted.key, call)
-        self.ledger.record_submit_end(outgoing.text, True, now, self._cooldown_until(accepted, now))
+        cooldown_until = self._cooldown_until(accepted, now)
+        self.ledger.record_doubt(outgoing.text, call.sent_at, self._zone_of(call.host), now, cooldown_until)
         self.schedule_turn()
 
     def host_asked_to_wait(self, host: li.HostId, wait: int) -> None:
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -350,6 +350,19 @@
         cooldown = {} if cooldown_until is None else {"at": now, "rest": cooldown_until}
         self._write(RecordKind.ENDED, text, {"ran": may_have_run} | cooldown)
 
+    def record_doubt(
+        self, text: bytes, sent_at: int, zone: int, now: int, cooldown_until: int | None = None
+    ) -> None:
+        """Record that a submit that has ended, sent at `sent_at` to a host of the zone, may have run.
+
+        `cooldown_until` as of `record_submit_end`. A text that is not in the ledger is ignored."""
+        if (entry := self.entries.get(text)) is None:
+            return
+        self._write(RecordKind.STATE, text, entry.with_possible_run(sent_at, zone).state_fields())
+        if cooldown_until is not None:
+            cooldown = {"key": entry.key.decode(), "until": cooldown_until, "at": now}
+            self._write(RecordKind.REST, text, cooldown)
+
     def record_health(self, host: bytes, health: Health, now: int) -> None:
         """Record a host's health, which the policy has found, for the other process of an upgrade."""
         self._write(RecordKind.HEALTH, host, {"health": health.value, "at": now})
--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -9,7 +9,7 @@
 import struct
 import zlib
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 
 import msgspec
@@ -31,9 +31,9 @@
     ENDED = 3  # the submit ended with an outcome
     OWED = 4  # the text has its final answer; the notice is still to be delivered
     OVER = 5  # the text is finished
-    STATE = 6  # in a compacted file: summary of the records that were left out
+    STATE = 6  # summary of the text's records so far: in a compacted file, and after a doubt about an outcome
     BLANK = 7  # no content: written to test whether the state directory accepts writes again
-    REST = 8  # in a compacted file: an ordering key's cooldown; `id` is the text whose call may still run
+    REST = 8  # an ordering key's cooldown, as STATE; `id` is the text whose call may still run
     WAIT = 9  # a host asked clients to wait (Retry-After); `id` is the host
     HEALTH = 10  # a host is in an outage or warming up, by the policy; `id` is the host
 
@@ -76,6 +76,22 @@
         """Whether its product was delivered in order; None in a record of an earlier version."""
         return self.fields.get("ordered")
 
+    def with_possible_run(self, at: int, zone: int) -> Entry:
+        """This text after a submit, sent then to that zone, has turned out to be one that may have run."""
+        if self.first_run_at is not None and self.first_run_at <= at:
+            at, zone = self.first_run_at, self.first_run_zone
+        return replace(self, may_have_run=True, first_run_at=at, first_run_zone=zone)
+
+    def state_fields(self) -> dict:
+        """The fields of its STATE record."""
+        return {
+            "submits": self.submit_count,
+            "out": self.in_flight,
+            "ran": self.may_have_run,
+            "at": self.first_run_at,
+            "zone": self.first_run_zone,
+        }
+
 
 def encode_record(kind: RecordKind, text: bytes, fields: dict, body: bytes = b"") -> bytes:
     """One record as bytes; `text` is the id that it is about."""
@@ -187,7 +203,7 @@
         if kind == RecordKind.BLANK:
             return None
         if kind == RecordKind.REST:
-            self.add_cooldown(fields["key"].encode(), KeyCooldown(fields["until"], text), 0)
+            self.add_cooldown(fields["key"].encode(), KeyCooldown(fields["until"], text), fields.get("at", 0))
             return None
         if kind == RecordKind.HEALTH:
             self.add_health(text, HostHealth(Health(fields["health"]), fields["at"]))
@@ -262,15 +278,8 @@
 
 def compacted_records(entry: Entry) -> bytes:
     """A text's records in a compacted file: its acceptance, its state, its notice if it has one."""
-    state = {
-        "submits": entry.submit_count,
-        "out": entry.in_flight,
-        "ran": entry.may_have_run,
-        "at": entry.first_run_at,
-        "zone": entry.first_run_zone,
-    }
     return (
         entry.accepted_record
-        + (encode_record(RecordKind.STATE, entry.id, state) if entry.submit_count else b"")
+        + (encode_record(RecordKind.STATE, entry.id, entry.state_fields()) if entry.submit_count else b"")
         + (encode_record(RecordKind.OWED, entry.id, {"notice": entry.notice}) if entry.notice else b"")
     )
--- a/tests/test_surplus_responses.py
+++ b/tests/test_surplus_responses.py
@@ -140,6 +140,45 @@
     assert_each_delivered_once(host, texts)
 
 
+class DoubtfulHost:
+    """A host that refuses the first text on a connection that has carried another one, with a wait of 2 s,
+    and a moment later writes a response that no request asked for."""
+
+    def __init__(self, make_host):
+        self.texts, self.refused, self.seen = queue.Queue(), None, set()
+        self.server = make_host(self._called)
+
+    def _called(self, request):
+        text, is_reused = request.headers["X-Txn"], request.handler in self.seen
+        self.seen.add(request.handler)
+        if is_reused and self.refused is None:
+            self.refused = text
+            request.answer(429, Retry_After="2")
+            threading.Timer(SPREAD, request.handler.wfile.write, [response(200)]).start()
+        else:
+            request.answer(200)
+        self.texts.put(text)
+
+
+def test_a_text_whose_refusal_was_in_doubt_goes_to_no_other_zone_after_a_kill(program, agent, make_host):
+    host, other = DoubtfulHost(make_host), make_host()
+    agent.list(host.server.address)
+    client = program.start()
+    for number in itertools.count():
+        assert client.submit(f"a{number}", "notice", d=4000) == "+OK"
+        assert host.texts.get(timeout=WAIT_TIMEOUT) == f"a{number}"
+        if host.refused is not None:
+            break
+    program.wait_for_log("event=surplus-response")
+    assert client.ask("PING") == "+PONG"  # answered after the response has been handled
+    program.kill()
+    agent.list(host.server.address, status="leaving")
+    agent.list(other.address, "s-2", zone="b")
+    client = program.start()
+    assert client.submit("b", "report") == "+OK" and other.next().headers["X-Txn"] == "b"
+    assert agent.notice() == {"ref": host.refused, "result": "dead"} and other.requests.empty()
+
+
 class RepeatingPlatform(Agent):
     """A platform that repeats a 204 as the next request comes on its connection, and keeps no notices of
     every second request: it ends their connection without a response."""
--- a/tests/test_terms_restart.py
+++ b/tests/test_terms_restart.py
@@ -6,6 +6,7 @@
 import os
 import time
 from collections import Counter
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
@@ -20,6 +21,7 @@
 from limelatch.relay.driver import Driver
 from limelatch.relay.host_calls import Call
 from limelatch.relay.host_outcomes import Outcome
+from limelatch.relay.inspection import view_of_bytes
 
 WINDOW = S  # in which hosts recognise a repeat
 NOTICE, CHARGE, REPORT = SETTINGS["classes"]
@@ -29,6 +31,7 @@
         CHARGE,
         REPORT,
         NOTICE | {"name": "anywhere", "group": "all", "dedupWindow": WINDOW // MS},
+        NOTICE | {"name": "ordered", "oneAtATime": True},
     ]
 }
 RESTARTS = pytest.mark.parametrize("restart", [3 * S // 10, 9 * S // 10, 11 * S // 10, 3 * S])
@@ -99,7 +102,7 @@
                 self.ran[each.idempotency_key, host] = now
                 self.effects[each.text] += 1
 
-    def submit(self, text, product):
+    def submit(self, text, product, key=b""):
         """A client submits a text, which is accepted."""
         client = SimpleNamespace(answers=[])
         client.answer = client.answers.append
@@ -109,7 +112,7 @@
             product=product,
             customer=b"acme",
             valid_for=8 * S,
-            key=b"",
+            key=key,
             idempotency_key=b"m-" + text,
             body=b"x",
         )
@@ -208,6 +211,55 @@
     assert life.ended[b"n"] == "dead" and life.ended.get(b"y") == (None if inside else "bounced")
 
 
+def refuse_in_doubt(life):
+    """All calls in flight are refused, by responses that may have belonged to other calls."""
+    calls = life.calls_in_flight
+    life.answer_calls(Result.FULL)
+    for call, outgoing in calls:
+        life.driver.submit_doubted(call, outgoing)
+
+
+@RESTARTS
+def test_a_text_whose_refusal_was_in_doubt_is_not_repeated_in_another_zone_after_a_kill(life, restart):
+    life.submit(b"n", b"notice")
+    life.submit(b"y", b"anywhere")
+    refuse_in_doubt(life)
+    life.kill_and_restart(restart, zones=("b",))
+    inside = restart < WINDOW * 9 // 10
+    assert life.calls(b"n") == [b"a"] and len(life.calls(b"y")) == 1 + inside
+    life.clock.rightNow += max(0, WINDOW - restart) / S
+    life.driver.turn()
+    assert life.ended[b"n"] == "dead" and life.ended.get(b"y") == (None if inside else "bounced")
+
+
+def test_a_doubt_s_cooldown_of_a_key_is_in_the_ledger_until_a_later_one_after_its_end(life):
+    for number, text in enumerate((b"c", b"d")):
+        life.submit(text, b"ordered", key=b"k%d" % number)
+        refuse_in_doubt(life)
+        assert b"k%d" % number in life.driver.ledger.state.cooldowns
+        life.clock.rightNow += 1.0
+        life.driver.turn()
+        life.answer_calls(Result.DELIVERED)
+    ledger = life.driver.ledger
+    assert list(ledger.state.cooldowns) == [b"k1"]
+    view = view_of_bytes("ledger", Path(ledger.path).read_bytes())
+    assert view.problems == [] and view.entries == ledger.entries
+
+
+def test_a_doubt_about_an_earlier_submit_leaves_the_present_one_in_flight(life):
+    life.submit(b"n", b"notice")
+    [first] = life.calls_in_flight
+    life.answer_calls(Result.FULL)
+    while len(life.calls(b"n")) < 2:
+        life.clock.rightNow += 0.02
+        life.driver.turn()
+    life.driver.submit_doubted(*first)
+    entry = life.driver.ledger.entries[b"n"]
+    assert entry.in_flight and (entry.first_run_at, entry.submit_count) == (first[0].sent_at, 2)
+    view = view_of_bytes("ledger", Path(life.driver.ledger.path).read_bytes())
+    assert view.problems == [] and view.entries[b"n"] == entry
+
+
 @pytest.mark.parametrize("product", ["notice", "anywhere"])
 def test_a_process_killed_within_the_window_repeats_within_it_or_answers(
     make_program, agent, make_host, product
