--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -143,12 +143,14 @@
     fleet.relays[1].environment = faults.environment
     fleet.host = host
     with fleet.network:
-        fleet.start()
-        yield fleet
-        for relay in fleet.relays:
-            if relay.process is not None:
-                relay.process.send_signal(signal.SIGCONT)
-                relay.kill()
+        try:
+            fleet.start()
+            yield fleet
+        finally:
+            for relay in fleet.relays:
+                if relay.process is not None:
+                    relay.process.send_signal(signal.SIGCONT)
+                    relay.kill()
 
 
 def test_a_killed_relay_is_dead_in_all_views_and_returns_with_a_higher_incarnation(fleet):
