Revert "A call waits up to 60 ms for a connection's silence before it opens another"

A call that waits keeps its slot, so a fast host got no more than a window of calls in 60 ms, texts piled up to the relay's limit, and clients were turned away.

--- a/limelatch/connection_reuse.py
+++ b/limelatch/connection_reuse.py
@@ -13,13 +13,12 @@
 from bisect import bisect_right
 from collections.abc import Sequence
 from operator import attrgetter
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from limelatch.interface import MS, SECOND, HostId
 
 MIN_SILENCE = 60 * MS  # without a byte from the host, before a connection is used again
 MAX_SILENCE = 2 * SECOND
-MAX_SILENCE_WAIT = MIN_SILENCE  # of a call for a connection; beyond it a new one is opened
 SILENCE_LAG_RATIO = 2  # of the longest lag seen between a response and a surplus one
 DISTRUST_TIME = 600 * SECOND  # after a host's last surplus response
 MAX_DISTRUSTED_HOSTS = 4096  # beyond it the oldest is forgotten
@@ -31,13 +30,6 @@
     idle_since: int
 
 
-class Choice(NamedTuple):
-    """An idle connection that a call is to use, as its index, and how long the call has to wait for it."""
-
-    index: int
-    wait: int = 0
-
-
 class ConnectionReuse:
     """What surplus responses have taught one process of a relay, and its decisions on connections."""
 
@@ -80,20 +72,13 @@
             return True
         return self.is_distrusted(now, host) or ordered and bool(self._last_surplus_at)
 
-    def choose(self, now: int, idle_connections: Sequence[IdleConnection], time_left: int) -> Choice | None:
-        """The idle connection to use next; None if the call needs a new one.
+    def choose(self, now: int, idle_connections: Sequence[IdleConnection]) -> int | None:
+        """The idle connection to use next, as its index; None if no one has been silent for long enough.
 
-        Of those that have been silent for long enough the one used last, so that those that are not needed
-        reach the end of their idle time. Else the one that will be so first, if that is soon: guards against
-        a new connection for each call of a burst, at hosts that bear only a few. `idle_connections`: to one
-        host, in the order of their `idle_since`; `time_left`: until the call's deadline."""
+        Of several the one used last, so that those that are not needed reach the end of their idle time.
+        `idle_connections`: to one host, in the order of their `idle_since`."""
         silent_count = bisect_right(idle_connections, now - self._silence, key=attrgetter("idle_since"))
-        if silent_count:
-            return Choice(silent_count - 1)
-        if not idle_connections:
-            return None
-        wait = idle_connections[0].idle_since + self._silence - now
-        return Choice(0, wait) if wait <= MAX_SILENCE_WAIT and wait < time_left else None
+        return silent_count - 1 if silent_count else None
 
     def idle_limit(self, now: int, host: HostId, idle_limit: int, idle_count: int, was_own: bool) -> int:
         """How long a connection is kept after a call, `idle_limit` at the most; 0: not at all.
--- a/limelatch/relay/host_connection.py
+++ b/limelatch/relay/host_connection.py
@@ -28,7 +28,6 @@
         self.is_connected, self.idle_since, self.address = False, 0, pool.addresses.get(host)
         self.number = pool.counts.opened  # in this process, for the log
         self.last_call: Call | None = None  # the last call that was sent on it
-        self.waiting_call: Call | None = None  # will be written once the host was silent for long enough
 
     def is_reusable(self) -> bool:
         """Whether it is at rest, and the peer has sent nothing that is not read yet."""
--- a/limelatch/relay/hosts.py
+++ b/limelatch/relay/hosts.py
@@ -73,10 +73,16 @@
         self.calls_in_flight += 1
         due = min(each.due_at for each in texts) if texts else now + self.probe_wait
         call.deadline = self.deadlines.at(due, lambda: self._call_timed_out(call))
-        self._find_connection(call, now)
+        connection = self._take_idle(call, now)
+        if connection is None:
+            self._connect(call)
+            return
+        call.connection, connection.call = connection, call
+        call.idle_time = max(1, now - connection.idle_since)
+        self.send_on(connection)
 
-    def _find_connection(self, call: Call, now: int) -> None:
-        """Write the call on an idle connection, at once or after a wait, or on a new one."""
+    def _take_idle(self, call: Call, now: int) -> Connection | None:
+        """An idle connection for the call; None if it needs a new one."""
         once_only = ordered = False
         for each in call.texts:
             once_only = once_only or each.once_only
@@ -84,41 +90,17 @@
         call.needs_own_connection = self.reuse.needs_own_connection(now, call.host, once_only, ordered)
         idle_connections = self.idle.get(call.host, [])
         while not call.needs_own_connection:
-            choice = self.reuse.choose(now, idle_connections, call.deadline.when - now)
-            if choice is None:
-                break
-            connection = idle_connections.pop(choice.index)
+            index = self.reuse.choose(now, idle_connections)
+            if index is None:
+                return None
+            connection = idle_connections.pop(index)
             connection.deadline.cancel()
-            if choice.wait:
-                self._wait_for_silence(call, connection, choice.wait)
-                return
-            if self._reuse(call, connection, now):
-                return
-        self._connect(call)
-
-    def _reuse(self, call: Call, connection: Connection, now: int) -> bool:
-        """Write the call on the idle connection; False, and the connection is closed, if it can't be used."""
-        is_current = connection.address == self.addresses.get(connection.host)
-        if is_current and connection.is_reusable():
-            call.connection, connection.call = connection, call
-            call.idle_time = max(1, now - connection.idle_since)
-            self.send_on(connection)
-            return True
-        if surplus := connection.unread():
-            connection.dataReceived(surplus)
-        connection.abandon(EndReason.CLOSED_BY_PEER)
-        return False
-
-    def _wait_for_silence(self, call: Call, connection: Connection, wait: int) -> None:
-        """Keep the connection for the call, which is written once the host was silent for long enough."""
-        call.connection, connection.waiting_call = connection, call
-        connection.deadline = self.deadlines.after(wait, lambda: self._silence_over(connection))
-
-    def _silence_over(self, connection: Connection) -> None:
-        call, connection.waiting_call = connection.waiting_call, None
-        now = self.clock.now()
-        if not self._reuse(call, connection, now):
-            self._find_connection(call, now)
+            if connection.is_reusable():
+                return connection
+            if surplus := connection.unread():
+                connection.dataReceived(surplus)
+            connection.abandon(EndReason.CLOSED_BY_PEER)
+        return None
 
     def _connect(self, call: Call) -> None:
         if self.connections.is_full:
@@ -312,13 +294,10 @@
         if connection in idle_connections:
             idle_connections.remove(connection)
         call, connection.call = connection.call, None
-        waiting_call, connection.waiting_call = connection.waiting_call, None
         if end_reason in (EndReason.MALFORMED, EndReason.SURPLUS, EndReason.NO_SLOT):
             self.limited_log("host-connection-bad", host=connection.host, why=end_reason.value)
         else:
             log_event(log, "host-connection-ended", host=connection.host, why=end_reason.value)
-        if waiting_call is not None:
-            self._find_connection(waiting_call, self.clock.now())
         if call is None:
             return
         self._finish(call)
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -10,7 +10,6 @@
     MAX_DISTRUSTED_HOSTS,
     MAX_SILENCE,
     MIN_SILENCE,
-    Choice,
     ConnectionReuse,
     is_certain,
 )
@@ -22,7 +21,6 @@
 __all__ = ["deadlines"]  # a fixture
 
 NOW = 1000 * SECOND
-LONG = 9 * SECOND
 HOST = b"s-1"
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 REFUSAL = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
@@ -40,18 +38,9 @@
 
 
 def test_a_connection_is_used_again_only_after_a_silence_and_the_last_used_one_first(reuse):
-    assert reuse.choose(NOW, idle(), LONG) is None
-    assert reuse.choose(NOW, idle(NOW - MIN_SILENCE + 1), LONG) == Choice(0, wait=1)
-    silent = NOW - MIN_SILENCE
-    assert reuse.choose(NOW, idle(silent - MIN_SILENCE, silent, silent + 1), LONG) == Choice(1)
-
-
-@pytest.mark.parametrize("lag, time_left, waits", [(0, 2, True), (0, 1, False), (31 * MS, LONG, False)])
-def test_a_call_waits_for_a_silence_only_if_it_is_soon_and_before_its_deadline(reuse, lag, time_left, waits):
-    if lag:
-        reuse.surplus_received(NOW, HOST, lag)
-    idle_since = NOW - MIN_SILENCE + 1 if not lag else NOW
-    assert (reuse.choose(NOW, idle(idle_since), time_left) is not None) == waits
+    assert reuse.choose(NOW, idle()) is None
+    assert reuse.choose(NOW, idle(NOW - MIN_SILENCE + 1)) is None
+    assert reuse.choose(NOW, idle(NOW - 2 * MIN_SILENCE, NOW - MIN_SILENCE, NOW - MIN_SILENCE + 1)) == 1
 
 
 @pytest.mark.parametrize("idle_count, was_own, kept", [(0, True, 9), (1, True, 0), (1, False, 9)])
@@ -83,13 +72,12 @@
 def test_the_silence_grows_with_the_longest_lag_and_shrinks_once_no_host_is_distrusted(reuse):
     reuse.surplus_received(NOW, HOST, 300 * MS)
     reuse.surplus_received(NOW, b"s-2", 5 * MS)
-    assert reuse.choose(NOW, idle(NOW - 539 * MS), LONG) is None
-    assert reuse.choose(NOW, idle(NOW - 600 * MS + 1), LONG) == Choice(0, wait=1)
-    assert reuse.choose(NOW, idle(NOW - 600 * MS), LONG) == Choice(0)
+    assert reuse.choose(NOW, idle(NOW - 600 * MS + 1)) is None
+    assert reuse.choose(NOW, idle(NOW - 600 * MS)) == 0
     reuse.surplus_received(NOW, HOST, 9 * SECOND)
-    assert reuse.choose(NOW, idle(NOW - MAX_SILENCE), LONG) == Choice(0)
+    assert reuse.choose(NOW, idle(NOW - MAX_SILENCE)) == 0
     assert not reuse.is_distrusted(NOW + DISTRUST_TIME, HOST)
-    assert reuse.choose(NOW, idle(NOW - MIN_SILENCE), LONG) == Choice(0)
+    assert reuse.choose(NOW, idle(NOW - MIN_SILENCE)) == 0
 
 
 def test_the_number_of_distrusted_hosts_is_bounded(reuse):
@@ -118,7 +106,7 @@
     pool, connection = start_call(deadlines, driver, outgoing(b"a"))
     connection.connected = True
     connection.dataReceived(OK_RESPONSE)
-    pool.first, pool.reactor, pool.reactor_of_test = connection, RecordingReactor(), deadlines[1]
+    pool.first, pool.reactor = connection, RecordingReactor()
     deadlines[1].advance(1)
     return pool
 
@@ -154,51 +142,6 @@
     return [each for each in pool.connections if each.call and each.call.texts[0].text == text][0]
 
 
-def waiting_call(pool):
-    """A connection that has had a response right now, and for which the call of a text b"c" waits."""
-    connection = connection_of(pool, b"b")
-    connection.dataReceived(OK_RESPONSE)
-    opened = pool.counts.opened
-    pool.send(HOST, [outgoing(b"c")])
-    assert pool.counts.opened == opened and b"X-Txn: c" not in connection.transport.value()
-    return connection
-
-
-def test_a_call_within_the_silence_waits_for_its_end_and_opens_no_connection(pool):
-    connection = waiting_call(pool)
-    pool.reactor_of_test.advance((MIN_SILENCE - 1) / SECOND)
-    assert b"X-Txn: c" not in connection.transport.value()
-    pool.reactor_of_test.advance(2 / SECOND)
-    assert b"X-Txn: c" in connection.transport.value() and pool.counts.opened == 0
-    connection.dataReceived(OK_RESPONSE)
-    assert pool.driver.outcomes[-1] == (b"c", Result.DELIVERED) and pool.calls_in_flight == 0
-
-
-@pytest.mark.parametrize("surplus", [b"", OK_RESPONSE])
-def test_a_call_whose_connection_ends_within_the_silence_gets_another_one_at_once(pool, surplus):
-    connection = waiting_call(pool)
-    if surplus:
-        connection.dataReceived(surplus)
-    connection.connectionLost(None)
-    [other] = [each for each in pool.connections if each.call]
-    assert other is not connection and b"X-Txn: c" in other.transport.value()
-    pool.reactor_of_test.advance(1)
-    other.dataReceived(OK_RESPONSE)
-    assert pool.driver.outcomes[-1] == (b"c", Result.DELIVERED) and pool.calls_in_flight == 0
-    assert pool.driver.doubted == ([b"b"] if surplus else [])
-
-
-@pytest.mark.parametrize("unread, address", [(b"H", "127.0.0.1:80"), (b"", "127.0.0.1:81")])
-def test_a_call_whose_connection_can_t_be_used_after_the_silence_gets_another_one(pool, unread, address):
-    connection = waiting_call(pool)
-    connection.transport.peer.sendall(unread)
-    pool.set_address(HOST, address)
-    pool.reactor_of_test.advance(1)
-    [other] = [each for each in pool.connections if each.call]
-    assert other is not connection and b"X-Txn: c" in other.transport.value()
-    assert connection.end_reason in (EndReason.SURPLUS, EndReason.CLOSED_BY_PEER)
-
-
 def test_a_once_only_text_gets_a_connection_that_has_carried_nothing(pool):
     assert connection_of(pool, b"b", once_only=True) is not pool.first
     assert connection_of(pool, b"c") is pool.first
@@ -211,7 +154,7 @@
     assert connection.end_reason is EndReason.SURPLUS and pool.counts.surplus == 1
     assert connection_of(pool, b"c") is not connection
     now = pool.clock.now()  # the second response came right behind the first, so the silence is as before
-    assert pool.reuse.choose(now, idle(now - MIN_SILENCE), LONG) == Choice(0)
+    assert pool.reuse.choose(now, idle(now - MIN_SILENCE)) == 0
 
 
 @pytest.mark.parametrize("first, result", [(OK_RESPONSE, Result.DELIVERED), (REFUSAL, Result.FULL)])
