--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -174,6 +174,8 @@
         super().__init__()
         self.name, self.record, self.notices = name, record, notices
         self.index, self.rows, self.keepalive = 40, {}, None
+        self.silent = False  # discovery is down: lists and watches are not answered
+        self.waiting: list[tuple] = []  # requests to answer at its return
 
     async def start(self, port: int = 0) -> None:
         await super().start(port)
@@ -183,11 +185,23 @@
         while True:
             await asyncio.sleep(2.0)
             for peer in self.peers:
-                if peer.is_watch:
+                if peer.is_watch and not self.silent:
                     peer.chunk(b"\n")
 
+    def set_silent(self, silent: bool) -> None:
+        """Begin or end an outage of discovery; notices are answered all the same."""
+        self.record(self.name, "discovery is down" if silent else "discovery is up")
+        self.silent, waiting, self.waiting = silent, self.waiting, []
+        for peer, *request in waiting if not silent else ():
+            if peer.open:
+                self.on_request(peer, *request)
+
+    def page(self) -> dict:
+        """The whole list, in discovery's form."""
+        return {"index": self.index, "snapshot": True, "endpoints": list(self.rows.values())}
+
     def put(self, *rows: dict) -> None:
-        """Add or change hosts, and tell the watches."""
+        """Add or change hosts, and tell the watches; not while discovery is down."""
         self.index += 1
         for row in rows:
             self.rows[row["name"]] = row
@@ -207,6 +221,8 @@
                 self.notices.by_text.setdefault(row["ref"], []).append((self.record.now(), row["result"]))
                 self.record(self.name, f"notice {row['ref']} {row['result']}")
             peer.answer(204)
+        elif self.silent:
+            self.waiting.append((peer, method, target, headers, body))
         elif method == "GET" and target.startswith("/catalog/members?stream=1"):
             peer.is_watch = True
             self.record(self.name, f"watch opened: {target}")
