--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -432,6 +432,7 @@
     record = Record(folder / "record.txt")
     record("case", f"trouble {'on' if TROUBLE else 'off'}")
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))  # what was started is ended
     try:
         broken = asyncio.run(asyncio.wait_for(play(record, temporary), 110))
     except Exception as error:  # noqa: BLE001 - whatever it is, the case could not be played
