A file at SIGHUP that lacks a key of the configuration in force is not applied

Cause: a reload read the file as a start does. A start may fill a missing key from the environment or its default, as it has nothing else; a reload has the configuration in force, and only a product's effect and deadline were asked for. Excluded: a notifier that keeps an old address (it moved with each event=configured), a list that moves it back (no list came).

Change: limelatch/configuration/reload.py compares the keys that the new file itself sets with those that the file in force sets; any that is missing or null has the whole file refused, with its name in event=not-configured. A key that only the environment has set may stay out, as it did not change. What is kept for the comparison is a set of names; rows with the same keys share one.

Why it works: the environment and the defaults can now only stand for a key that the file in force left to them too.

--- a/limelatch/configuration/__init__.py
+++ b/limelatch/configuration/__init__.py
@@ -9,12 +9,11 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import replace
 
-from limelatch.configuration.checks import reload_errors
 from limelatch.configuration.errors import ConfigError, ConfigurationError
 from limelatch.configuration.files import Form, LoadedFile, configured_path, load
 from limelatch.configuration.plan import Address, Names, RelayPlan, bench_settings, plan_of
+from limelatch.configuration.reload import reload_errors
 from limelatch.configuration.units import to_units
 
 __all__ = [
@@ -41,21 +40,18 @@
 
     For the platform's JSON, other variables of `environment` fill in missing keys. Raises ConfigurationError.
     """
-    return plan_of(load(path or configured_path(environment), form, environment).installation)
+    loaded = load(path or configured_path(environment), form, environment)
+    return plan_of(loaded.installation, loaded.given)
 
 
 def reloaded_plan(
-    environment: Mapping[str, str], path: str | None = None, form: Form | None = None
+    environment: Mapping[str, str], current: RelayPlan, path: str | None = None, form: Form | None = None
 ) -> RelayPlan:
-    """Read a new configuration after SIGHUP.
+    """Read a new configuration after SIGHUP, to replace that of the plan `current`.
 
-    Raises ConfigurationError if any part of it is unusable; the caller then keeps the current configuration.
+    Raises ConfigurationError if any part of it is unusable or missing; the caller then keeps the current one.
     """
     loaded = load(path or configured_path(environment), form, environment)
-    errors = [
-        replace(each, path=loaded.reader.where(each.path))
-        for each in reload_errors(loaded.installation, loaded.given)
-    ]
-    if errors:
+    if errors := reload_errors(current.source, loaded):
         raise ConfigurationError(errors, loaded.text)
-    return plan_of(loaded.installation)
+    return plan_of(loaded.installation, loaded.given)
--- a/limelatch/configuration/checks.py
+++ b/limelatch/configuration/checks.py
@@ -144,21 +144,3 @@
             )
         )
     return found
-
-
-def reload_errors(installation: Installation, given: set[str]) -> list[ConfigError]:
-    """Return what prevents a configuration from being applied at SIGHUP, though a relay could start with it.
-
-    Guards against a truncated or hastily edited file: a product without its effect or validity period would
-    take defaults that nobody intended, and pending texts would keep their old rules while new ones got these.
-    """
-    errors = []
-    for index, row in enumerate(installation.products):
-        for name in ("effect", "validity_period"):
-            if f"products[{index}].{name}" not in given:
-                errors.append(ConfigError(f"products[{index}].{name}", "is required in a new configuration"))
-        if row.validity_period <= 0 and f"products[{index}].validity_period" in given:
-            errors.append(
-                ConfigError(f"products[{index}].validity_period", "expected a validity period over 0")
-            )
-    return errors
--- a/limelatch/configuration/files.py
+++ b/limelatch/configuration/files.py
@@ -52,11 +52,12 @@
     text: str
     installation: Installation
     reader: Reader
+    filled_in: frozenset[str] = frozenset()  # keys of the platform's JSON that came from the environment
 
     @property
     def given(self) -> set[str]:
-        """The paths of the keys that the file sets; all others have their defaults."""
-        return self.reader.given
+        """The paths of the keys that the file itself sets."""
+        return {path for path in self.reader.given if self.reader.where(path) not in self.filled_in}
 
     def warnings(self) -> list[ConfigError]:
         """Return warnings: values that are accepted although they are inconsistent."""
@@ -157,7 +158,7 @@
     Without `form`, the file's name decides. For the platform's JSON, variables of `environment` fill in keys
     that the file leaves out.
     """
-    form = form or form_of(path)
+    form, filled_in = form or form_of(path), frozenset()
     text = decode(path, read_bytes(path, MAX_TOML_BYTES if form is Form.TOML else MAX_JSON_BYTES))
     if form is Form.TOML:
         reader = Reader(TOML_UNITS, strict=True)
@@ -166,18 +167,19 @@
     else:
         raw = parse_json(path, text)
         if isinstance(raw, dict):
-            given = {
+            raw = {key: value for key, value in raw.items() if value is not None}
+            fallbacks = {
                 key: (environment or {})[variable]
                 for key, variable in VARIABLES.items()
-                if variable in (environment or {})
+                if variable in (environment or {}) and key not in raw
             }
-            raw = given | {key: value for key, value in raw.items() if value is not None}
+            raw, filled_in = raw | fallbacks, frozenset(fallbacks)
         installation, errors, reader = read_platform(raw)
     if form is Form.TOML and installation is not None:  # in the platform's JSON inconsistencies are warnings
         errors = errors + conflicts(installation, is_toml=True) + inconsistencies(installation)
     if errors:
         raise ConfigurationError(errors, text)
-    return LoadedFile(path, form, text, installation, reader)
+    return LoadedFile(path, form, text, installation, reader, filled_in)
 
 
 def with_lines(errors: list[ConfigError], text: str, form: Form) -> list[ConfigError]:
--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from limelatch import interface as li
@@ -18,6 +19,7 @@
     RevenueDecay,
 )
 from limelatch.configuration.platform_form import read_platform
+from limelatch.configuration.reload import ConfigurationSource
 from limelatch.membership.timing import Timing
 
 SEED_BYTES = 8
@@ -120,7 +122,7 @@
     list_timeout: int  # for the first list at the start; after that the known one is used
     watch_timeout: int  # how long the catalog's watch may be silent before it is reopened
     reconnect_delay: int  # before catalog or platform are tried again
-    given: Installation  # the configuration that the plan was made from
+    source: ConfigurationSource  # what the plan was made from
     membership: MembershipPlan | None = None
 
 
@@ -208,8 +210,11 @@
     )
 
 
-def plan_of(installation: Installation) -> RelayPlan:
-    """Make the plan of a relay process from its configuration; without a configured seed, draw one."""
+def plan_of(installation: Installation, given: Iterable[str] = ()) -> RelayPlan:
+    """Make the plan of a relay process from its configuration; without a configured seed, draw one.
+
+    `given`: the paths of the keys that the configuration's file sets.
+    """
     relay, catalog, limits = installation.relay, installation.catalog, installation.limits
     seed = int(relay.seed, 16) if relay.seed else int.from_bytes(os.urandom(SEED_BYTES), "big")
     return RelayPlan(
@@ -237,6 +242,6 @@
         list_timeout=catalog.list_wait,
         watch_timeout=catalog.silence,
         reconnect_delay=catalog.reconnect_wait,
-        given=installation,
+        source=ConfigurationSource.of(installation, given),
         membership=membership_of(installation.membership),
     )
--- /dev/null
+++ b/limelatch/configuration/reload.py
@@ -0,0 +1,94 @@
+"""Checks whether a running relay may replace its configuration by a new one at SIGHUP.
+
+A start has nothing to fall back on: a missing key takes its default or comes from the environment. At SIGHUP
+the configuration in force is known to work, so a file that leaves out a key of it is not applied at all.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+import msgspec
+from msgspec.inspect import StructType
+
+from limelatch.configuration.errors import ConfigError
+from limelatch.configuration.files import LoadedFile
+from limelatch.configuration.model import Installation
+from limelatch.configuration.reading import keys_of
+
+ROW_KEY = re.compile(r"(\w+)\[(\d+)\]\.(\w+)")  # the path of a key in a row: table, index, name
+ROW_TABLES = ("products", "customers", "kinds", "floors")
+NAME_KEY = "name"
+LIST_OF_HOSTS = "known"  # data rather than a setting; a new file need not repeat it
+REQUIRED_OF_PRODUCTS = frozenset({"effect", "validity_period"})
+MISSING = "is set in the configuration in force, but missing in the new one"
+MISSING_IN_NEW_ROW = "is required in a new row, but missing"
+
+
+@dataclass(frozen=True)
+class GivenKeys:
+    """The keys that a file sets. All other keys have defaults, or come from the environment.
+
+    Rows with the same keys share one set, so that a configuration with many rows takes little memory.
+    """
+
+    outside_rows: frozenset[str]  # paths, such as `catalog.address`
+    of_rows: Mapping[str, tuple[frozenset[str], ...]]  # by table: for each row the names of its keys
+
+    @classmethod
+    def of(cls, paths: Iterable[str], installation: Installation) -> GivenKeys:
+        """Sort the paths of a file's keys by table and row; a row's empty name counts as not given."""
+        tables = {name for name, key in keys_of(Installation).items() if isinstance(key.type, StructType)}
+        outside_rows: set[str] = set()
+        names = {table: [set() for _ in getattr(installation, table)] for table in ROW_TABLES}
+        for path in paths:
+            if match := ROW_KEY.fullmatch(path):
+                names[match[1]][int(match[2])].add(match[3])
+            elif path not in tables:
+                outside_rows.add(path)
+        shared: dict[frozenset[str], frozenset[str]] = {}
+        of_rows = {}
+        for table, rows in names.items():
+            for row, found in zip(getattr(installation, table), rows, strict=True):
+                if not row.name:
+                    found.discard(NAME_KEY)
+            frozen_rows = (frozenset(found) for found in rows)
+            of_rows[table] = tuple(shared.setdefault(found, found) for found in frozen_rows)
+        return cls(frozenset(outside_rows), of_rows)
+
+
+@dataclass(frozen=True)
+class ConfigurationSource:
+    """A configuration and the keys that its file sets, without the list of hosts."""
+
+    installation: Installation
+    given: GivenKeys
+
+    @classmethod
+    def of(cls, installation: Installation, paths: Iterable[str]) -> ConfigurationSource:
+        """Keep what a later reload is compared with; `paths` are those of the keys that the file sets."""
+        return cls(msgspec.structs.replace(installation, known={}), GivenKeys.of(paths, installation))
+
+
+def reload_errors(current: ConfigurationSource, new: LoadedFile) -> list[ConfigError]:
+    """Return what prevents a file from replacing the current configuration, though a relay may start with it.
+
+    Guards against a truncated or hastily edited file: a key that it leaves out would take a default that
+    nobody intended, or a value of the environment that the configuration in force has overridden.
+    """
+    source = ConfigurationSource.of(new.installation, new.given)
+    missing = current.given.outside_rows - source.given.outside_rows - {LIST_OF_HOSTS}
+    errors = [ConfigError(path, MISSING) for path in sorted(missing)]
+    errors += [
+        ConfigError(f"products[{index}].{name}", MISSING_IN_NEW_ROW)
+        for index, keys in enumerate(source.given.of_rows["products"])
+        for name in sorted(REQUIRED_OF_PRODUCTS - keys)
+    ]
+    errors += [
+        ConfigError(f"products[{index}].validity_period", "expected a validity period over 0")
+        for index, row in enumerate(new.installation.products)
+        if row.validity_period <= 0 and "validity_period" in source.given.of_rows["products"][index]
+    ]
+    return [replace(each, path=new.reader.where(each.path)) for each in errors]
--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -99,7 +99,7 @@
 
     def reload_configuration() -> None:
         try:
-            driver.reconfigure(reloaded_plan(os.environ, path, form))
+            driver.reconfigure(reloaded_plan(os.environ, driver.plan, path, form))
         except ConfigurationError as error:  # the configuration in force stays as it is
             logs.log_event(log, "not-configured", why="; ".join(str(each) for each in error.errors))
 
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -71,7 +71,7 @@
 
     def __init__(self, plan: RelayPlan, reactor, clock: Clock) -> None:
         self.plan, self.reactor, self.clock = plan, reactor, clock
-        self.initial_values = plan.given
+        self.initial_values = plan.source.installation
         self.deadlines = Deadlines(reactor, clock)
         self.policy = Policy(plan.settings, clock.now())
         self.suspended_hosts = SuspendedHosts(plan.state_dir)  # read before the state directory is locked
@@ -275,7 +275,9 @@
     def reconfigure(self, plan: RelayPlan) -> None:
         """SIGHUP: apply the settings that can change while texts are pending; the others need a restart."""
         restart_keys = [
-            each.path for each in changes(self.initial_values, plan.given) if each.reload is Reload.RESTART
+            each.path
+            for each in changes(self.initial_values, plan.source.installation)
+            if each.reload is Reload.RESTART
         ]
         settings = replace(
             self.plan.settings, products=plan.settings.products, max_submits=plan.settings.max_submits
@@ -289,6 +291,7 @@
             max_stop_time=plan.max_stop_time,
             settings=settings,
             names=replace(self.plan.names, products=plan.names.products),
+            source=plan.source,
         )
         self.policy.settings = settings  # pending texts keep the product settings of their arrival
         self.catalog.change_address(plan.catalog_address)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -524,7 +524,7 @@
     class StandIn:
         """Stands in for the driver and the reactor; the signal comes while the state directory is read."""
 
-        failed, done = False, []
+        failed, done, plan = False, [], None
 
         def __init__(self, *given):
             if given:
