A file at SIGHUP whose row lacks a key of the row in force is not applied

Cause: the reload asked for a product's effect and deadline alone; each other key of a row took its default, for `group` all hosts of the destination. Excluded: texts in hand (they keep their row), the list.

Change: a row of products, customers, kinds or floors is compared with the row in force of its name (without a name, with the one in its place) and has to set each key that this one sets. A new row sets what all rows in force set; a product's effect and deadline always, group and window where it is keyed. Rows may be dropped, and a class may have another effect. In the platform's JSON, lists of kinds and zones that are absent are told from empty ones.

Not taken: keys that the relay does not read are not asked for, since a platform may stop sending them; and a class in order may not lose `oneAtATime` by leaving it out, `false` says so.

--- a/limelatch/configuration/platform_form.py
+++ b/limelatch/configuration/platform_form.py
@@ -112,12 +112,13 @@
                 return None
         return value
 
-    def _list_at(self, source: str) -> list:
+    def _list_at(self, source: str) -> list | None:
+        """Return the list at a dotted path, None if it is absent; anything else is an error."""
         found = self.get(source)
         if found is not None and not isinstance(found, list):
             self.errors.append(invalid_value(source, "a list", found))
-            return []
-        return found or []
+            return None
+        return found
 
     def _translate(self) -> dict:
         translated: dict[str, object] = {}
@@ -127,7 +128,9 @@
                 if rows is not None:
                     translated[name] = rows
             elif name in COLUMN_TABLES:
-                translated[name] = self._column_table(name, key)
+                rows = self._column_table(name, key)
+                if rows is not None:
+                    translated[name] = rows
             elif isinstance(key.type, inspect.StructType):
                 translated[name] = self._table(name, key)
             else:
@@ -162,8 +165,10 @@
         flag = self.get(RETRY_AFTER_FLAG)
         if flag is not None and not isinstance(flag, bool):
             self.errors.append(invalid_value(RETRY_AFTER_FLAG, "true or false", flag))
-        elif not flag:
+        elif flag is None:
             limits.pop("advice", None)
+        elif not flag and "advice" in limits:
+            limits["advice"] = 0
 
     def _rows(self, table: str, key: Key) -> list | None:
         """Translate a list of objects; a value that is no list is left for the reader to report."""
@@ -180,27 +185,35 @@
                 continue
             found.append(translated := {NAME_KEY: ""})
             for name, each in keys_of(key.type.item_type.cls).items():
-                path, source_name = f"{table}[{index}].{name}", each.metadata["platform"]
-                self.source_paths[path] = f"{source}[{index}].{source_name}"
+                source_name = each.metadata["platform"]
+                source_path = f"{source}[{index}].{source_name}"
+                self.source_paths[f"{table}[{index}].{name}"] = source_path
                 value = model_value(f"{table}.{name}", (row or {}).get(source_name))
                 if value is not None and (table == "products" or name == NAME_KEY or is_share(value)):
                     translated[name] = value
         return found
 
-    def _column_table(self, table: str, key: Key) -> list[dict]:
-        """Combine the lists of a table's columns to rows; where a list is too short, rows keep defaults."""
+    def _column_table(self, table: str, key: Key) -> list[dict] | None:
+        """Combine the lists of a table's columns to rows; where a list is too short, rows keep defaults.
+
+        None if there is no list at all.
+        """
         columns = keys_of(key.type.item_type.cls)
-        lists = {name: self._list_at(each.metadata["platform"]) for name, each in columns.items()}
-        self.source_paths[table] = columns[NAME_KEY].metadata["platform"]
-        rows: list[dict] = [{} for _ in range(max(len(each) for each in lists.values()))]
-        for name, values in lists.items():
-            for index, value in enumerate(values):
-                self.source_paths[f"{table}[{index}].{name}"] = (
-                    f"{columns[name].metadata['platform']}[{index}]"
-                )
-                if isinstance(columns[name].type, inspect.BoolType):
-                    value = value is True
-                rows[index][name] = value
+        sources = {name: each.metadata["platform"] for name, each in columns.items()}
+        self.source_paths[table] = sources[NAME_KEY]
+        lists = {name: self._list_at(source) for name, source in sources.items()}
+        if all(values is None for values in lists.values()):
+            return None
+        rows: list[dict] = [{} for _ in range(max(len(values or ()) for values in lists.values()))]
+        for name, source in sources.items():
+            for index, row in enumerate(rows):
+                source_path = f"{source}[{index}]"
+                self.source_paths[f"{table}[{index}].{name}"] = source_path
+                values = lists[name] or ()
+                if index >= len(values):
+                    continue
+                if not isinstance(columns[name].type, inspect.BoolType) or isinstance(values[index], bool):
+                    row[name] = values[index]
         return rows
 
 
--- a/limelatch/configuration/reload.py
+++ b/limelatch/configuration/reload.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
 import msgspec
@@ -15,14 +15,17 @@
 
 from limelatch.configuration.errors import ConfigError
 from limelatch.configuration.files import LoadedFile
-from limelatch.configuration.model import Installation
+from limelatch.configuration.model import Installation, Product, Table
 from limelatch.configuration.reading import keys_of
+from limelatch.interface import Effect
 
 ROW_KEY = re.compile(r"(\w+)\[(\d+)\]\.(\w+)")  # the path of a key in a row: table, index, name
 ROW_TABLES = ("products", "customers", "kinds", "floors")
 NAME_KEY = "name"
 LIST_OF_HOSTS = "known"  # data rather than a setting; a new file need not repeat it
+REPEAT_KEYS = frozenset({"repeat_window", "repeat_known"})  # they only concern referenced products
 REQUIRED_OF_PRODUCTS = frozenset({"effect", "validity_period"})
+OPTIONAL_IN_NEW_ROWS = frozenset({"in_order"})
 MISSING = "is set in the configuration in force, but missing in the new one"
 MISSING_IN_NEW_ROW = "is required in a new row, but missing"
 
@@ -81,14 +84,43 @@
     source = ConfigurationSource.of(new.installation, new.given)
     missing = current.given.outside_rows - source.given.outside_rows - {LIST_OF_HOSTS}
     errors = [ConfigError(path, MISSING) for path in sorted(missing)]
-    errors += [
-        ConfigError(f"products[{index}].{name}", MISSING_IN_NEW_ROW)
-        for index, keys in enumerate(source.given.of_rows["products"])
-        for name in sorted(REQUIRED_OF_PRODUCTS - keys)
-    ]
+    for table in ROW_TABLES:
+        errors += row_errors(table, current, source)
     errors += [
         ConfigError(f"products[{index}].validity_period", "expected a validity period over 0")
         for index, row in enumerate(new.installation.products)
         if row.validity_period <= 0 and "validity_period" in source.given.of_rows["products"][index]
     ]
     return [replace(each, path=new.reader.where(each.path)) for each in errors]
+
+
+def row_errors(table: str, current: ConfigurationSource, new: ConfigurationSource) -> Iterator[ConfigError]:
+    """Yield the keys that rows of the new table lack.
+
+    A row replaces the current one of its name, or without a name the one in its place; any other row is new
+    and needs each key that all current rows set. A row may be dropped.
+    """
+    current_rows = list(zip(getattr(current.installation, table), current.given.of_rows[table], strict=True))
+    by_name = {row.name: (row, keys) for row, keys in current_rows if row.name}
+    common_keys = frozenset.intersection(*(keys for _, keys in current_rows)) if current_rows else frozenset()
+    new_rows = zip(getattr(new.installation, table), new.given.of_rows[table], strict=True)
+    for index, (row, keys) in enumerate(new_rows):
+        replaced = by_name.get(row.name) if row.name else dict(enumerate(current_rows)).get(index)
+        if replaced is not None:
+            required, message = replaced[1], MISSING
+        else:
+            required, message = common_keys - OPTIONAL_IN_NEW_ROWS | {NAME_KEY}, MISSING_IN_NEW_ROW
+        if isinstance(row, Product):
+            required = required_of_product(row, replaced[0] if replaced is not None else None, required)
+        for name in keys_of(type(row)):
+            if name in required and name not in keys:
+                yield ConfigError(f"{table}[{index}].{name}", message)
+
+
+def required_of_product(row: Product, replaced: Table | None, required: frozenset[str]) -> frozenset[str]:
+    """Return the keys that a product needs, of those required by the current rows and by its effect."""
+    if row.effect is Effect.REFERENCED:
+        return required | REQUIRED_OF_PRODUCTS | REPEAT_KEYS
+    if replaced is None or replaced.effect is not row.effect:
+        required -= REPEAT_KEYS
+    return required | REQUIRED_OF_PRODUCTS
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -3,6 +3,7 @@
 import copy
 import json
 import signal
+from collections.abc import Iterator
 
 import pytest
 from conftest import SETTINGS
@@ -11,6 +12,7 @@
 from limelatch.configuration.platform_form import write_platform
 from limelatch.configuration.toml_form import write_toml
 
+NOTICE, CHARGE, REPORT = SETTINGS["classes"]
 WHOLE_TOML = """
 [relay]
 listen = "127.0.0.1:6379"
@@ -90,6 +92,15 @@
     return Files()
 
 
+def key_paths(raw: object, path: tuple = ()) -> Iterator[tuple]:
+    """Yield the path of each key in an object and in the objects and lists inside it."""
+    for name, value in raw.items() if isinstance(raw, dict) else enumerate(raw):
+        if isinstance(raw, dict):
+            yield *path, name
+        if isinstance(value, (dict, list)) and name not in ("log_parts",):
+            yield from key_paths(value, (*path, name))
+
+
 def without(raw: dict, path: tuple) -> dict:
     """Return a copy of an object without the key at the path."""
     changed = copy.deepcopy(raw)
@@ -100,6 +111,16 @@
     return changed
 
 
+def with_value(raw: dict, path: tuple, value: object) -> dict:
+    """Return a copy of an object with another value at the path."""
+    changed = copy.deepcopy(raw)
+    parent = changed
+    for name in path[:-1]:
+        parent = parent[name]
+    parent[path[-1]] = value
+    return changed
+
+
 def errors_at_reload(path: str, current) -> list[str]:
     """Return the keys of a file that prevent its use at SIGHUP; none if it would be applied."""
     try:
@@ -119,6 +140,84 @@
 }
 
 
+def test_each_key_that_is_missing_or_null_in_the_platforms_json_keeps_the_file_from_being_applied(files):
+    """Guards against a file short of a key whose key then takes a default or a value of the environment."""
+    current = relay_plan(ENVIRONMENT, files.json_path)
+    assert errors_at_reload(files.json_path, current) == []
+    applied = []
+    for path in key_paths(files.raw):
+        for changed in (without(files.raw, path), with_value(files.raw, path, None)):
+            files.write(files.json_path, changed)
+            if not errors_at_reload(files.json_path, current):
+                applied.append(path)
+    assert applied == [] and len(list(key_paths(files.raw))) > 70
+
+
+def test_each_key_that_is_missing_in_toml_keeps_the_file_from_being_applied(files):
+    """Guards against a file short of a line whose key then takes its default.
+
+    Not so for an entry of `log.parts`: without it a part is logged as all others are.
+    """
+    current = relay_plan({}, files.toml_path)
+    with open(files.toml_path) as file:
+        lines = file.read().splitlines(keepends=True)
+    keys = [number for number, line in enumerate(lines) if "=" in line and "policy" not in line]
+    applied = []
+    for number in keys:
+        files.write(files.toml_path, "".join(lines[:number] + lines[number + 1 :]))
+        if not errors_at_reload(files.toml_path, current):
+            applied.append(lines[number])
+    assert applied == [] and len(keys) > 70
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        {"name": "new", "effect": "token", "dedupWindow": 9000, "deadline": 9000},
+        {"name": "new", "effect": "token", "group": "all", "deadline": 9000},
+        {"name": "new", "effect": "token", "group": None, "dedupWindow": 9000, "deadline": 9000},
+        {"name": "new", "effect": "pure"},
+        {"name": "new", "deadline": 9000},
+        {"name": "new", "effect": "pure", "deadline": 0},
+        {"effect": "pure", "deadline": 9000},
+        {"name": "notice", "effect": "pure", "dedupWindow": 9000, "deadline": None},
+        None,
+    ],
+)
+def test_a_new_row_short_of_a_key_keeps_the_file_from_being_applied(files, row):
+    """Guards against a new class that gets a group, window or deadline which nobody has written."""
+    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "state": "s", "settings": SETTINGS}
+    files.write(files.json_path, raw)
+    current = relay_plan({}, files.json_path)
+    classes = [each for each in SETTINGS["classes"] if row is None or each["name"] != row.get("name")]
+    files.write(files.json_path, raw | {"settings": SETTINGS | {"classes": [*classes, row]}})
+    assert errors_at_reload(files.json_path, current)
+
+
+@pytest.mark.parametrize(
+    "classes",
+    [
+        [REPORT],
+        [REPORT, NOTICE, CHARGE],
+        [NOTICE | {"deadline": 9000}, CHARGE, REPORT],
+        [{"name": "notice", "effect": "pure", "deadline": 9000}, CHARGE, REPORT],
+        [{"name": "notice", "effect": "side_effect", "oneAtATime": True, "deadline": 9000}],
+        [*SETTINGS["classes"], {"name": "new", "effect": "pure", "deadline": 9000}],
+        [*SETTINGS["classes"], NOTICE | {"name": "new", "group": "all"}],
+    ],
+)
+def test_classes_may_be_dropped_added_moved_and_have_another_effect(files, classes):
+    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "state": "s", "settings": SETTINGS}
+    files.write(files.json_path, raw)
+    current = relay_plan({}, files.json_path)
+    limits = SETTINGS["limits"] | {"maxAttempts": 2}
+    settings = SETTINGS | {"classes": classes, "limits": limits}
+    files.write(files.json_path, raw | {"settings": settings, "discovery": "127.0.0.1:3", "other": 1})
+    plan = reloaded_plan({}, current, files.json_path)
+    assert [row["name"] for row in classes] == plan.names.products and plan.settings.max_submits == 2
+    assert str(plan.catalog_address) == "127.0.0.1:3"
+
+
 def test_a_key_that_only_the_environment_has_set_may_stay_out_of_the_file(files):
     raw = {"listen": "127.0.0.1:1", "state": "s", "settings": SETTINGS}
     files.write(files.json_path, raw)
@@ -182,3 +281,30 @@
     assert "event=not-configured" in line and "discovery" in line
     hang_up(program, whole)
     program.wait_for_log("event=configured")
+
+
+@pytest.mark.parametrize("broken", ["missing", "null", "wrong"])
+def test_a_file_without_a_class_s_group_leaves_a_text_that_may_have_run_in_its_zone(
+    program, agent, make_host, broken
+):
+    """Guards against a repeat in another zone, which does not know the text's key: review, case 2."""
+    first, other = make_host(lambda request: (500,)), make_host()
+    agent.list(first.address, zone="a")
+    client = program.start()
+    whole = json.loads(program.file.read_text())
+    group = ("settings", "classes", 0, "group")
+    values = {"null": None, "wrong": 7}
+    hang_up(
+        program,
+        without(whole, group) if broken == "missing" else with_value(whole, group, values[broken]),
+    )
+    line = program.wait_for_log("configured")
+    assert client.submit("t1", "notice", d=3000) == "+OK"
+    assert first.next().headers["X-Txn"] == "t1"
+    agent.list(first.address, zone="a", status="leaving")
+    agent.list(other.address, name="s-2", zone="b")
+    agent.tell(agent.watches.get(timeout=10))
+    assert client.submit("t2", "report") == "+OK"
+    assert other.next().headers["X-Txn"] == "t2"
+    assert agent.notice()["ref"] == "t1" and other.requests.empty()
+    assert "event=not-configured" in line and "settings.classes[0].group" in line
