A value at SIGHUP that is not understood keeps the file from being applied

Change: the reading of the platform's JSON keeps what it replaced; at SIGHUP each such value refuses the file by name, but for one that the file in force has too: a relay that started with a word of a newer platform still follows discovery. A start is as before; `limelatch config check` names these values as doubts.

--- a/limelatch/configuration/__init__.py
+++ b/limelatch/configuration/__init__.py
@@ -41,7 +41,7 @@
     For the platform's JSON, other variables of `environment` fill in missing keys. Raises ConfigurationError.
     """
     loaded = load(path or configured_path(environment), form, environment)
-    return plan_of(loaded.installation, loaded.given)
+    return plan_of(loaded.installation, loaded.given, loaded.reader.substituted)
 
 
 def reloaded_plan(
@@ -54,4 +54,4 @@
     loaded = load(path or configured_path(environment), form, environment)
     if errors := reload_errors(current.source, loaded):
         raise ConfigurationError(errors, loaded.text)
-    return plan_of(loaded.installation, loaded.given)
+    return plan_of(loaded.installation, loaded.given, loaded.reader.substituted)
--- a/limelatch/configuration/files.py
+++ b/limelatch/configuration/files.py
@@ -60,11 +60,11 @@
         return {path for path in self.reader.given if self.reader.where(path) not in self.filled_in}
 
     def warnings(self) -> list[ConfigError]:
-        """Return warnings: values that are accepted although they are inconsistent."""
+        """Return warnings: values that are inconsistent or not understood, but accepted at a start."""
         found = [
             replace(each, path=self.reader.where(each.path)) for each in inconsistencies(self.installation)
         ]
-        return with_lines(found, self.text, self.form)
+        return with_lines(self.reader.substituted + found, self.text, self.form)
 
 
 def form_of(path: str) -> Form:
--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 
 from limelatch import interface as li
-from limelatch.configuration.errors import ConfigurationError
+from limelatch.configuration.errors import ConfigError, ConfigurationError
 from limelatch.configuration.model import (
     Installation,
     ListDelivery,
@@ -210,10 +210,13 @@
     )
 
 
-def plan_of(installation: Installation, given: Iterable[str] = ()) -> RelayPlan:
+def plan_of(
+    installation: Installation, given: Iterable[str] = (), substituted: Iterable[ConfigError] = ()
+) -> RelayPlan:
     """Make the plan of a relay process from its configuration; without a configured seed, draw one.
 
-    `given`: the paths of the keys that the configuration's file sets.
+    `given`: the paths of the keys that the configuration's file sets; `substituted`: its values that were not
+    understood.
     """
     relay, catalog, limits = installation.relay, installation.catalog, installation.limits
     seed = int(relay.seed, 16) if relay.seed else int.from_bytes(os.urandom(SEED_BYTES), "big")
@@ -242,6 +245,6 @@
         list_timeout=catalog.list_wait,
         watch_timeout=catalog.silence,
         reconnect_delay=catalog.reconnect_wait,
-        source=ConfigurationSource.of(installation, given),
+        source=ConfigurationSource.of(installation, given, substituted),
         membership=membership_of(installation.membership),
     )
--- a/limelatch/configuration/platform_form.py
+++ b/limelatch/configuration/platform_form.py
@@ -88,6 +88,8 @@
 
     def __init__(self, raw: object) -> None:
         self.raw, self.errors, self.source_paths = raw, [], {}
+        # Values that are not understood and were replaced by the safest choice.
+        self.substituted: list[ConfigError] = []
         self.broken: set[str] = set()  # paths where an object is expected and something else was found
         self.translated = self._translate() if isinstance(raw, dict) else raw
 
@@ -144,13 +146,14 @@
         for name, each in keys_of(key.type.cls).items():
             path = f"{table}.{name}"
             self.source_paths[path] = source = each.metadata["platform"]
-            value = model_value(path, self.get(source))
+            value = self._model_value(path, source, self.get(source))
             if value is not None:
                 found[name] = value
         if table == "limits":
             self._apply_retry_after_flag(found)
         elif table == "relay" and found.get("relays") == 0:
             del found["relays"]  # a relay counts itself: 0 becomes the default of 1
+            self._substitute(self.source_paths["relay.relays"], "a number over 0", 0)
         elif table == "membership" and found.get("on") is not True:
             # The platform lists peers for every relay. That alone does not turn membership on, and a wrong
             # value must not keep a relay without membership from starting.
@@ -170,6 +173,20 @@
         elif not flag and "advice" in limits:
             limits["advice"] = 0
 
+    def _model_value(self, path: str, source: str, value: object) -> object:
+        """Convert the platform's enum value of a key to the model's; return other values unchanged."""
+        if path not in ENUM_VALUES or not isinstance(value, str):
+            return value
+        names, safest = ENUM_VALUES[path]
+        if value not in names and safest is not None:
+            self._substitute(source, " or ".join(names), value)
+            return safest
+        return names.get(value, value)
+
+    def _substitute(self, source: str, expected: str, value: object) -> None:
+        """Record that a value is not understood and is replaced by the safest choice."""
+        self.substituted.append(invalid_value(source, expected, value))
+
     def _rows(self, table: str, key: Key) -> list | None:
         """Translate a list of objects; a value that is no list is left for the reader to report."""
         source = key.metadata["platform"]
@@ -188,9 +205,13 @@
                 source_name = each.metadata["platform"]
                 source_path = f"{source}[{index}].{source_name}"
                 self.source_paths[f"{table}[{index}].{name}"] = source_path
-                value = model_value(f"{table}.{name}", (row or {}).get(source_name))
-                if value is not None and (table == "products" or name == NAME_KEY or is_share(value)):
+                value = self._model_value(f"{table}.{name}", source_path, (row or {}).get(source_name))
+                if value is None:
+                    continue
+                if table == "products" or name == NAME_KEY or is_share(value):
                     translated[name] = value
+                else:
+                    self._substitute(source_path, "a number from 0 to 1", value)
         return found
 
     def _column_table(self, table: str, key: Key) -> list[dict] | None:
@@ -214,17 +235,11 @@
                     continue
                 if not isinstance(columns[name].type, inspect.BoolType) or isinstance(values[index], bool):
                     row[name] = values[index]
+                elif values[index] is not None:
+                    self._substitute(source_path, "true or false", values[index])
         return rows
 
 
-def model_value(path: str, value: object) -> object:
-    """Convert the platform's enum value of a key to the model's; return other values unchanged."""
-    if path in ENUM_VALUES and isinstance(value, str):
-        names, default = ENUM_VALUES[path]
-        return names.get(value, value if default is None else default)
-    return value
-
-
 def is_share(value: object) -> bool:
     """Tell whether the value is a number from 0 to 1."""
     return isinstance(value, (int, float)) and not isinstance(value, bool) and 0 <= value <= 1
@@ -236,7 +251,13 @@
     Returns the model, None if there are errors; the errors; the reader, which knows the keys that are set.
     """
     translation = Translation(raw)
-    reader = Reader(PLATFORM_UNITS, strict=False, where=translation.source_path, errors=translation.errors)
+    reader = Reader(
+        PLATFORM_UNITS,
+        strict=False,
+        where=translation.source_path,
+        errors=translation.errors,
+        substituted=translation.substituted,
+    )
     found = reader.read(translation.translated)
     for each in conflicts(found, is_toml=False) if found is not None else ():
         found = None
--- a/limelatch/configuration/reading.py
+++ b/limelatch/configuration/reading.py
@@ -129,6 +129,8 @@
     root: type[msgspec.Struct] = Installation
     errors: list[ConfigError] = field(default_factory=list)
     given: set[str] = field(default_factory=set)
+    # Values that are not understood and were replaced by the safest choice; the paths are those of the file.
+    substituted: list[ConfigError] = field(default_factory=list)
 
     def read(self, raw: object) -> msgspec.Struct | None:
         """Return the model, an instance of `root`; None if there is any error."""
--- a/limelatch/configuration/reload.py
+++ b/limelatch/configuration/reload.py
@@ -1,7 +1,8 @@
 """Checks whether a running relay may replace its configuration by a new one at SIGHUP.
 
-A start has nothing to fall back on: a missing key takes its default or comes from the environment. At SIGHUP
-the configuration in force is known to work, so a file that leaves out a key of it is not applied at all.
+A start has nothing to fall back on: a missing key takes its default or comes from the environment, and a
+value that is not understood is replaced by the safest one. At SIGHUP the configuration in force is known to
+work, so a file that leaves out a key of it, or has a value that is not understood, is not applied at all.
 """
 
 from __future__ import annotations
@@ -20,6 +21,7 @@
 from limelatch.interface import Effect
 
 ROW_KEY = re.compile(r"(\w+)\[(\d+)\]\.(\w+)")  # the path of a key in a row: table, index, name
+ROW_INDEX = re.compile(r"\[\d+\]")
 ROW_TABLES = ("products", "customers", "kinds", "floors")
 NAME_KEY = "name"
 LIST_OF_HOSTS = "known"  # data rather than a setting; a new file need not repeat it
@@ -68,18 +70,34 @@
 
     installation: Installation
     given: GivenKeys
+    substitutions: frozenset[ConfigError] = frozenset()  # without the indexes of rows
 
     @classmethod
-    def of(cls, installation: Installation, paths: Iterable[str]) -> ConfigurationSource:
-        """Keep what a later reload is compared with; `paths` are those of the keys that the file sets."""
-        return cls(msgspec.structs.replace(installation, known={}), GivenKeys.of(paths, installation))
+    def of(
+        cls, installation: Installation, paths: Iterable[str], substituted: Iterable[ConfigError] = ()
+    ) -> ConfigurationSource:
+        """Keep what a later reload is compared with.
+
+        `paths` are those of the keys that the file sets, `substituted` its values that were not understood.
+        """
+        return cls(
+            msgspec.structs.replace(installation, known={}),
+            GivenKeys.of(paths, installation),
+            frozenset(without_index(each) for each in substituted),
+        )
+
+
+def without_index(error: ConfigError) -> ConfigError:
+    """Return the error without the indexes of rows in its path, so that rows may be moved."""
+    return replace(error, path=ROW_INDEX.sub("[]", error.path))
 
 
 def reload_errors(current: ConfigurationSource, new: LoadedFile) -> list[ConfigError]:
     """Return what prevents a file from replacing the current configuration, though a relay may start with it.
 
     Guards against a truncated or hastily edited file: a key that it leaves out would take a default that
-    nobody intended, or a value of the environment that the configuration in force has overridden.
+    nobody intended, or a value of the environment that the configuration in force has overridden. A value
+    that is not understood is no error where the file in force has it too.
     """
     source = ConfigurationSource.of(new.installation, new.given)
     missing = current.given.outside_rows - source.given.outside_rows - {LIST_OF_HOSTS}
@@ -91,7 +109,10 @@
         for index, row in enumerate(new.installation.products)
         if row.validity_period <= 0 and "validity_period" in source.given.of_rows["products"][index]
     ]
-    return [replace(each, path=new.reader.where(each.path)) for each in errors]
+    errors = [replace(each, path=new.reader.where(each.path)) for each in errors]
+    return errors + [
+        each for each in new.reader.substituted if without_index(each) not in current.substitutions
+    ]
 
 
 def row_errors(table: str, current: ConfigurationSource, new: ConfigurationSource) -> Iterator[ConfigError]:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -69,6 +69,15 @@
 name = "first"
 fee = 0.01
 """
+WRONG_VALUES = (True, -1, 0.5, "nosuch", [], {}, [{}], "")
+WRONG_WORDS = {  # by key of the platform's JSON: values of the right type that have no meaning
+    "effect": "safe",
+    "group": "cell",
+    "weightSource": "live",
+    "losesWorth": "never",
+    "portion": 1.5,
+    "peersTotal": 0,
+}
 
 
 @pytest.fixture
@@ -170,6 +179,30 @@
     assert applied == [] and len(keys) > 70
 
 
+def test_each_wrong_value_in_the_platforms_json_keeps_the_file_from_being_applied(files):
+    """Guards against a value that is not understood and replaced, where the settings in force are known."""
+    current = relay_plan({}, files.json_path)
+    applied = []
+    for path in key_paths(files.raw):
+        for value in (*WRONG_VALUES, WRONG_WORDS.get(path[-1], 10**400)):
+            files.write(files.json_path, with_value(files.raw, path, value))
+            if not errors_at_reload(files.json_path, current):
+                applied.append((path, value))
+    assert [(path, value) for path, value in applied if not is_valid(path, value)] == []
+
+
+def is_valid(path: tuple, value: object) -> bool:
+    """Tell whether one of the wrong values is a valid one for the key after all."""
+    name = path[-1]
+    if isinstance(value, bool):
+        return name in ("on", "oneAtATime", "retryAfter", "routesApart")
+    if isinstance(value, float):  # a span, a size, a share, a fee or a rate
+        return name not in ("maxAttempts", "sockets")
+    if isinstance(value, str):
+        return name in ("name", "state", "seed", "operator", "zones") if value else name in ("name", "seed")
+    return value in ([], {}) and name in ("known", "peers", "zones", "projects", "log_parts", "fields")
+
+
 @pytest.mark.parametrize(
     "row",
     [
@@ -218,6 +251,21 @@
     assert str(plan.catalog_address) == "127.0.0.1:3"
 
 
+def test_a_value_that_is_not_understood_but_in_force_does_not_keep_other_changes_from_being_applied(files):
+    """Guards against a relay that takes no new address of discovery, for a word that it started with."""
+    classes = [REPORT, NOTICE | {"group": "cell"}]
+    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "state": "s"}
+    files.write(files.json_path, raw | {"settings": SETTINGS | {"classes": classes}})
+    current = relay_plan({}, files.json_path)
+    assert [product.retry_anywhere for product in current.settings.products][1] is False
+    moved = raw | {"discovery": "127.0.0.1:3", "settings": SETTINGS | {"classes": classes[::-1]}}
+    files.write(files.json_path, moved)
+    assert str(reloaded_plan({}, current, files.json_path).catalog_address) == "127.0.0.1:3"
+    classes[0] = REPORT | {"effect": "cell"}
+    files.write(files.json_path, moved | {"settings": SETTINGS | {"classes": classes}})
+    assert errors_at_reload(files.json_path, current) == ["settings.classes[0].effect"]
+
+
 def test_a_key_that_only_the_environment_has_set_may_stay_out_of_the_file(files):
     raw = {"listen": "127.0.0.1:1", "state": "s", "settings": SETTINGS}
     files.write(files.json_path, raw)
