Test of two kills and a refusal: the repeat window outlasts the wait that its host tells

Trace, with 1.3 s put before the second start: the first call goes at 0.0 s, the restarted relay's call at 2.9 s is answered 429 with a wait of 9 s, and the module ends the text at once (text-ended result=dead), since the wait outlasts its repeat window of 10 s. That is right: what is given up gets its end at once. With a restart that takes more than a second after the first call the text had nothing left to show.

Change: the test's class has a window and deadline of 60 s; what it asks is unchanged, and the window can no longer end the text in place of the zone. Not taken: a shorter wait, which a slow machine can outlast too.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -82,11 +82,14 @@
 
 
 def test_after_two_kills_and_a_refusal_a_text_stays_in_the_zone_where_it_may_have_run(
-    program, agent, make_host
+    make_program, agent, make_host
 ):
+    """The repeat window is far longer than the wait and the restarts, so that it does not end the text."""
+    notice = SETTINGS["classes"][0] | {"dedupWindow": 60_000, "deadline": 60_000}
+    program = make_program(settings=SETTINGS | {"classes": [notice, *SETTINGS["classes"][1:]]})
     first, other = make_host(lambda request: request.hang()), make_host()
     agent.list(first.address, zone="a")
-    program.start().submit("t1", "notice", d=20_000)
+    program.start().submit("t1", "notice", d=60_000)
     assert first.next().headers["X-Txn"] == "t1"
     program.kill()
     first.reply = lambda request: request.answer(429, Retry_After="9")
