A zone's number comes from its name, so a start without or with other zones repeats nothing elsewhere

A next process whose file lists the zones in another order took it for another zone: the text was sent again there. Hosts of unknown zones (the key missing, or a zone not in it) all had -1 and counted as one zone, so that a repeat went to any of them.

Change: a zone's number is a hash of the name in the list of hosts (relay/zone_number.py), the same in each process whatever the settings say; without a name it is UNKNOWN_ZONE, which equals no zone. The policy used zones for this one comparison alone. A number that an earlier version left in the ledger matches none: such a text is not repeated.

Not taken: the name in the ledger's records, which can be longer than what is kept free for a text's state.

--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -33,7 +33,6 @@
 
     products: list[str]
     customers: list[str]
-    zones: list[str]
     kinds: list[str]
     fields: list[str]
 
@@ -186,11 +185,10 @@
 
 
 def names_of(installation: Installation) -> Names:
-    """Collect the names of products, customers, zones, kinds of destination and reported fields."""
+    """Collect the names of products, customers, kinds of destination and reported fields."""
     return Names(
         products=[row.name for row in installation.products],
         customers=[row.name for row in installation.customers],
-        zones=[row.name for row in installation.floors],
         kinds=[row.name for row in installation.kinds],
         fields=installation.hosts.report_fields,
     )
--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -14,6 +14,7 @@
 # Units of time: tenths of a millisecond.
 MS = 10
 SECOND = 10_000
+UNKNOWN_ZONE = -1  # the number of a host's zone where nobody has told it
 
 
 class Effect(Enum):
@@ -109,7 +110,9 @@
 
 @dataclass(slots=True)
 class HostEntry:
-    """One line of the host list; `rate` is the limit in calls a second, 0 where none is known."""
+    """One line of the host list; `rate` is the limit in calls a second, 0 where none is known.
+
+    `zone`: two hosts are in the same zone if their numbers are equal and not UNKNOWN_ZONE."""
 
     host: HostId
     destination: int
--- a/limelatch/lab/soak/mutants.py
+++ b/limelatch/lab/soak/mutants.py
@@ -158,7 +158,7 @@
     Mutant(
         "zone of a retry",
         "policy.py",
-        "is_other_zone = not pending.product.retry_anywhere and host.zone != pending.first_run_zone",
+        "is_other_zone = not pending.product.retry_anywhere and not is_same_zone",
         "is_other_zone = False",
     ),
     Mutant(
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -28,6 +28,7 @@
 from limelatch.interface import (
     MS,
     SECOND,
+    UNKNOWN_ZONE,
     Action,
     CloseIdle,
     Effect,
@@ -790,7 +791,8 @@
         if is_taken or must_wait or host.listing is not Listing.READY or not self._has_turn(now, pending):
             return False
         if pending.first_run_at is not None and pending.product.effect is not Effect.RESENDABLE:
-            is_other_zone = not pending.product.retry_anywhere and host.zone != pending.first_run_zone
+            is_same_zone = host.zone == pending.first_run_zone and host.zone != UNKNOWN_ZONE
+            is_other_zone = not pending.product.retry_anywhere and not is_same_zone
             if pending.product.effect is Effect.ONCE_ONLY or now >= pending.deadline or is_other_zone:
                 return False
         is_host_safe = (
--- a/limelatch/relay/catalog.py
+++ b/limelatch/relay/catalog.py
@@ -16,6 +16,7 @@
 from limelatch.relay.http import HttpClientProtocol, Response, request_head
 from limelatch.relay.list_copy import ListCopy
 from limelatch.relay.list_reader import BadList, ListReader
+from limelatch.relay.zone_number import zone_number
 
 log = logger("catalog")
 
@@ -48,12 +49,11 @@
 
 
 def host_entry(row: Row, names: Names) -> HostEntry:
-    """The row in the policy's numbers. Its kind must be in the configuration; zone -1 is an unknown zone."""
-    zone = names.zones.index(row.zone) if row.zone in names.zones else -1
+    """The row in the policy's numbers. Its kind must be in the configuration."""
     return HostEntry(
         row.name.encode(),
         row.destination,
-        zone,
+        zone_number(row.zone),
         names.kinds.index(row.kind),
         row.rate,
         LISTING_OF_STATUS[row.status],
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -539,8 +539,8 @@
         return accepted.submit_in_flight
 
     def _zone_of(self, host: li.HostId) -> int:
-        """The host's zone; -1 if it is not listed any more."""
-        return self.hosts[host].zone if host in self.hosts else -1
+        """The host's zone; unknown if it is not listed any more."""
+        return self.hosts[host].zone if host in self.hosts else li.UNKNOWN_ZONE
 
     def _cooldown_until(self, accepted: AcceptedText, now: int) -> int | None:
         """The end of its key's cooldown, where a call of this text has caused it; else None."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Shared fixtures: a decision module that a test drives directly, and the relay's process with stub peers."""
 
+import copy
 import http.server
 import json
 import os
@@ -298,6 +299,26 @@
         return self.ask("SUBMIT", key, text, f"c={product},t=acme,d={d},k={mark},dest={dest}", body)
 
 
+def without(raw: dict, path: tuple) -> dict:
+    """Return a copy of an object without the key at the path."""
+    changed = copy.deepcopy(raw)
+    parent = changed
+    for name in path[:-1]:
+        parent = parent[name]
+    del parent[path[-1]]
+    return changed
+
+
+def with_value(raw: dict, path: tuple, value: object) -> dict:
+    """Return a copy of an object with another value at the path."""
+    changed = copy.deepcopy(raw)
+    parent = changed
+    for name in path[:-1]:
+        parent = parent[name]
+    parent[path[-1]] = value
+    return changed
+
+
 class Program:
     """The relay as a process, started from a configuration file."""
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,7 +14,7 @@
 from limelatch.client.wire import Submission
 from limelatch.configuration import bench_settings, plan_of
 from limelatch.configuration.platform_form import read_platform
-from limelatch.interface import SECOND, Effect, Listing, Result
+from limelatch.interface import SECOND, UNKNOWN_ZONE, Effect, Listing, Result
 from limelatch.logs import LimitedLog
 from limelatch.relay.catalog import BadList, Catalog
 from limelatch.relay.clients import BadCommand, read_submit
@@ -29,6 +29,7 @@
 from limelatch.relay.records import STATE_RESERVE, RecordKind, encode_record
 from limelatch.relay.ring_buffer import RingBuffer, RingBufferFull
 from limelatch.relay.slots import Slots
+from limelatch.relay.zone_number import zone_number
 
 VALID_CONFIG = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "state": "s", "settings": SETTINGS}
 CONFIGURED_NAMES = plan_of(read_platform(VALID_CONFIG)[0]).names
@@ -590,10 +591,16 @@
         1,
         "127.0.0.1:80",
     )
-    assert (entries[0].zone, entries[0].kind, entries[0].listing) == (1, 2, Listing.DRAINING)
+    assert (entries[0].zone, entries[0].kind, entries[0].listing) == (zone_number("b"), 2, Listing.DRAINING)
     assert catalog.entries(3) == entries and catalog.host_address(b"s-2") is None
 
 
+def test_a_zone_s_number_is_that_of_its_name_alone():
+    """Guards against a number in the ledger that means another zone to a process with other settings."""
+    assert zone_number("a") == zone_number("a") != zone_number("b") and zone_number("") == UNKNOWN_ZONE
+    assert 0 < zone_number("\ud800") < 1 << 48
+
+
 @pytest.mark.parametrize(
     "raw",
     [
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,12 +1,11 @@
 """New configurations at SIGHUP: a file that is short of a key, or has a wrong one, is not applied at all."""
 
-import copy
 import json
 import signal
 from collections.abc import Iterator
 
 import pytest
-from conftest import SETTINGS
+from conftest import SETTINGS, with_value, without
 
 from limelatch.configuration import ConfigurationError, load, plan_of, relay_plan, reloaded_plan
 from limelatch.configuration.platform_form import write_platform
@@ -110,26 +109,6 @@
             yield from key_paths(value, (*path, name))
 
 
-def without(raw: dict, path: tuple) -> dict:
-    """Return a copy of an object without the key at the path."""
-    changed = copy.deepcopy(raw)
-    parent = changed
-    for name in path[:-1]:
-        parent = parent[name]
-    del parent[path[-1]]
-    return changed
-
-
-def with_value(raw: dict, path: tuple, value: object) -> dict:
-    """Return a copy of an object with another value at the path."""
-    changed = copy.deepcopy(raw)
-    parent = changed
-    for name in path[:-1]:
-        parent = parent[name]
-    parent[path[-1]] = value
-    return changed
-
-
 def errors_at_reload(path: str, current) -> list[str]:
     """Return the keys of a file that prevent its use at SIGHUP; none if it would be applied."""
     try:
--- a/tests/test_scale_fleet.py
+++ b/tests/test_scale_fleet.py
@@ -138,7 +138,7 @@
 
 def test_the_list_is_in_the_form_that_a_relay_reads():
     feeder = control.Feeder(300)
-    names, told = Names(["n"], ["c"], list("abcdefg"), ["m2"], []), []
+    names, told = Names(["n"], ["c"], ["m2"], []), []
     catalog = Catalog(None, None, None, names, 9, 9, lambda *news: told.append(news))
     catalog.load_known_list(json.loads(feeder.whole()))
     ((entries, whole),) = told
