A product without a group repeats its texts in their zone alone

Change: the default is one zone (`floor`), in both forms and in the module's Product. Missing, null and unknown now mean the same. Of the other keys of a class the defaults were safe: no effect is once-only, no window is no repeat.

--- a/limelatch/configuration/model.py
+++ b/limelatch/configuration/model.py
@@ -407,7 +407,7 @@
             "group",
             Reload.AT_ONCE,
         ),
-    ] = RepeatScope.DESTINATION
+    ] = RepeatScope.FLOOR
     in_order: Annotated[
         bool,
         described(
--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -65,7 +65,7 @@
     late_share: float
     by_halves: bool
     retry_window: int = 0
-    retry_anywhere: bool = True
+    retry_anywhere: bool = False
     in_order: bool = False
 
 
--- a/tests/test_incomplete_start.py
+++ b/tests/test_incomplete_start.py
@@ -17,6 +17,9 @@
 MISSING = object()
 GROUP, ZONES = ("classes", 0, "group"), ("zones",)
 CHANGES = [
+    (GROUP, MISSING),
+    (GROUP, None),
+    (GROUP, "cell"),
     (ZONES, MISSING),
     (ZONES, None),
     (ZONES, ["b", "a"]),
