--- a/limelatch/command/config.py
+++ b/limelatch/command/config.py
@@ -108,15 +108,22 @@
 def diff(before: str, after: str, exit_code: bool) -> None:
     """Print what changes from A to B, and whether a relay applies it on SIGHUP or only after a restart.
 
+    Where a relay that runs with A would not apply B on SIGHUP at all, the reasons are on standard error.
+
     \b
     Example:  limelatch config diff /etc/limelatch/relay.toml new.toml
     """
     from limelatch.configuration.changes import changes
+    from limelatch.configuration.reload import reload_errors, source_of
     from limelatch.configuration.toml_form import describe
 
-    found = changes(read(before).installation, read(after).installation)
+    current, new = read(before), read(after)
+    found = changes(current.installation, new.installation)
     for change in found:
         click.echo(describe(change))
+    if current.form is new.form:
+        for error in reload_errors(source_of(current), new):
+            click.echo(f"not applied on SIGHUP: {error}", err=True)
     if not found:
         click.echo("no difference")
     if found and exit_code:
--- a/limelatch/configuration/__init__.py
+++ b/limelatch/configuration/__init__.py
@@ -13,7 +13,7 @@
 from limelatch.configuration.errors import ConfigError, ConfigurationError
 from limelatch.configuration.files import Form, LoadedFile, configured_path, load
 from limelatch.configuration.plan import Address, Names, RelayPlan, bench_settings, plan_of
-from limelatch.configuration.reload import reload_errors
+from limelatch.configuration.reload import reload_errors, source_of
 from limelatch.configuration.units import to_units
 
 __all__ = [
@@ -41,7 +41,7 @@
     For the platform's JSON, other variables of `environment` fill in missing keys. Raises ConfigurationError.
     """
     loaded = load(path or configured_path(environment), form, environment)
-    return plan_of(loaded.installation, loaded.given, loaded.reader.substituted)
+    return plan_of(loaded.installation, source_of(loaded))
 
 
 def reloaded_plan(
@@ -54,4 +54,4 @@
     loaded = load(path or configured_path(environment), form, environment)
     if errors := reload_errors(current.source, loaded):
         raise ConfigurationError(errors, loaded.text)
-    return plan_of(loaded.installation, loaded.given, loaded.reader.substituted)
+    return plan_of(loaded.installation, source_of(loaded))
--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from limelatch import interface as li
-from limelatch.configuration.errors import ConfigError, ConfigurationError
+from limelatch.configuration.errors import ConfigurationError
 from limelatch.configuration.model import (
     Installation,
     ListDelivery,
@@ -208,13 +207,10 @@
     )
 
 
-def plan_of(
-    installation: Installation, given: Iterable[str] = (), substituted: Iterable[ConfigError] = ()
-) -> RelayPlan:
+def plan_of(installation: Installation, source: ConfigurationSource | None = None) -> RelayPlan:
     """Make the plan of a relay process from its configuration; without a configured seed, draw one.
 
-    `given`: the paths of the keys that the configuration's file sets; `substituted`: its values that were not
-    understood.
+    `source`: the same configuration with the keys that its file sets; without it, none is set by a file.
     """
     relay, catalog, limits = installation.relay, installation.catalog, installation.limits
     seed = int(relay.seed, 16) if relay.seed else int.from_bytes(os.urandom(SEED_BYTES), "big")
@@ -243,6 +239,6 @@
         list_timeout=catalog.list_wait,
         watch_timeout=catalog.silence,
         reconnect_delay=catalog.reconnect_wait,
-        source=ConfigurationSource.of(installation, given, substituted),
+        source=source or ConfigurationSource.of(installation, ()),
         membership=membership_of(installation.membership),
     )
--- a/limelatch/configuration/reload.py
+++ b/limelatch/configuration/reload.py
@@ -17,13 +17,13 @@
 from limelatch.configuration.errors import ConfigError
 from limelatch.configuration.files import LoadedFile
 from limelatch.configuration.model import Installation, Product, Table
+from limelatch.configuration.platform_form import COLUMN_TABLES, NAME_KEY, ROW_TABLES
 from limelatch.configuration.reading import keys_of
 from limelatch.interface import Effect
 
 ROW_KEY = re.compile(r"(\w+)\[(\d+)\]\.(\w+)")  # the path of a key in a row: table, index, name
 ROW_INDEX = re.compile(r"\[\d+\]")
-ROW_TABLES = ("products", "customers", "kinds", "floors")
-NAME_KEY = "name"
+LISTS_OF_ROWS = ROW_TABLES + COLUMN_TABLES
 LIST_OF_HOSTS = "known"  # data rather than a setting; a new file need not repeat it
 REPEAT_KEYS = frozenset({"repeat_window", "repeat_known"})  # they only concern referenced products
 REQUIRED_OF_PRODUCTS = frozenset({"effect", "validity_period"})
@@ -47,7 +47,7 @@
         """Sort the paths of a file's keys by table and row; a row's empty name counts as not given."""
         tables = {name for name, key in keys_of(Installation).items() if isinstance(key.type, StructType)}
         outside_rows: set[str] = set()
-        names = {table: [set() for _ in getattr(installation, table)] for table in ROW_TABLES}
+        names = {table: [set() for _ in getattr(installation, table)] for table in LISTS_OF_ROWS}
         for path in paths:
             if match := ROW_KEY.fullmatch(path):
                 names[match[1]][int(match[2])].add(match[3])
@@ -87,6 +87,11 @@
         )
 
 
+def source_of(loaded: LoadedFile) -> ConfigurationSource:
+    """Return what a reload is compared with, while the configuration of this file is in force."""
+    return ConfigurationSource.of(loaded.installation, loaded.given, loaded.reader.substituted)
+
+
 def without_index(error: ConfigError) -> ConfigError:
     """Return the error without the indexes of rows in its path, so that rows may be moved."""
     return replace(error, path=ROW_INDEX.sub("[]", error.path))
@@ -99,10 +104,10 @@
     nobody intended, or a value of the environment that the configuration in force has overridden. A value
     that is not understood is no error where the file in force has it too.
     """
-    source = ConfigurationSource.of(new.installation, new.given)
+    source = source_of(new)
     missing = current.given.outside_rows - source.given.outside_rows - {LIST_OF_HOSTS}
     errors = [ConfigError(path, MISSING) for path in sorted(missing)]
-    for table in ROW_TABLES:
+    for table in LISTS_OF_ROWS:
         errors += row_errors(table, current, source)
     errors += [
         ConfigError(f"products[{index}].validity_period", "expected a validity period over 0")
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -139,6 +139,19 @@
     ]
 
 
+def test_config_diff_names_what_keeps_a_file_from_being_applied(tmp_path):
+    first, second = tmp_path / "a.json", tmp_path / "b.json"
+    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "state": "s", "settings": SETTINGS}
+    first.write_text(json.dumps(raw))
+    notice = {name: value for name, value in SETTINGS["classes"][0].items() if name != "group"}
+    second.write_text(
+        json.dumps(raw | {"settings": SETTINGS | {"classes": [notice, *SETTINGS["classes"][1:]]}})
+    )
+    code, out, err = run("config", "diff", first, second)
+    assert (code, out) == (SUCCESS, "no difference\n")
+    assert err.startswith("not applied on SIGHUP: settings.classes[0].group: is set in the configuration")
+
+
 def test_ledger_commands_read_a_ledger_that_is_in_use_without_changing_it(ledger):
     before = file_states(directory_of(ledger))
     code, out, err = run("ledger", "list", directory_of(ledger))
