Commands of clients are bounded in each turn of the reactor

Cause: each connection's whole read of 16 KB, some 140 commands, was carried out in one turn of the reactor, for all connections, so a turn grew with the clients; every text's notice waited for the turns of connect, request and answer, and a turn over 250 ms had the notifier give up its request before the answer was looked at.

A connection that waits is not idle, gets its answers after it has closed its sending side, and at the end of the relay what was read is answered.

Not taken: closing such a client after some commands of an unknown class (a client of a class that was just dropped looks the same); looking at I/O once more before each late timer, which adds a pass to each turn under load.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -14,6 +14,7 @@
 
 from limelatch.interface import MS, SECOND
 from limelatch.logs import LimitedLog, logger, log_event
+from limelatch.relay.command_budget import CommandBudget
 from limelatch.relay.end_reason import EndReason
 from limelatch.relay.line_receiver import BufferedLineReceiver, has_unread_bytes
 from limelatch.relay.slots import Slots
@@ -138,7 +139,7 @@
         has_input = has_unread_bytes(self.transport) and (
             self.between_requests() or now < due + MAX_CHECK_INTERVAL
         )
-        if now >= due and not self.awaiting_answer and not has_input:
+        if now >= due and not self.awaiting_answer and not has_input and self not in self.listener.budget:
             if not self.between_requests():
                 self.reply("-ERR the command did not come whole in its time")
             self.end(EndReason.ANSWER_TIMEOUT)
@@ -203,8 +204,22 @@
         self.listener.count_buffered(self)
 
     def is_parsing_paused(self) -> bool:
-        """Whether a text awaits its answer, or the next reply might not fit into the outbound buffer."""
-        return self.awaiting_answer or self._outbound.free < MAX_REPLY_SIZE
+        """Whether a text awaits its answer, the next reply might not fit into the outbound buffer, or the
+        commands of other connections come first."""
+        return (
+            self.awaiting_answer
+            or self._outbound.free < MAX_REPLY_SIZE
+            or bool(self.inbound)
+            and self.listener.must_wait(self)
+        )
+
+    def resume_parsing(self) -> None:
+        """Go on with buffered commands, after those of other connections."""
+        self.command_started_at = self.listener.driver.clock.now()
+        self.pump()
+        self.listener.count_buffered(self)
+        if self.input_closed:
+            self.readConnectionLost()
 
     def lineReceived(self, line: bytes) -> None:
         """Parse the head of a command or of a bulk string, or an inline command."""
@@ -258,6 +273,7 @@
 
     def _run_command(self, arguments: list[bytes]) -> None:
         name = arguments[0].upper() if arguments else b""
+        self.listener.count_command(self)
         self.has_sent_command = True
         self.command_started_at = self.last_received_at
         self.arguments_size = 0
@@ -308,7 +324,7 @@
         self.input_closed = True
         if self.is_lingering:
             self.transport.loseConnection()
-        elif not self.awaiting_answer:
+        elif not self.awaiting_answer and self not in self.listener.budget:
             self.end(EndReason.CLOSED_BY_PEER)
 
     def writeConnectionLost(self) -> None:
@@ -318,6 +334,7 @@
     def connectionLost(self, reason) -> None:
         """Release all that the connection holds, and tell the driver if a text awaits its answer."""
         self.listener.count_open(-1)
+        self.listener.budget.remove(self)
         self.end_reason = self.end_reason or EndReason.CLOSED_BY_PEER
         if self.end_reason in (EndReason.MALFORMED, EndReason.NO_SLOT, EndReason.ANSWER_TIMEOUT):
             self.listener.limited_log(
@@ -354,6 +371,8 @@
         self.paused = self.closing = False  # paused: PING is refused; closing: idle connections are closed
         self._grace = self._room_check = None
         self.buffered_bytes, self.limited_log = 0, LimitedLog(log, driver.clock)
+        self.budget: CommandBudget[Client] = CommandBudget()
+        self._commands_due = False  # the budget's next turn is about to begin
 
     def buildProtocol(self, address) -> Client | None:
         """None closes the connection at once, unread.
@@ -425,6 +444,35 @@
             largest.reply("-BUSY")
             largest.end(EndReason.NO_SLOT)
 
+    def must_wait(self, client: Client) -> bool:
+        """Whether the client's next command waits for those of others, or for the reactor's next turn.
+
+        Guards against clients that send hundreds of commands at once: the notices and calls of other texts
+        would wait until all of them are answered."""
+        if self.budget.must_wait(client):
+            self._schedule_commands()
+            return True
+        return False
+
+    def count_command(self, client: Client) -> None:
+        """Count a command that is carried out in this turn of the reactor."""
+        self.budget.count_command(client)
+        self._schedule_commands()
+
+    def _schedule_commands(self) -> None:
+        if not self._commands_due:
+            self._commands_due = True
+            self.driver.deadlines.after(0, self._run_waiting_commands)
+
+    def _run_waiting_commands(self) -> None:
+        """A new turn of the reactor: carry out commands that had to wait."""
+        self._commands_due = False
+        self.budget.begin_turn()
+        while (client := self.budget.next_connection()) is not None:
+            client.resume_parsing()
+        if self.budget:
+            self._schedule_commands()
+
     @property
     def is_crowded(self) -> bool:
         """Whether half the table is used: guards against clients that send one command and then stay idle,
@@ -516,6 +564,7 @@
         now = self.driver.clock.now()
         return any(
             each.awaiting_answer
+            or each in self.budget
             or has_unread_bytes(each.transport)
             or not each.has_sent_command
             and each.last_received_at > now - SECOND // 10
@@ -526,8 +575,10 @@
         )
 
     def stop_reading(self) -> None:
-        """Read nothing more; answers are still written."""
+        """Read nothing more; answers are still written, also to commands that had to wait."""
         self._close_port()
+        while self.budget:
+            self._run_waiting_commands()
         for each in self.connections:
             if each.end_reason is None:
                 each.transport.pauseProducing()
