A breach in a run of the sockets stage counts where the stage itself kept up

Trace of the record: the emulator's loop stood still for 98.6 ms until 8.5136 s and saw the relay's end of the call only at 8.5155 s, so the checker's cooldown of 300 ms began there; the relay's next call at 8.7622 s fits an end at 8.462 s. The stage's own delay was 66.2 ms at the 99th percentile, and over 20 ms it calls a run unusable ("a run in which it was late can't be used"); the test did not ask.

Change: a breach in a run that the stage calls unusable is printed, its record kept, and the run is played again, twice at most; the third counts whatever the stage says. A breach in a usable run fails at once, as before; a kept run passes as before.

--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import numpy as np
 import pytest
@@ -33,6 +34,7 @@
 
 ROOT = Path(__file__).parent.parent
 KEPT_RECORDS = ROOT / "found"  # records of runs that broke a rule; not committed
+MAX_VOID_RUNS = 2  # of the sockets stage, which was late itself, before one counts all the same
 SHORT = """
 [scenario]
 name = "short"
@@ -276,10 +278,40 @@
     return "\n".join([*figures.breach_lines, f"record: {kept}"])
 
 
+def run_on_sockets(plan):
+    """Play on the sockets stage.
+
+    A breach in a run whose stage was late by its own measure is no evidence: the emulator saw the end of a
+    call 99 ms late, and counted a key's cooldown from there. Such a run is printed and played again."""
+    for _ in range(MAX_VOID_RUNS):
+        figures = run_one(plan)
+        if figures.kept or figures.usable:
+            return figures
+        print(f"void, the stage was late: {figures.late}", report_and_keep_record(figures, plan), sep="\n")
+    return run_one(plan)
+
+
+@pytest.mark.parametrize(
+    "runs, counted",
+    [
+        (["breach, usable"], 0),
+        (["kept, late"], 0),
+        (["breach, late", "breach, usable", "kept"], 1),
+        (["breach, late", "breach, late", "breach, late", "kept"], 2),
+    ],
+)
+def test_only_a_breach_in_a_run_whose_stage_was_late_is_played_again(monkeypatch, runs, counted):
+    played = [SimpleNamespace(kept="kept" in run, usable="late" not in run, late={}) for run in runs]
+    left = iter(played)
+    monkeypatch.setattr(sys.modules[__name__], "run_one", lambda plan: next(left))
+    monkeypatch.setattr(sys.modules[__name__], "report_and_keep_record", lambda *run: "")
+    assert run_on_sockets(None) is played[counted]
+
+
 @pytest.mark.parametrize("name", FAULTS)
 def test_a_scenario_on_the_sockets_stage_keeps_the_rules(tmp_path, name):
     plan = Plan(name, SHORT + FAULTS[name], 1, "module", "sockets", str(tmp_path))
-    figures = run_one(plan)
+    figures = run_on_sockets(plan)
     assert figures.kept, report_and_keep_record(figures, plan)
     assert 0.6 < figures.service < 1 and figures.whole and figures.memory > 1e6
     assert any(each.what == "sick" for each in figures.beliefs)
@@ -289,7 +321,7 @@
     """With datagrams that are lost, duplicated and delayed, and relays that are killed and restarted."""
     text = SHORT + FAULTS["kills"] + "[relays]\nmembership = true\n"
     plan = Plan("watched", text, 1, "module", "sockets", str(tmp_path))
-    figures = run_one(plan)
+    figures = run_on_sockets(plan)
     assert figures.kept, report_and_keep_record(figures, plan)
     assert 0.6 < figures.service < 1 and figures.whole
     (logs,) = tmp_path.glob("*.logs")
