--- a/limelatch/configuration/page.py
+++ b/limelatch/configuration/page.py
@@ -32,14 +32,15 @@
 milliseconds and sizes in megabytes, null is the same as absent, an unknown key is ignored, and an unknown
 value of an enumeration means the safest choice.
 
-On SIGHUP the relay reads the file again. If there is any error in it, if it lacks a key that the file in force
-sets, or if it has a value that is not understood, the relay keeps its whole current configuration. Otherwise changes of keys marked "at once" are applied, changed keys marked "restart" are named
+On SIGHUP the relay reads the file again. If there is any error in it, if it lacks a key that the file in
+force sets, or if it has a value that is not understood, the relay keeps its whole current configuration.
+Otherwise changes of keys marked "at once" are applied, changed keys marked "restart" are named
 in the log (`event=configured restart_for=...`) and take effect after a restart, and "start" keys have no
 effect on a running relay.
 
 For the platform's JSON, `$RELAY_NAME`, `$RELAY_LISTEN`, `$RELAY_DISCOVERY`, `$RELAY_STATE` and
-`$RELAY_OPERATOR` fill in `name`, `listen`, `discovery`, `state` and `operator` if the file doesn't set them; at
-SIGHUP only where the file in force doesn't set them either.
+`$RELAY_OPERATOR` fill in `name`, `listen`, `discovery`, `state` and `operator` if the file doesn't set them;
+at SIGHUP only where the file in force doesn't set them either.
 
 The smallest file:
 
