A connection whose commands wait for their turn is neither idle nor late

Cause: found on a second reading of the bound on commands. A full table looked for its longest idle connection without asking whether commands of it wait: one that had been read was closed with no answer, which loses it. And the rest of a command behind commands that had waited counted its time from the arrival of the bytes, not from when it was looked at.

Change: a waiting connection is not closed to make room, and a command's time begins as the one before it is carried out.

Measured: both new tests fail before (the waiting connection ends with NO_SLOT; a 301st answer, an error, and a close) and pass now with those of the crowd.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -275,7 +275,7 @@
         name = arguments[0].upper() if arguments else b""
         self.listener.count_command(self)
         self.has_sent_command = True
-        self.command_started_at = self.last_received_at
+        self.command_started_at = self.listener.driver.clock.now()
         self.arguments_size = 0
         self.arguments = []
         try:
@@ -524,7 +524,7 @@
         relay did nothing else."""
         unread, found = [], None
         for each in self._by_last_activity:
-            if each is newest or each.awaiting_answer or each.end_reason is not None:
+            if each is newest or each.awaiting_answer or each.end_reason is not None or each in self.budget:
                 continue
             if not has_unread_bytes(each.transport):
                 found = each
--- a/tests/test_command_budget.py
+++ b/tests/test_command_budget.py
@@ -197,3 +197,26 @@
             text = agent.notice()["ref"]
             late.setdefault(text, time.monotonic() - due[text])
     assert max(late.values()) < 0, json.dumps(late)
+
+
+def test_a_connection_whose_commands_wait_is_not_closed_to_make_room(turns):
+    """Its commands were read: a close without their answers would lose them."""
+    plan = SimpleNamespace(client_idle_timeout=2 * SECOND, client_command_timeout=2 * SECOND)
+    listener = Listener(SimpleNamespace(clock=turns.clock, deadlines=turns, plan=plan), 3, 10_000_000)
+    listener.port = SimpleNamespace(stopReading=lambda: None, startReading=lambda: None)
+    waiting, idle = connect(listener), connect(listener)
+    waiting.dataReceived(b"PING\r\n" * BURST)
+    listener.note_activity(idle)  # so that the waiting one has been silent for longest
+    connect(listener)
+    assert waiting.end_reason is None and idle.end_reason is EndReason.NO_SLOT
+
+
+def test_the_rest_of_a_command_behind_commands_that_waited_has_its_whole_time(listener, turns):
+    client = connect(listener)
+    client.dataReceived(b"PING\r\n" * BURST + b"PIN")
+    turns.clock.advance(5)  # the relay stood still
+    while listener.budget:
+        turns.run()
+    for check in list(turns.later):
+        check()
+    assert answer_count(client) == BURST and client.end_reason is None
