An emptied list or string at SIGHUP counts as a missing key, and rows are compared in one pass

Cause: found on a second reading of the checks at SIGHUP. A list of tenants, kinds or zones that was emptied, or a string, passed as a value, so that such a file was applied with all else in it: a process with three refused files in a row took the third.

Change: an empty string or list is no given key, in force and in the new file alike. An index finds the row in its place.

--- a/limelatch/configuration/reload.py
+++ b/limelatch/configuration/reload.py
@@ -10,9 +10,9 @@
 import re
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
+from operator import attrgetter
 
 import msgspec
-from msgspec.inspect import StructType
 
 from limelatch.configuration.errors import ConfigError
 from limelatch.configuration.files import LoadedFile
@@ -22,6 +22,7 @@
 from limelatch.interface import Effect
 
 ROW_KEY = re.compile(r"(\w+)\[(\d+)\]\.(\w+)")  # the path of a key in a row: table, index, name
+EMPTY = ("", [])  # a value that is emptied counts as missing
 ROW_INDEX = re.compile(r"\[\d+\]")
 LISTS_OF_ROWS = ROW_TABLES + COLUMN_TABLES
 LIST_OF_HOSTS = "known"  # data rather than a setting; a new file need not repeat it
@@ -44,26 +45,30 @@
 
     @classmethod
     def of(cls, paths: Iterable[str], installation: Installation) -> GivenKeys:
-        """Sort the paths of a file's keys by table and row; a row's empty name counts as not given."""
-        tables = {name for name, key in keys_of(Installation).items() if isinstance(key.type, StructType)}
+        """Sort the paths of a file's keys by table and row; an empty string or list counts as not given."""
         outside_rows: set[str] = set()
         names = {table: [set() for _ in getattr(installation, table)] for table in LISTS_OF_ROWS}
         for path in paths:
             if match := ROW_KEY.fullmatch(path):
-                names[match[1]][int(match[2])].add(match[3])
-            elif path not in tables:
+                row = getattr(installation, match[1])[int(match[2])]
+                if getattr(row, match[3]) not in EMPTY:
+                    names[match[1]][int(match[2])].add(match[3])
+            elif is_key_with_value(installation, path):
                 outside_rows.add(path)
         shared: dict[frozenset[str], frozenset[str]] = {}
         of_rows = {}
         for table, rows in names.items():
-            for row, found in zip(getattr(installation, table), rows, strict=True):
-                if not row.name:
-                    found.discard(NAME_KEY)
             frozen_rows = (frozenset(found) for found in rows)
             of_rows[table] = tuple(shared.setdefault(found, found) for found in frozen_rows)
         return cls(frozenset(outside_rows), of_rows)
 
 
+def is_key_with_value(installation: Installation, path: str) -> bool:
+    """Tell whether the path is that of a key rather than a table, and its value is not empty."""
+    value = attrgetter(path)(installation)
+    return not isinstance(value, Table) and value not in EMPTY
+
+
 @dataclass(frozen=True)
 class ConfigurationSource:
     """A configuration and the keys that its file sets, without the list of hosts."""
@@ -131,7 +136,8 @@
     common_keys = frozenset.intersection(*(keys for _, keys in current_rows)) if current_rows else frozenset()
     new_rows = zip(getattr(new.installation, table), new.given.of_rows[table], strict=True)
     for index, (row, keys) in enumerate(new_rows):
-        replaced = by_name.get(row.name) if row.name else dict(enumerate(current_rows)).get(index)
+        in_place = current_rows[index] if index < len(current_rows) else None
+        replaced = by_name.get(row.name) if row.name else in_place
         if replaced is not None:
             required, message = replaced[1], MISSING
         else:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,7 +1,9 @@
 """New configurations at SIGHUP: a file that is short of a key, or has a wrong one, is not applied at all."""
 
 import json
+import re
 import signal
+import time
 from collections.abc import Iterator
 
 import pytest
@@ -182,6 +184,41 @@
     return value in ([], {}) and name in ("known", "peers", "zones", "projects", "log_parts", "fields")
 
 
+def test_each_table_that_is_missing_or_emptied_keeps_the_file_from_being_applied(files):
+    """Guards against a file short of a whole section, or with an empty list for one that had rows."""
+    current = relay_plan({}, files.toml_path)
+    with open(files.toml_path) as file:
+        tables = re.split(r"^(?=\[)", file.read(), flags=re.MULTILINE)
+    names = sorted({table.split("]")[0].strip("[") for table in tables} - {"", "log.parts"})
+    applied = []
+    for name in names:
+        kept = [table for table in tables if not re.match(rf"\[+{re.escape(name)}\]", table)]
+        files.write(files.toml_path, "".join(kept))
+        if not errors_at_reload(files.toml_path, current):
+            applied.append(name)
+    current = relay_plan({}, files.json_path)
+    for path in key_paths(files.raw):
+        parent = files.raw
+        for part in path:
+            parent = parent[part]
+        if parent and isinstance(parent, (str, list)):
+            files.write(files.json_path, with_value(files.raw, path, type(parent)()))
+            if not errors_at_reload(files.json_path, current):
+                applied.append(path)
+    assert applied == [] and len(names) > 10
+
+
+def test_many_rows_without_a_name_are_compared_quickly_and_reported_briefly(files):
+    """Guards against a reload that stops the relay for minutes, or logs a line of megabytes."""
+    rows = [{"portion": 0.0} for _ in range(20_000)]
+    raw = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "state": "s"}
+    files.write(files.json_path, raw | {"settings": SETTINGS | {"projects": rows}})
+    current, began = relay_plan({}, files.json_path), time.process_time()
+    files.write(files.json_path, raw | {"settings": SETTINGS | {"projects": [{}] * len(rows)}})
+    assert len(errors_at_reload(files.json_path, current)) >= len(rows)
+    assert time.process_time() - began < 10
+
+
 @pytest.mark.parametrize(
     "row",
     [
@@ -335,3 +372,27 @@
     assert other.next().headers["X-Txn"] == "t2"
     assert agent.notice()["ref"] == "t1" and other.requests.empty()
     assert "event=not-configured" in line and "settings.classes[0].group" in line
+
+
+def test_refused_files_in_a_row_change_nothing_not_even_in_part(program, agent, make_host):
+    """Each refused file also moves discovery, adds a class and lowers the submits."""
+    host = make_host()
+    agent.list(host.address)
+    client = program.start()
+    whole = json.loads(program.file.read_text())
+    added = REPORT | {"name": "new"}
+    settings = whole["settings"] | {"classes": [*SETTINGS["classes"], added]}
+    changed = whole | {"settings": settings, "discovery": "127.0.0.9:9"}
+    limits, rules, rows = ("settings", "limits"), ("settings", "rules"), ("settings", "projects")
+    broken = [without(changed, (*limits, "maxOpen")), without(changed, rules), with_value(changed, rows, [])]
+    for content, key in zip(broken, ("maxOpen", "turnGap", "projects"), strict=True):
+        hang_up(program, content)
+        line = program.wait_for_log("configured")
+        assert "event=not-configured" in line and key in line
+        assert client.submit("t1", "new").startswith("-ERR unknown class")
+    hang_up(program, changed | {"discovery": whole["discovery"]})
+    program.wait_for_log("event=configured")
+    assert client.submit("t2", "new") == "+OK" and host.next().headers["X-Txn"] == "t2"
+    hang_up(program, broken[0])
+    program.wait_for_log("event=not-configured")
+    assert client.submit("t3", "new") == "+OK" and host.next().headers["X-Txn"] == "t3"
