A constant's comment says no span that it does not set

Cause: MAX_COMMANDS_PER_TURN told a measured span; the reason stands in the module's first lines.

Change: a comment alone. Measured: lint and format check pass.

--- a/limelatch/relay/command_budget.py
+++ b/limelatch/relay/command_budget.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from typing import Generic, TypeVar
 
-MAX_COMMANDS_PER_TURN = 128  # of all connections in one turn of the reactor, some 10 ms of work
+MAX_COMMANDS_PER_TURN = 128  # of all connections in one turn of the reactor
 MAX_COMMANDS_IN_A_ROW = 8  # of one connection, while others wait
 
 Connection = TypeVar("Connection")
