The bound on commands stands among the modules of decisions

Cause: second reading: command_budget.py decides by tuned values, and stood with the sockets' code in limelatch/relay/, outside of what deploy/balancer.toml lists under policy.

Measured: its 11 tests and those of the crowd pass (18).

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -14,7 +14,7 @@
 
 from limelatch.interface import MS, SECOND
 from limelatch.logs import LimitedLog, logger, log_event
-from limelatch.relay.command_budget import CommandBudget
+from limelatch.command_budget import CommandBudget
 from limelatch.relay.end_reason import EndReason
 from limelatch.relay.line_receiver import BufferedLineReceiver, has_unread_bytes
 from limelatch.relay.slots import Slots
--- a/tests/test_command_budget.py
+++ b/tests/test_command_budget.py
@@ -14,7 +14,7 @@
 
 from limelatch.interface import SECOND
 from limelatch.relay.clients import Listener
-from limelatch.relay.command_budget import MAX_COMMANDS_IN_A_ROW, MAX_COMMANDS_PER_TURN, CommandBudget
+from limelatch.command_budget import MAX_COMMANDS_IN_A_ROW, MAX_COMMANDS_PER_TURN, CommandBudget
 from limelatch.relay.end_reason import EndReason
 
 BURST = 300  # commands that a client sends at once
