Log what the process holds, its memory and the lateness of its timers

`crowded` stood for a full table, a burst and the memory of commands alike, `left_out` for all reasons together, and no line had memory, connections or delays. Change: event `resources` every 10 s, every second above 85 % of the limit; `client-ended` has its own reason `memory`, the connection's state, what it held and its age, and its rate is limited by reason. The assertion in test_crowd.py on a client closed for memory names the new reason, else it is unchanged.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -82,6 +82,25 @@
         },
     ),
     "stopped": Event("driver", INFO, "the relay exits", {"owed": OWED, "calls": CALLS}),
+    "resources": Event(
+        "driver",
+        INFO,
+        "what the process holds, every 10 s, and every second while its memory is above 85 % of the limit",
+        {
+            "memory": "high above 85 % of the limit, else ok",
+            "resident_mb": "resident memory, in MB of 10^6 bytes like the other sizes",
+            "private_mb": "of it, what does not belong to files",
+            "peak_mb": "the most resident memory so far",
+            "limit_mb": "`limits.memory`",
+            "clients": "connections of clients being served",
+            "open": "connections of clients, those that are closing included",
+            "client_bytes": "bytes held of commands that are being received or wait",
+            "texts": OWED,
+            "text_bytes": "bytes of their records",
+            "calls": CALLS,
+            "late_ms": "how late a timer was at most since the last such line",
+        },
+    ),
     "port-taken": Event(
         "driver",
         WARNING,
@@ -238,7 +257,16 @@
         "clients",
         WARNING,
         "a client's connection was closed by the relay",
-        {"why": "garbled, crowded or silent", "peer": PEER, "left_out": LEFT_OUT},
+        {
+            "why": "garbled: it can't be parsed; silent: no command in time; crowded: too many connections; "
+            "memory: it held the most of the memory for commands",
+            "peer": PEER,
+            "state": "what it was doing: new (no command yet), idle, command (one received in part), answer "
+            "(one awaited), unserved (no room for it)",
+            "held_bytes": "what it held of commands",
+            "age_ms": "time since its last command, or since it was opened",
+            "left_out": LEFT_OUT + ", for the same reason",
+        },
     ),
     "accept-failed": Event(
         "clients",
--- a/limelatch/logs.py
+++ b/limelatch/logs.py
@@ -83,26 +83,28 @@
 
 
 class LimitedLog:
-    """Limits the rate of events that outsiders can cause: at most `max_per_second` lines of each event.
+    """Limits the rate of events that outsiders can cause: at most `max_per_second` lines of each event, or of
+    each of its reasons with `by_reason`, for reasons that are a few fixed words.
 
     The next second's first line says in `left_out` how many were suppressed. `clock.now()` is in tenths of a
     millisecond.
     """
 
-    def __init__(self, log: logging.Logger, clock, max_per_second: int = 5) -> None:
-        self.log, self.clock, self.max_per_second = log, clock, max_per_second
-        self._second_started_at: dict[str, int] = {}  # by event
-        self._count: dict[str, int] = {}  # of each event since then
+    def __init__(self, log: logging.Logger, clock, max_per_second: int = 5, by_reason: bool = False) -> None:
+        self.log, self.clock, self.max_per_second, self.by_reason = log, clock, max_per_second, by_reason
+        self._second_started_at: dict[tuple[str, object], int] = {}  # by event and reason
+        self._count: dict[tuple[str, object], int] = {}  # of each of them since then
 
     def __call__(self, event: str, **fields: object) -> None:
         """Log an event, or only count it if there were too many in this second."""
-        now, count = self.clock.now(), self._count.get(event, 0) + 1
-        if now - self._second_started_at.get(event, 0) >= SECOND:
+        key = (event, fields.get("why") if self.by_reason else None)
+        now, count = self.clock.now(), self._count.get(key, 0) + 1
+        if now - self._second_started_at.get(key, 0) >= SECOND:
             left_out = (
                 {"left_out": count - 1 - self.max_per_second} if count - 1 > self.max_per_second else {}
             )
-            self._second_started_at[event], count, fields = now, 1, fields | left_out
-        self._count[event] = count
+            self._second_started_at[key], count, fields = now, 1, fields | left_out
+        self._count[key] = count
         if count <= self.max_per_second:
             log_event(self.log, event, **fields)
 
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -15,6 +15,7 @@
 from limelatch.interface import MS, SECOND
 from limelatch.logs import LimitedLog, logger, log_event
 from limelatch.command_budget import CommandBudget
+from limelatch.relay.client_log import ClientLog, ClientState
 from limelatch.relay.end_reason import EndReason
 from limelatch.relay.line_receiver import BufferedLineReceiver, has_unread_bytes
 from limelatch.relay.slots import Slots
@@ -103,6 +104,7 @@
         self.bytes_to_skip = 0
         self.awaiting_answer = False
         self.input_closed = False
+        self.ended_in: ClientState | None = None  # its state when the relay ended it
         self.is_lingering = False  # closed for writing
         self.discarded_bytes = 0  # bytes discarded since then
         self.has_sent_command = False
@@ -152,6 +154,7 @@
         """Close the connection after what was written; abort it if that takes longer than LINGER_TIMEOUT."""
         if self.end_reason is not None:
             return
+        self.ended_in = self.state()
         if self.between_requests():
             self.close(end_reason, finish_writing=True)
         else:
@@ -183,6 +186,16 @@
         """Whether no request is being received or answered."""
         return not self.awaiting_answer and not self.missing_arguments and not self.inbound
 
+    def state(self) -> ClientState:
+        """What the connection is doing, for the log."""
+        if self.slot is None:
+            return ClientState.UNSERVED
+        if self.awaiting_answer:
+            return ClientState.ANSWER
+        if not self.between_requests():
+            return ClientState.COMMAND
+        return ClientState.IDLE if self.has_sent_command else ClientState.NEW
+
     def is_idle(self) -> bool:
         """Whether it is between requests and none has arrived unread.
 
@@ -336,10 +349,13 @@
         self.listener.count_open(-1)
         self.listener.budget.remove(self)
         self.end_reason = self.end_reason or EndReason.CLOSED_BY_PEER
-        if self.end_reason in (EndReason.MALFORMED, EndReason.NO_SLOT, EndReason.ANSWER_TIMEOUT):
-            self.listener.limited_log(
-                "client-ended", why=self.end_reason.value, peer=self.transport.getPeer().host
-            )
+        self.listener.client_log.ended(
+            self.end_reason,
+            self.transport.getPeer().host,
+            self.ended_in or self.state(),
+            self.buffered_bytes,
+            self.listener.driver.clock.now() - self.command_started_at,
+        )
         if self.deadline is not None:
             self.deadline.cancel()
         self.listener.buffered_bytes -= self.buffered_bytes
@@ -371,6 +387,7 @@
         self.paused = self.closing = False  # paused: PING is refused; closing: idle connections are closed
         self._grace = self._room_check = None
         self.buffered_bytes, self.limited_log = 0, LimitedLog(log, driver.clock)
+        self.client_log = ClientLog(driver.clock)
         self.budget: CommandBudget[Client] = CommandBudget()
         self._commands_due = False  # the budget's next turn is about to begin
 
@@ -380,7 +397,7 @@
         Guards against a burst in one turn of the reactor: connections that make room are closed only after
         the turn, and the burst would use up the descriptors of all other parties meanwhile."""
         if self.open >= self.max_open:
-            self.limited_log("client-ended", why=EndReason.NO_SLOT.value, peer=address.host)
+            self.client_log.ended(EndReason.NO_SLOT, address.host, ClientState.UNSERVED)
             return None
         return Client(self)
 
@@ -442,7 +459,7 @@
             largest = max(partial, key=lambda each: each.buffered_bytes)
             self.buffered_bytes, largest.buffered_bytes = self.buffered_bytes - largest.buffered_bytes, 0
             largest.reply("-BUSY")
-            largest.end(EndReason.NO_SLOT)
+            largest.end(EndReason.NO_MEMORY)
 
     def must_wait(self, client: Client) -> bool:
         """Whether the client's next command waits for those of others, or for the reactor's next turn.
--- a/limelatch/relay/deadlines.py
+++ b/limelatch/relay/deadlines.py
@@ -38,6 +38,12 @@
         self._count, self.cancelled = 0, 0
         self._timer, self._timer_at, self._running = None, 0, False
         self.limited_log = LimitedLog(log, clock)
+        self._max_delay = 0
+
+    def take_max_delay(self) -> int:
+        """How late a timer has fired at most since the last call, in tenths of a millisecond."""
+        delay, self._max_delay = self._max_delay, 0
+        return delay
 
     def at(self, when: int, call: Callable[[], None]) -> Deadline:
         """Run `call` at the time `when` of the relay's clock, in tenths of a millisecond."""
@@ -69,8 +75,10 @@
     def _fire(self) -> None:
         """Run the callbacks that are due; those that they add wait for the reactor's next iteration."""
         self._running, due, now = True, [], self._clock.now()
-        if self._heap and now - self._heap[0][0] > MIN_LOGGED_DELAY:
-            self.limited_log("timer-late", by_ms=(now - self._heap[0][0]) // MS)
+        delay = now - self._heap[0][0] if self._heap else 0
+        self._max_delay = max(self._max_delay, delay)
+        if delay > MIN_LOGGED_DELAY:
+            self.limited_log("timer-late", by_ms=delay // MS)
         while self._heap and self._heap[0][0] <= now:
             due.append(heapq.heappop(self._heap)[2])
         for deadline in due:
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -29,6 +29,7 @@
 from limelatch.relay.platform import Notifier
 from limelatch.relay.port_opening import PORT_RETRY_INTERVAL, PortOpening, PortUnavailable
 from limelatch.relay.records import Entry
+from limelatch.relay.resource_monitor import Holdings, ResourceMonitor
 from limelatch.relay.slots import Slots
 from limelatch.relay.text_log import TextLog
 from limelatch.relay.wall_clock_monitor import WallClockMonitor
@@ -141,6 +142,7 @@
             if operator is not None
             else None
         )
+        self.resource_monitor = ResourceMonitor(self.deadlines, plan.max_memory_bytes, self._holdings)
         self.peers = None
         if plan.membership is not None:  # otherwise the membership code is not loaded at all
             from limelatch.relay.peers import Peers
@@ -176,6 +178,7 @@
             self.peers.start()
         self.wall_clock_monitor.start()
         self.deadlines.after(COUNTS_INTERVAL, self._log_counts)
+        self.resource_monitor.start()
         log_event(log, "waiting", on="list", most_ms=self.plan.list_timeout // li.MS)
         self.deadlines.after(self.plan.list_timeout, self.serve)
         if not self.plan.settings.list_on_request:
@@ -332,6 +335,17 @@
         self.pool.log_counts()
         self.deadlines.after(COUNTS_INTERVAL, self._log_counts)
 
+    def _holdings(self) -> Holdings:
+        """What this process holds now, for the log."""
+        return Holdings(
+            clients=len(self.listener.connections),
+            open_clients=self.listener.open,
+            client_bytes=self.listener.buffered_bytes,
+            texts=len(self.accepted),
+            text_bytes=self.ledger.state.live_bytes,
+            calls=self.pool.calls_in_flight,
+        )
+
     def _exit_if_idle(self) -> None:
         """End early: when no text is pending, no call is in flight and clients send no more requests."""
         if self.clock.now() >= self._earliest_stop_at and not self.accepted and not self.pool.calls_in_flight:
--- a/limelatch/relay/end_reason.py
+++ b/limelatch/relay/end_reason.py
@@ -23,6 +23,7 @@
     IDLE = "idle"  # closed by the relay between requests
     FINISHED = "finished"  # closed by the relay after the response to the connection's only request
     NO_SLOT = "crowded"  # all connection slots are taken
+    NO_MEMORY = "memory"  # it held the most of the memory for commands, which was used up
     STOPPING = "stopping"  # the relay stops
     ADDRESS_CHANGED = "moved"  # the catalog or the platform has a new address
 
@@ -42,6 +43,7 @@
     EndReason.IDLE: Result.CONNECT,
     EndReason.FINISHED: Result.CONNECT,
     EndReason.NO_SLOT: Result.CONNECT,
+    EndReason.NO_MEMORY: Result.CONNECT,
     EndReason.STOPPING: Result.CANCELLED,
     EndReason.ADDRESS_CHANGED: Result.CANCELLED,
 }
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -130,7 +130,8 @@
     waiting, partial = connect_clients(listener, 2)
     waiting.dataReceived(SUBMIT_COMMAND + b"*5\r\n$6\r\nSUBMIT\r\n$8000\r\n" + b"x" * 7000)
     partial.dataReceived(b"*5\r\n$6\r\nSUBMIT\r\n$8000\r\n" + b"x" * 6000)
-    assert submitters == [waiting] and waiting.end_reason is None and partial.end_reason is EndReason.NO_SLOT
+    assert submitters == [waiting] and waiting.end_reason is None
+    assert partial.end_reason is EndReason.NO_MEMORY
     assert b"-BUSY" not in waiting.transport.value() and b"-BUSY" in partial.transport.value()
 
 
--- /dev/null
+++ b/tests/test_resource_monitor.py
@@ -0,0 +1,80 @@
+"""What the process holds, as it is measured and logged."""
+
+import logging
+from types import SimpleNamespace
+
+import pytest
+from test_crossings import RunningReactor
+
+from limelatch.interface import SECOND
+from limelatch.logs import LimitedLog, logger
+from limelatch.relay.deadlines import Deadlines
+from limelatch.relay.process_memory import ProcessMemory, parse_status, process_memory
+from limelatch.relay.resource_monitor import Holdings, ResourceMonitor
+
+STATUS = b"""Name:\tpython
+VmHWM:\t  36000 kB
+VmRSS:\t  35000 kB
+RssAnon:\t 24000 kB
+RssShmem:\t    4 kB
+Threads:\t1
+"""
+HOLDINGS = Holdings(clients=3, open_clients=4, client_bytes=5, texts=6, text_bytes=7, calls=8)
+
+
+def test_the_kernel_s_sizes_are_read_in_bytes():
+    memory = parse_status(STATUS)
+    assert memory == ProcessMemory(35000 * 1024, 36000 * 1024, 24000 * 1024, 4096)
+    assert memory.private == 24004 * 1024
+
+
+def test_this_process_has_resident_memory_and_a_missing_file_has_none(tmp_path):
+    assert 0 < process_memory().private <= process_memory().resident <= process_memory().peak
+    assert process_memory(str(tmp_path / "missing")) == ProcessMemory()
+
+
+@pytest.fixture
+def lines(caplog):
+    caplog.set_level(logging.INFO, logger="limelatch.driver")
+    return lambda: [record.pairs for record in caplog.records if record.msg == "resources"]
+
+
+@pytest.mark.parametrize(("resident", "state", "count"), [(50, "ok", 3), (90, "high", 31)])
+def test_resources_are_logged_each_10_seconds_and_each_second_near_the_limit(lines, resident, state, count):
+    clock = RunningReactor()
+    monitor = ResourceMonitor(
+        Deadlines(clock, clock), 100_000_000, lambda: HOLDINGS, lambda: ProcessMemory(resident * 1_000_000)
+    )
+    monitor.start()
+    clock.pump([0.25] * 120)
+    assert abs(len(lines()) - count) <= 1
+    assert all(line["memory"] == state and line["resident_mb"] == resident for line in lines())
+    assert lines()[0]["open"] == 4 and lines()[0]["calls"] == 8
+
+
+def test_the_longest_delay_of_a_timer_is_told_once():
+    clock = RunningReactor()
+    deadlines = Deadlines(clock, clock)
+    deadlines.after(SECOND // 10, lambda: None)
+    clock.advance(0.5)
+    assert deadlines.take_max_delay() == pytest.approx(4 * SECOND // 10, abs=2)
+    assert deadlines.take_max_delay() == 0
+
+
+def test_lines_are_limited_by_reason_and_each_reason_tells_its_own_count(caplog):
+    clock = SimpleNamespace(now=lambda: now[0])
+    now, limited = [SECOND], LimitedLog(logger("clients"), clock, max_per_second=2, by_reason=True)
+    caplog.set_level(logging.INFO, logger="limelatch.clients")
+    for _ in range(9):
+        limited("client-ended", why="silent")
+    limited("client-ended", why="memory")
+    now[0] += SECOND
+    limited("client-ended", why="memory")
+    limited("client-ended", why="silent")
+    assert [record.pairs for record in caplog.records] == [
+        {"why": "silent"},
+        {"why": "silent"},
+        {"why": "memory"},
+        {"why": "memory"},
+        {"why": "silent", "left_out": 7},
+    ]
