Account for the memory that clients' commands allocate until it is released

What callers saw: with hundreds of clients that stopped in a large request, or sent much at once, a process passed its memory limit and was killed. Cause: the bound on incomplete commands counted bytes in use, not bytes allocated, and credited them when a connection was told to go, while its buffer of up to 84 KB stayed for the 0.5 s in which the close lingers. Change: limelatch/memory_account.py holds what connections have allocated; a connection that ends gives its input's memory back at once; the one that has held the most for longest gives way, so a client at its usual pace is not the first. A bulk string is collected in parts as it comes and a client's ring is 24 KB, not 84; rings allocate with the first write.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -15,6 +15,7 @@
 from limelatch.interface import MS, SECOND
 from limelatch.logs import LimitedLog, logger, log_event
 from limelatch.command_budget import CommandBudget
+from limelatch.memory_account import MemoryAccount
 from limelatch.relay.client_log import ClientLog, ClientState
 from limelatch.relay.end_reason import EndReason
 from limelatch.relay.line_receiver import BufferedLineReceiver, has_unread_bytes
@@ -96,20 +97,24 @@
     delimiter = b"\r\n"
 
     def __init__(self, listener: Listener) -> None:
-        super().__init__(MAX_COMMAND_SIZE + 2, 2 * MAX_REPLY_SIZE)
+        super().__init__(self.MAX_LENGTH, 2 * MAX_REPLY_SIZE)
         self.listener, self.slot = listener, None
         self.arguments: list[bytes] = []
-        self.missing_arguments = self.arguments_size = 0  # arguments still to come; bytes of those received
+        self.argument_parts: list[bytes] = []  # of the argument that is being received
+        self.missing_arguments = self.missing_bytes = 0  # arguments, and bytes of this one, still to come
+        self.arguments_size = 0  # bytes that the arguments begun so far have or will have
+        self.received_size = 0  # bytes received of them
         self.is_too_large = False
         self.bytes_to_skip = 0
         self.awaiting_answer = False
         self.input_closed = False
         self.ended_in: ClientState | None = None  # its state when the relay ended it
+        self.bytes_at_end = 0  # what it held then of commands
         self.is_lingering = False  # closed for writing
         self.discarded_bytes = 0  # bytes discarded since then
         self.has_sent_command = False
         self.bad_command_count = 0
-        self.buffered_bytes = 0  # this connection's part of the listener's count
+        self.charged_bytes = 0  # this connection's part of the listener's memory account
         self.last_received_at = self.command_started_at = listener.driver.clock.now()
         self.deadline = None
 
@@ -126,6 +131,28 @@
             if self.listener.connections.is_full:
                 self.listener.make_room(self)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes allocated for commands that are being received or wait."""
+        return self.inbound.allocated + self.received_size
+
+    def may_be_shed(self) -> bool:
+        """Whether its command can be refused.
+
+        A client whose text awaits its answer would take the refusal for that answer."""
+        return self.end_reason is None and not self.awaiting_answer
+
+    def _release_input(self) -> None:
+        """Drop what was received, and give its memory back."""
+        self.inbound.clear()
+        self._drop_arguments()
+        self.missing_arguments = self.missing_bytes = 0
+        self.listener.memory.update(self)
+
+    def _drop_arguments(self) -> None:
+        self.arguments, self.argument_parts = [], []
+        self.arguments_size = self.received_size = 0
+
     def idle_deadline(self) -> int:
         """When this connection is closed as idle; a first or incomplete command has a limit of its own."""
         plan = self.listener.driver.plan
@@ -154,11 +181,12 @@
         """Close the connection after what was written; abort it if that takes longer than LINGER_TIMEOUT."""
         if self.end_reason is not None:
             return
-        self.ended_in = self.state()
+        self.ended_in, self.bytes_at_end = self.state(), self.held_bytes
         if self.between_requests():
             self.close(end_reason, finish_writing=True)
         else:
             self._close_lingering(end_reason)
+        self._release_input()
         if self.deadline is not None:
             self.deadline.cancel()
         self.deadline = self.listener.driver.deadlines.after(  # if the client reads no more
@@ -214,7 +242,7 @@
         if self.between_requests():
             self.command_started_at = self.last_received_at
         super().dataReceived(data)
-        self.listener.count_buffered(self)
+        self.listener.charge_memory(self)
 
     def is_parsing_paused(self) -> bool:
         """Whether a text awaits its answer, the next reply might not fit into the outbound buffer, or the
@@ -230,7 +258,7 @@
         """Go on with buffered commands, after those of other connections."""
         self.command_started_at = self.listener.driver.clock.now()
         self.pump()
-        self.listener.count_buffered(self)
+        self.listener.charge_memory(self)
         if self.input_closed:
             self.readConnectionLost()
 
@@ -243,14 +271,14 @@
                 self._skip(size + 2)
             else:
                 self.arguments_size += size
-                self.expect(size + 2)
+                self.missing_bytes = size + 2
+                self.expect_parts(size + 2)
         elif line.startswith(b"*"):
             if not DECIMAL.match(line[1:]) or not 1 <= int(line[1:]) <= MAX_ARGUMENTS:
                 self._protocol_error("an array of 1 to 16 bulk strings is wanted")
             else:
                 self.missing_arguments = int(line[1:])
-                self.arguments = []
-                self.arguments_size = 0
+                self._drop_arguments()
                 self.is_too_large = False
         elif line.strip():  # an inline command, as typed by hand
             self._run_command(line.split())
@@ -268,17 +296,23 @@
         self.end(EndReason.MALFORMED)
 
     def rawDataReceived(self, data: bytes) -> None:
-        """Take the content of a bulk string, or skip part of an oversized one."""
+        """Take part of a bulk string, or skip part of an oversized one."""
         if self.bytes_to_skip:
             self.bytes_to_skip -= len(data)
             if self.bytes_to_skip:
                 self.expect(min(self.bytes_to_skip, SKIP_CHUNK_SIZE))
                 return
-        elif not data.endswith(b"\r\n"):
-            self._protocol_error("a bulk string's end is missing")
-            return
         else:
-            self.arguments.append(data[:-2])
+            self.argument_parts.append(data)
+            self.received_size += len(data)
+            self.missing_bytes -= len(data)
+            if self.missing_bytes:
+                return
+            argument, self.argument_parts = b"".join(self.argument_parts), []
+            if not argument.endswith(b"\r\n"):
+                self._protocol_error("a bulk string's end is missing")
+                return
+            self.arguments.append(argument[:-2])
         self.setLineMode()
         self.missing_arguments -= 1
         if not self.missing_arguments:
@@ -289,8 +323,7 @@
         self.listener.count_command(self)
         self.has_sent_command = True
         self.command_started_at = self.listener.driver.clock.now()
-        self.arguments_size = 0
-        self.arguments = []
+        self._drop_arguments()
         try:
             if self.is_too_large:
                 raise BadCommand(f"a body holds {MAX_BODY_SIZE} bytes at most")
@@ -353,13 +386,12 @@
             self.end_reason,
             self.transport.getPeer().host,
             self.ended_in or self.state(),
-            self.buffered_bytes,
+            self.bytes_at_end,
             self.listener.driver.clock.now() - self.command_started_at,
         )
         if self.deadline is not None:
             self.deadline.cancel()
-        self.listener.buffered_bytes -= self.buffered_bytes
-        self.buffered_bytes = 0
+        self._release_input()
         if self.slot is not None:
             self.listener.remove(self)
         self.listener.resume_accepting()
@@ -378,7 +410,6 @@
         """`max_connections`: size of the table; `max_open`: with those that are still closing."""
         self.driver = driver
         self.connections = Slots(max_connections)
-        self.max_buffered_bytes = max_buffered_bytes
         self._by_last_activity: OrderedDict[Client, None] = OrderedDict()  # the longest idle first
         self.open = 0  # open connections, including those that are closing
         self.max_open = max_open
@@ -386,7 +417,8 @@
         self.stopping, self.port, self._accepting_paused = False, None, False
         self.paused = self.closing = False  # paused: PING is refused; closing: idle connections are closed
         self._grace = self._room_check = None
-        self.buffered_bytes, self.limited_log = 0, LimitedLog(log, driver.clock)
+        self.limited_log = LimitedLog(log, driver.clock)
+        self.memory: MemoryAccount[Client] = MemoryAccount(max_buffered_bytes)
         self.client_log = ClientLog(driver.clock)
         self.budget: CommandBudget[Client] = CommandBudget()
         self._commands_due = False  # the budget's next turn is about to begin
@@ -444,22 +476,14 @@
         except OSError as error:
             raise CannotListenError(host, port, error) from None
 
-    def count_buffered(self, client: Client) -> None:
-        """Count a client's bytes of incomplete commands; over the limit the largest such connection ends.
-
-        Guards against half-sent bodies on many connections, which together outgrow the memory. A client whose
-        text awaits its answer stays: it would take the refusal for that answer."""
-        buffered = len(client.inbound) + client.arguments_size if client.end_reason is None else 0
-        self.buffered_bytes = self.buffered_bytes + buffered - client.buffered_bytes
-        client.buffered_bytes = buffered
-        while self.buffered_bytes > self.max_buffered_bytes:
-            partial = [each for each in self.connections if each.buffered_bytes and not each.awaiting_answer]
-            if not partial:
-                break
-            largest = max(partial, key=lambda each: each.buffered_bytes)
-            self.buffered_bytes, largest.buffered_bytes = self.buffered_bytes - largest.buffered_bytes, 0
-            largest.reply("-BUSY")
-            largest.end(EndReason.NO_MEMORY)
+    def charge_memory(self, client: Client) -> None:
+        """Charge what a client's commands hold; over the limit, refuse the largest and slowest.
+
+        Guards against half-sent bodies on many connections, which together outgrow the memory."""
+        self.memory.update(client)
+        while (shed := self.memory.next_to_shed(self.driver.clock.now())) is not None:
+            shed.reply("-BUSY")
+            shed.end(EndReason.NO_MEMORY)
 
     def must_wait(self, client: Client) -> bool:
         """Whether the client's next command waits for those of others, or for the reactor's next turn.
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -340,7 +340,7 @@
         return Holdings(
             clients=len(self.listener.connections),
             open_clients=self.listener.open,
-            client_bytes=self.listener.buffered_bytes,
+            client_bytes=self.listener.memory.total,
             texts=len(self.accepted),
             text_bytes=self.ledger.state.live_bytes,
             calls=self.pool.calls_in_flight,
--- a/limelatch/relay/line_receiver.py
+++ b/limelatch/relay/line_receiver.py
@@ -104,6 +104,7 @@
         self.inbound = RingBuffer(max(inbound, self.MAX_LENGTH) + READ_SIZE)
         self._outbound = RingBuffer(outbound)
         self._block_size, self._pumping, self._reading = 0, False, True
+        self._takes_parts = False  # whether a block is delivered in parts, as it comes
         self.outbound_writer: OutboundWriter | None = None
         self.end_reason: EndReason | None = None
 
@@ -121,9 +122,18 @@
 
     def expect(self, count: int) -> None:
         """Deliver the next `count` bytes as one block to `rawDataReceived`."""
-        self._block_size = count
+        self._block_size, self._takes_parts = count, False
         self.setRawMode()
 
+    def expect_parts(self, count: int) -> None:
+        """Deliver the next `count` bytes to `rawDataReceived` in parts, as they come."""
+        self._block_size, self._takes_parts = count, True
+        self.setRawMode()
+
+    def may_read(self) -> bool:
+        """Whether more input may be read now; otherwise it stays with the kernel."""
+        return self.inbound.free >= READ_SIZE
+
     def is_parsing_paused(self) -> bool:
         """Whether received bytes stay in the buffer for now."""
         return False
@@ -135,7 +145,7 @@
             self.pump()
 
     def pump(self) -> None:
-        """Parse all complete lines and blocks; stop reading while the buffer lacks room for another read."""
+        """Parse all complete lines and blocks; stop reading while no more may be read."""
         if self._pumping:
             return
         self._pumping = True
@@ -144,13 +154,16 @@
                 super().dataReceived(chunk)
         finally:
             self._pumping = False
-        reading = self.inbound.free >= READ_SIZE
-        if self.end_reason is None and reading != self._reading:
+        if self.end_reason is None and (reading := self.may_read()) != self._reading:
             self._reading = reading
             (self.transport.resumeProducing if reading else self.transport.pauseProducing)()
 
     def _next_chunk(self) -> bytes:
         if not self.line_mode:
+            if self._takes_parts:
+                part = self.inbound.read(self._block_size)
+                self._block_size -= len(part)
+                return part
             return self.inbound.read(self._block_size) if len(self.inbound) >= self._block_size else b""
         end = self.inbound.find(self.delimiter)
         if end < 0 and len(self.inbound) > self.MAX_LENGTH:
--- a/limelatch/relay/ring_buffer.py
+++ b/limelatch/relay/ring_buffer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-FIRST_SIZE = 1024  # bytes allocated for an empty buffer
+FIRST_SIZE = 1024  # bytes allocated with the first write
 
 
 class RingBufferFull(Exception):
@@ -14,7 +14,7 @@
 
     def __init__(self, bound: int) -> None:
         self.bound = bound
-        self._cells = bytearray(min(bound, FIRST_SIZE))
+        self._cells = bytearray()
         self._head = 0
         self._length = 0
 
@@ -26,8 +26,15 @@
         """Bytes that can still be written."""
         return self.bound - self._length
 
+    @property
+    def allocated(self) -> int:
+        """Bytes of its storage."""
+        return len(self._cells)
+
     def write(self, data: bytes) -> None:
         """Append all of `data`, or raise RingBufferFull and append nothing."""
+        if not data:
+            return
         if len(data) > self.free:
             raise RingBufferFull(f"{len(data)} bytes for a ring buffer with {self.free} free")
         if self._length + len(data) > len(self._cells):
@@ -39,7 +46,7 @@
         self._length += len(data)
 
     def _grow(self, minimum: int) -> None:
-        size = len(self._cells)
+        size = len(self._cells) or FIRST_SIZE
         while size < minimum:
             size *= 2
         content = self.peek(self._length)
@@ -50,10 +57,13 @@
     def peek(self, count: int) -> bytes:
         """The next `count` bytes, or all if there are fewer; they stay in the buffer."""
         count = min(count, self._length)
+        if not count:
+            return b""
         end = self._head + count
         if end <= len(self._cells):
-            return bytes(self._cells[self._head : end])
-        return bytes(self._cells[self._head :]) + bytes(self._cells[: end - len(self._cells)])
+            return bytes(memoryview(self._cells)[self._head : end])
+        with memoryview(self._cells) as cells:
+            return b"".join((cells[self._head :], cells[: end - len(cells)]))
 
     def read(self, count: int) -> bytes:
         """Remove and return the next `count` bytes, or all if there are fewer."""
@@ -61,9 +71,13 @@
         self._length -= len(data)
         self._head = (self._head + len(data)) % len(self._cells) if self._length else 0
         if not self._length and len(self._cells) > FIRST_SIZE:
-            self._cells = bytearray(min(self.bound, FIRST_SIZE))  # one large block must not keep its memory
+            self._cells = bytearray()  # one large block must not keep its memory
         return data
 
+    def clear(self) -> None:
+        """Remove all bytes, and release the storage."""
+        self._cells, self._head, self._length = bytearray(), 0, 0
+
     def find(self, pattern: bytes) -> int:
         """Offset of `pattern` from the next byte to read; -1 if it is not in the buffer."""
         end = self._head + self._length
--- a/tests/test_command_budget.py
+++ b/tests/test_command_budget.py
@@ -130,7 +130,7 @@
     client.dataReceived(b"PING\r\n" * BURST)
     assert client in listener.budget
     client.connectionLost(None)
-    assert not listener.budget and listener.buffered_bytes == 0
+    assert not listener.budget and listener.memory.total == 0
     turns.run()
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -108,7 +108,7 @@
     ring = RingBuffer(100_000)
     ring.write(bytes(90_000))
     ring.read(90_000)
-    assert len(ring._cells) == 1024
+    assert ring.allocated == 0
 
 
 def test_warnings_caused_from_outside_are_rate_limited_and_counted(deadlines, caplog):
