Leave with the kernel what follows a command that waits

What callers saw: with 480 clients that sent 125 KB behind a request of 65 KB, while hosts were silent, a process's memory grew by what each of them had sent. Cause: behind a text that awaits its answer, or commands that wait for their turn, a connection went on reading until its buffer was full, and such a connection can't be refused, since its client awaits an answer. Change: one read is kept, then reading stops until the command has had its turn; the kernel's window holds the client back. The test failed before (still reading).

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -210,6 +210,14 @@
             and self.listener.must_wait(self)
         )
 
+    def may_read(self) -> bool:
+        """Whether more input may be read now.
+
+        Behind a command that waits for its answer or its turn one read is kept, the rest stays with the
+        kernel."""
+        has_to_wait = self.awaiting_answer or self in self.listener.budget
+        return super().may_read() and not (self.inbound and has_to_wait)
+
     def resume_parsing(self) -> None:
         """Go on with buffered commands, after those of other connections."""
         self.command_started_at = self.listener.driver.clock.now()
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -71,3 +71,13 @@
     monkeypatch.setattr(client, "_run_command", seen.append)
     client.dataReceived(b"a " * 3900 + b"\r\n")
     assert [len(words) for words in seen] == [MAX_ARGUMENTS + 1]
+
+
+def test_of_what_follows_a_request_that_awaits_its_answer_one_read_is_held(listener):
+    client = connect(listener)
+    listener.driver.submission_received = lambda submission, client: None
+    client.dataReceived(b"SUBMIT 0 t1 c=report,d=9000,dest=1 x\r\n" + bytes(2000))
+    assert client.awaiting_answer and client.transport.producerState == "paused"
+    assert 2000 <= listener.memory.total <= 4096
+    client.answer("+OK")
+    assert client.transport.producerState == "producing"
