Count the bodies of all texts of a turn before one is accepted, and hold each body once

Cause: the room in the ledger was asked for each text by what is recorded, while the texts of one turn of the reactor are recorded together at its end. Evidence: 40 requests of 60 KB in one turn with a disk limit of 1 MB: 32 accepted, 1.92 MB of records where 0.4 are allowed, so the folder held more than its limit. A body was also held twice, by the driver and in the ledger's record. Change: what the turn's other texts need is asked for too; a body is the ledger's alone once it is recorded.

--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -47,7 +47,7 @@
 
     text: li.Text
     idempotency_key: bytes
-    body: bytes
+    body: bytes  # until it is accepted; then the ledger has it
     product_settings: li.Product  # as of its arrival; a later configuration doesn't change them
     product: str  # name of the product
     client: Client | None = None  # while it waits for the answer to its submission
@@ -100,6 +100,7 @@
         self.slots: Slots[AcceptedText] = Slots(max(plan.settings.max_texts, len(self.ledger.entries)))
         self.accepted: dict[bytes, AcceptedText] = {}
         self.new_texts: dict[bytes, AcceptedText] = {}  # of this turn, not accepted yet
+        self._new_body_bytes = 0  # of their bodies
         self.hosts: dict[li.HostId, li.HostEntry] = {}  # of the destinations in use, as last listed
         self.limited_log, self.text_log = LimitedLog(log, clock), TextLog(clock)
         self._turn_due, self.ready, self._stop_deadline, self._earliest_stop_at = False, False, None, 0
@@ -221,7 +222,7 @@
         in_order = self._is_ordered(fields["product"]) if entry.in_order is None else entry.in_order
         product_settings = replace(self.plan.settings.products[product], in_order=in_order)
         accepted = self._register(
-            AcceptedText(text, fields["mark"].encode(), entry.body, product_settings, fields["product"])
+            AcceptedText(text, fields["mark"].encode(), b"", product_settings, fields["product"])
         )
         answered = entry.notice is not None or not is_known
         first_run_at = entry.first_run_at
@@ -405,6 +406,7 @@
                     text, submission.idempotency_key, submission.body, product_settings, product, client
                 )
             )
+            self._new_body_bytes += len(submission.body)
             self._list_hosts_of(now, text.destination)
             self.policy.text_accepted(now, text)
             self.schedule_turn()
@@ -428,7 +430,7 @@
             return Refusal("stopping", "-BUSY")
         if self.slots.is_full:
             return Refusal("texts-most", "-BUSY")
-        if not self.ledger.has_room(len(submission.body)):
+        if not self.ledger.has_room(len(submission.body), len(self.new_texts), self._new_body_bytes):
             return Refusal("disk-most", "-BUSY")
         return None
 
@@ -449,6 +451,7 @@
         """A client left before its texts were accepted: drop them; it submits them again under new ids."""
         for accepted in [each for each in self.new_texts.values() if each.client is client]:
             del self.new_texts[accepted.text.id]
+            self._new_body_bytes -= len(accepted.body)
             self.policy.text_finished(self.clock.now(), accepted.text.id)
             self._release(accepted)
             self.schedule_turn()
@@ -657,7 +660,7 @@
         now = self.clock.now()
         actions = self.policy.decide(now, self.storage_monitor.gate.may_submit)
         # Answering a client may bring in its next text, which is for a later turn.
-        new_texts, self.new_texts = self.new_texts, {}
+        new_texts, self.new_texts, self._new_body_bytes = self.new_texts, {}, 0
         for action in actions:
             if isinstance(action, (li.Nack, li.Undeliverable)) and action.text in new_texts:
                 self._reject(new_texts.pop(action.text), action)
@@ -728,6 +731,7 @@
             at=text.received_at,
             ordered=accepted.product_settings.in_order,
         ):
+            accepted.body = b""
             self.text_log.accepted(text, accepted.key)
             client.answer("+OK")
         else:  # the record could not be written
@@ -751,7 +755,7 @@
             OutgoingText(
                 text,
                 accepted.idempotency_key,
-                accepted.body,
+                self.ledger.entries[text].body,
                 deadline,
                 idle_limit,
                 once_only=accepted.product_settings.effect is li.Effect.ONCE_ONLY,
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -324,12 +324,13 @@
         self.disk_limit, self.max_live_bytes = disk, min(disk * LIVE_SHARE, self._memory_limit * MEMORY_SHARE)
         return True
 
-    def has_room(self, body: int) -> bool:
-        """Whether a text with a body of so many bytes fits, with all records still to come of all texts."""
+    def has_room(self, body: int, others: int = 0, others_bytes: int = 0) -> bool:
+        """Whether a text with a body of so many bytes fits, with all records still to come of all texts.
+
+        `others`: texts that are about to be recorded; `others_bytes`: of their bodies."""
         own_disk = max(0, self.disk_limit - self.sibling_bytes)
-        return self.state.live_bytes + body + 2 * STATE_RESERVE <= min(
-            self.max_live_bytes, own_disk * LIVE_SHARE
-        )
+        needed = self.state.live_bytes + body + others_bytes + 2 * STATE_RESERVE * (1 + others)
+        return needed <= min(self.max_live_bytes, own_disk * LIVE_SHARE)
 
     def record_accepted(self, text: bytes, body: bytes, **fields: object) -> bool:
         """Record a text; False where that can't be written, and then the text must not be accepted."""
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -1,5 +1,6 @@
 """Hundreds of bad clients at once keep a relay process within its memory limit, and others are answered."""
 
+import signal
 from types import SimpleNamespace
 
 import pytest
@@ -9,6 +10,7 @@
 
 from limelatch.interface import SECOND
 from limelatch.relay.clients import Listener
+from limelatch.relay.ledger import Ledger
 from limelatch.relay.submission import MAX_ARGUMENTS, MAX_HEAD_SIZE, BadCommand, read_submit
 
 ANSWER_SECONDS = 0.4  # the longest wait of a client for its answer, by the protocol
@@ -81,3 +83,23 @@
     assert 2000 <= listener.memory.total <= 4096
     client.answer("+OK")
     assert client.transport.producerState == "producing"
+
+
+def test_large_texts_of_one_turn_count_for_the_room_before_they_are_recorded(make_program, agent, make_host):
+    """The room for records is a tenth of the memory limit, or 0.4 of the disk's."""
+    host, body, count = make_host(lambda request: request.hang()), bytes(60_000), 40
+    agent.list(host.address)
+    program = make_program(limits={"memory_mb": 192, "sockets": SOCKETS, "disk_mb": 1})
+    program.start().socket.close()
+    clients = [program.client() for _ in range(count)]
+    program.process.send_signal(signal.SIGSTOP)  # all requests come in one turn of the reactor
+    for number, client in enumerate(clients):
+        client.write("SUBMIT", "0", f"t{number}", "c=report,t=acme,d=9000,dest=1", body)
+    program.process.send_signal(signal.SIGCONT)
+    answers = [client.lines.readline().strip() for client in clients]
+    accepted = answers.count(b"+OK")
+    assert set(answers) == {b"+OK", b"-BUSY"}
+    assert 0 < accepted * len(body) <= 0.4 * 1_000_000, accepted
+    program.kill()
+    ledger = Ledger(str(program.state), 1_000_000, 192_000_000)
+    assert len(ledger.entries) == accepted and ledger.state.live_bytes <= ledger.max_live_bytes
