Give memory that a burst of clients has left free back to the kernel

What callers saw: a process stayed at its peak after a crowd had gone, so a second crowd, or the second process of an upgrade, found less room. Cause: closed connections refer to themselves and are freed only in a full collection, and the C library keeps freed pages. Change: while the process has 4 MB more than when it began to serve, it collects and trims, every 2 s where that gives back 1 MB, else less and less often (memory_trim.py decides, relay/allocator.py acts).

--- a/tests/test_resource_monitor.py
+++ b/tests/test_resource_monitor.py
@@ -8,6 +8,7 @@
 
 from limelatch.interface import SECOND
 from limelatch.logs import LimitedLog, logger
+from limelatch.memory_trim import MAX_TRIM_INTERVAL, TrimSchedule
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.process_memory import ProcessMemory, parse_status, process_memory
 from limelatch.relay.resource_monitor import Holdings, ResourceMonitor
@@ -19,6 +20,7 @@
 RssShmem:\t    4 kB
 Threads:\t1
 """
+MB = 1_000_000
 HOLDINGS = Holdings(clients=3, open_clients=4, client_bytes=5, texts=6, text_bytes=7, calls=8)
 
 
@@ -43,7 +45,7 @@
 def test_resources_are_logged_each_10_seconds_and_each_second_near_the_limit(lines, resident, state, count):
     clock = RunningReactor()
     monitor = ResourceMonitor(
-        Deadlines(clock, clock), 100_000_000, lambda: HOLDINGS, lambda: ProcessMemory(resident * 1_000_000)
+        Deadlines(clock, clock), 100 * MB, lambda: HOLDINGS, lambda: ProcessMemory(resident * MB)
     )
     monitor.start()
     clock.pump([0.25] * 120)
@@ -78,3 +80,34 @@
         {"why": "memory"},
         {"why": "silent", "left_out": 7},
     ]
+
+
+def test_free_memory_is_looked_for_above_rest_and_less_often_while_there_is_none():
+    schedule, now, trims = TrimSchedule(rest=36 * MB), 0, []
+    assert not schedule.is_due(now, 39 * MB)
+    for _ in range(4 * 300):
+        now += SECOND // 4
+        if schedule.is_due(now, 50 * MB):
+            trims.append(now)
+            schedule.trimmed(now, 50 * MB, 50 * MB)
+    gaps = [after - before for before, after in zip(trims, trims[1:], strict=False)]
+    assert gaps[0] <= 4 * SECOND and gaps == sorted(gaps) and gaps[-1] == MAX_TRIM_INTERVAL
+    assert schedule.is_due(now + 2 * SECOND, 52 * MB)  # it has grown since
+
+
+def test_a_process_that_has_grown_gives_freed_memory_back():
+    clock, sizes, trims = RunningReactor(), [36 * MB], []
+
+    def trim():
+        trims.append(clock.now())
+        sizes[0] = 38 * MB
+
+    monitor = ResourceMonitor(
+        Deadlines(clock, clock), 100 * MB, lambda: HOLDINGS, lambda: ProcessMemory(sizes[0]), trim
+    )
+    monitor.start()
+    clock.pump([0.25] * 20)
+    assert not trims
+    sizes[0] = 60 * MB
+    clock.pump([0.25] * 20)
+    assert len(trims) == 1 and monitor.memory.resident == 38 * MB
