Divide the memory limit by what the process needs at rest, and keep TLS out of it

Cause: the parts were fixed shares of the limit (an eighth, a tenth) beside a process that needs 36.3 MB (25 of its own) at rest, and connections were bounded by descriptors alone. Change: limelatch/memory_plan.py divides what is left above the process's memory, measured at its start, the folder's files and a reserve, among connections, commands and texts; each process of an upgrade has half. A limit that leaves nothing is refused at the start with the figure that is needed (exit code 2); one without room for the program's file pages is told (event memory-short).

--- a/limelatch/configuration/model.py
+++ b/limelatch/configuration/model.py
@@ -294,7 +294,7 @@
     memory: Annotated[
         Size,
         described(
-            "memory; up to an eighth of it holds incomplete commands, up to a tenth texts of the ledger",
+            "memory; what is left above rest is divided among clients, their commands and texts",
             "limits.memory_mb",
         ),
     ] = 192_000_000
--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -20,6 +20,7 @@
 from limelatch.configuration.platform_form import read_platform
 from limelatch.configuration.reload import ConfigurationSource
 from limelatch.membership.timing import Timing
+from limelatch.memory_plan import MemoryPlan, divide
 
 SEED_BYTES = 8
 MIN_SOCKETS = 64  # with so few descriptors, each use still gets some
@@ -80,6 +81,13 @@
         """
         return cls.of(max(MIN_SOCKETS, sockets // 2))
 
+    def within(self, connections: int) -> DescriptorShares:
+        """The shares with at most so many connections of clients, those being closed included."""
+        if connections >= self.max_clients:
+            return self
+        clients = min(self.clients, connections * self.clients // self.max_clients)
+        return replace(self, clients=clients, max_clients=connections)
+
 
 @dataclass(frozen=True)
 class MembershipPlan:
@@ -109,7 +117,7 @@
     max_memory_bytes: int
     sockets: int
     shares: DescriptorShares
-    max_client_bytes: int  # of incomplete commands, for all clients together
+    memory: MemoryPlan  # how the memory limit is divided; before the start, as if the process needed none
     client_command_timeout: int  # for a client's first command, and for the rest of an incomplete one
     client_idle_timeout: int  # between a client's commands
     connect_timeout: int  # for connecting to a host
@@ -228,7 +236,7 @@
         max_memory_bytes=limits.memory,
         sockets=limits.sockets,
         shares=DescriptorShares.of(limits.sockets),
-        max_client_bytes=limits.memory // 8,
+        memory=divide(limits.memory),
         client_command_timeout=installation.clients.command_wait,
         client_idle_timeout=installation.clients.idle_wait,
         connect_timeout=installation.hosts.connect_wait,
--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -234,6 +234,17 @@
         "a new configuration was rejected; the whole current one stays in force",
         {"why": "every error, by key"},
     ),
+    "memory-short": Event(
+        "main",
+        WARNING,
+        "the memory limit leaves no room beside the pages of the program's files; they are not counted, and "
+        "few clients are served",
+        {
+            "limit_mb": "`limits.memory`, in MB of 10^6 bytes like the other sizes",
+            "resident_mb": "resident memory at the start",
+            "private_mb": "of it, what does not belong to files",
+        },
+    ),
     "descriptors-few": Event(
         "main",
         WARNING,
--- a/limelatch/relay/__main__.py
+++ b/limelatch/relay/__main__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+if __name__ == "__main__":  # in a process that does nothing else; before the libraries
+    import limelatch.relay.unused_modules  # noqa: F401
+
 import errno
 import os
 import resource
@@ -18,9 +21,12 @@
 from limelatch.configuration.files import error_lines, form_of
 from limelatch.configuration.plan import MIN_SOCKETS, DescriptorShares
 from limelatch.interface import SECOND
+from limelatch.memory_plan import MEGABYTE, MemoryTooSmall, plan_memory
+from limelatch.relay.allocator import settle_start
 from limelatch.relay.anchor_file import AnchorFile
 from limelatch.relay.clock import monotonic_now
 from limelatch.relay.driver import Driver
+from limelatch.relay.process_memory import ProcessMemory, process_memory
 from limelatch.relay.reactor import reactor
 
 # Exit codes, the same for every command.
@@ -58,6 +64,22 @@
     return replace(plan, sockets=limit, shares=DescriptorShares.of(limit))
 
 
+def limit_memory(plan: RelayPlan, memory: ProcessMemory) -> RelayPlan:
+    """The plan, with its memory limit divided by what this process needs at rest.
+
+    Raises MemoryTooSmall if the limit is too low for any relay."""
+    divided = plan_memory(plan.max_memory_bytes, plan.max_disk_bytes, memory.resident, memory.private)
+    if not divided.counts_program:
+        logs.log_event(
+            logs.logger("main"),
+            "memory-short",
+            limit_mb=round(plan.max_memory_bytes / MEGABYTE, 1),
+            resident_mb=round(memory.resident / MEGABYTE, 1),
+            private_mb=round(memory.private / MEGABYTE, 1),
+        )
+    return replace(plan, memory=divided)
+
+
 def open_driver(plan: RelayPlan) -> Driver:
     """Open the state directory and create the driver; transient errors are retried.
 
@@ -86,13 +108,15 @@
         logs.redirect_twisted_log()
         logs.start(plan.log)
         plan = limit_descriptors(plan, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        settle_start()
+        plan = limit_memory(plan, process_memory())
         driver = open_driver(plan)
     except ConfigurationError as error:
         path = path or os.environ.get("RELAY_CONFIG") or "RELAY_CONFIG"
         for line in error_lines(error, path, form or form_of(path)):
             print(f"limelatch: {line}", file=sys.stderr)
         return BAD_USE
-    except OSError as error:
+    except (OSError, MemoryTooSmall) as error:
         print(f"limelatch: {error}", file=sys.stderr)
         return BAD_USE
     log, start_errors = logs.logger("main"), []
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -448,6 +448,9 @@
 
         Guards against half-sent bodies on many connections, which together outgrow the memory."""
         self.memory.update(client)
+        self._shed()
+
+    def _shed(self) -> None:
         while (shed := self.memory.next_to_shed(self.driver.clock.now())) is not None:
             shed.reply("-BUSY")
             shed.end(EndReason.NO_MEMORY)
@@ -512,9 +515,11 @@
             if self._room_check is None:
                 self._room_check = self.driver.deadlines.after(FULL_TABLE_CHECK_INTERVAL, self._check_room)
 
-    def set_limits(self, max_connections: int, max_open: int) -> None:
+    def set_limits(self, max_connections: int, max_open: int, max_buffered_bytes: int) -> None:
         """Change the limits. Idle connections beyond them are closed now, the others once they are idle."""
         self.connections.size, self.max_open = max_connections, max_open
+        self.memory.limit = max_buffered_bytes
+        self._shed()
         while len(self.connections) > max_connections and (idle := self._longest_idle(None)) is not None:
             idle.end(EndReason.NO_SLOT)
             self.remove(idle)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -79,7 +79,7 @@
         self.suspended_hosts = SuspendedHosts(plan.state_dir)  # read before the state directory is locked
         self.storage_monitor = StorageMonitor(clock, self.deadlines, self._notify, self.schedule_turn)
         self.ledger = Ledger(
-            plan.state_dir, plan.max_disk_bytes, plan.max_memory_bytes, self.storage_monitor.on_write_result
+            plan.state_dir, plan.max_disk_bytes, plan.memory.text_bytes, self.storage_monitor.on_write_result
         )
         self.storage_monitor.ledger = self.ledger
         self.wall_clock_monitor = WallClockMonitor(
@@ -128,7 +128,8 @@
             ListCopy(plan.state_dir, self.deadlines, self.ledger),
             lambda destination: destination in self.policy.destinations,
         )
-        self.listener = Listener(self, plan.shares.clients, plan.max_client_bytes, plan.shares.max_clients)
+        shares = plan.shares.within(plan.memory.connections)
+        self.listener = Listener(self, shares.clients, plan.memory.command_bytes, shares.max_clients)
         self.operations = Operations(self, self.suspended_hosts)
         self.operator_server = OperatorServer(self, self.operations, plan.shares.operators)
         listen, operator = plan.listen, plan.operator_address
@@ -199,10 +200,13 @@
     def _share_limits(self, has_sibling: bool) -> None:
         """Share the limits between the two processes of an upgrade, or use them whole again.
 
-        Each process gets half of the descriptors, and half of what a host may be sent after an outage."""
+        Each process gets half of the descriptors, half of the memory for clients, and half of what a host may
+        be sent after an outage."""
         self.policy.process_count = 2 if has_sibling else 1
         shares = DescriptorShares.during_upgrade(self.plan.sockets) if has_sibling else self.plan.shares
-        self.listener.set_limits(shares.clients, shares.max_clients)
+        memory = self.plan.memory.half if has_sibling else self.plan.memory
+        shares = shares.within(memory.connections)
+        self.listener.set_limits(shares.clients, shares.max_clients, memory.command_bytes)
         self.pool.set_limit(shares.hosts)
 
     def _is_ordered(self, product: str) -> bool:
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -36,7 +36,6 @@
 MIN_DEAD_RATIO = 2  # compact once the file is this many times the size of what it still needs
 LIVE_SHARE = 0.4  # of the disk limit, for records of unfinished texts; the rest is for growth and compaction
 MAX_OTHER_FILE_SHARE = 0.125  # of the disk limit, for the copy of the host list and its replacement
-MEMORY_SHARE = 0.1  # of the memory limit, for the same records, which are held in memory too
 STANDBY_LOCK_TRIES = 20  # the old process holds the standby directory's lock briefly at each of its checks
 STANDBY_LOCK_PAUSE = 0.01  # seconds between two tries
 OTHER_FILE_BLOCKS = 4  # blocks kept for the files of suspended hosts and of the clock, and a new one of each
@@ -125,12 +124,12 @@
         self,
         state_dir: str,
         disk_bytes: int,
-        memory_bytes: int,
+        max_record_bytes: int,
         on_write_result: Callable[[OSError | None], None] = lambda error: None,
     ) -> None:
         self.state_dir, self.directory, self._on_write_result = state_dir, state_dir, on_write_result
         self._disk_budget = disk_bytes // BLOCK * BLOCK - OTHER_FILE_BLOCKS * BLOCK
-        self._memory_limit = memory_bytes
+        self._max_record_bytes = max_record_bytes  # of unfinished texts, which are held in memory too
         self.reserve_disk(0, at_once=True)
         self.state, self.size, self.cut_bytes, self.unwritten = LedgerState(), 0, 0, b""
         self._torn = False  # whether the file ends in a record that was written in part
@@ -321,7 +320,7 @@
             or self.size + self.state.live_bytes > disk - BLOCK
         ):
             return False
-        self.disk_limit, self.max_live_bytes = disk, min(disk * LIVE_SHARE, self._memory_limit * MEMORY_SHARE)
+        self.disk_limit, self.max_live_bytes = disk, min(disk * LIVE_SHARE, self._max_record_bytes)
         return True
 
     def has_room(self, body: int, others: int = 0, others_bytes: int = 0) -> bool:
--- a/tests/memory_rig.py
+++ b/tests/memory_rig.py
@@ -118,5 +118,6 @@
     "pipelined, hosts silent": (Shape.PIPELINED, ("--clients", 480, "--waves", 3), True),
     "whole large, hosts silent": (Shape.WHOLE_LARGE, ("--clients", 480, "--waves", 3), True),
     "unread replies": (Shape.UNREAD_REPLIES, ("--clients", 480, "--waves", 2), False),
+    "unread replies of fewer": (Shape.UNREAD_REPLIES, ("--clients", 100, "--seconds", 8), False),
     "broken lengths": (Shape.BROKEN_LENGTHS, ("--clients", 200, "--reconnect"), False),
 }
