Count lines that are no command towards a turn's bound of work

What callers saw: while 60 clients sent empty lines at full speed, another client's answer came after 6.92 s (400 ms allowed). Cause: the bound on work counted commands alone, and a read of 16 KB holds 8,000 empty lines, all of them worked through in one turn. Two tests fail without the change.

--- a/tests/memory_rig.py
+++ b/tests/memory_rig.py
@@ -14,6 +14,8 @@
 from limelatch.relay.process_memory import parse_status
 
 PROBE_INTERVAL = 0.1  # seconds between two requests of the honest client
+ANSWER_SECONDS = 0.4  # the longest wait of a client for its answer, by the protocol
+SETTLED_MB = 8  # above rest, to which the memory has to fall after a wave
 SOCKETS = 1024
 DISK_MB = 3
 SETTLE_SECONDS = 10  # after the bad clients have gone
@@ -119,5 +121,18 @@
     "whole large, hosts silent": (Shape.WHOLE_LARGE, ("--clients", 480, "--waves", 3), True),
     "unread replies": (Shape.UNREAD_REPLIES, ("--clients", 480, "--waves", 2), False),
     "unread replies of fewer": (Shape.UNREAD_REPLIES, ("--clients", 100, "--seconds", 8), False),
+    "empty lines, one client": (Shape.EMPTY_LINES, ("--clients", 1, "--seconds", 6), False),
+    "pings, one client": (Shape.PINGS, ("--clients", 1, "--seconds", 6), False),
+    "unknown classes, one client": (
+        Shape.UNKNOWN_CLASSES,
+        ("--clients", 1, "--seconds", 6, "--reconnect"),
+        False,
+    ),
+    "empty lines, crowd": (Shape.EMPTY_LINES, ("--clients", 60, "--seconds", 6), False),
+    "unknown classes, crowd": (
+        Shape.UNKNOWN_CLASSES,
+        ("--clients", 60, "--seconds", 6, "--reconnect"),
+        False,
+    ),
     "broken lengths": (Shape.BROKEN_LENGTHS, ("--clients", 200, "--reconnect"), False),
 }
--- a/tests/test_command_budget.py
+++ b/tests/test_command_budget.py
@@ -9,12 +9,19 @@
 
 import pytest
 from conftest import WAIT_TIMEOUT
+from memory_rig import ANSWER_SECONDS, ROWS, SETTLED_MB, attack
 from test_crossings import RunningReactor
 from test_parts import SocketPairTransport
 
 from limelatch.interface import SECOND
 from limelatch.relay.clients import Listener
-from limelatch.command_budget import MAX_COMMANDS_IN_A_ROW, MAX_COMMANDS_PER_TURN, CommandBudget
+from limelatch.command_budget import (
+    MAX_COMMANDS_IN_A_ROW,
+    MAX_COMMANDS_PER_TURN,
+    MAX_LINES_IN_A_ROW,
+    MAX_LINES_PER_TURN,
+    CommandBudget,
+)
 from limelatch.relay.end_reason import EndReason
 
 BURST = 300  # commands that a client sends at once
@@ -220,3 +227,29 @@
     for check in list(turns.later):
         check()
     assert answer_count(client) == BURST and client.end_reason is None
+
+
+def test_lines_that_are_no_command_count_towards_a_turn_too(listener, turns):
+    connected = [connect(listener) for _ in range(60)]
+    for client in connected:
+        client.dataReceived(b"\r\n" * 4000)
+    usual, unread = connect(listener), sum(len(each.inbound) for each in connected) // 2
+    usual.dataReceived(b"PING\r\n")
+    assert 60 * 4000 - unread <= MAX_LINES_PER_TURN
+    for _ in range(1 + 61 * MAX_LINES_IN_A_ROW // MAX_LINES_PER_TURN):
+        turns.run()
+        before, unread = unread, sum(len(each.inbound) for each in connected) // 2
+        assert before - unread <= MAX_LINES_PER_TURN
+    assert answer_count(usual) == 1
+
+
+@pytest.mark.parametrize("row", ["empty lines, crowd", "unknown classes, crowd", "pings, one client"])
+def test_others_are_answered_in_time_while_clients_write_at_full_speed(make_program, agent, make_host, row):
+    shape, options, _ = ROWS[row]
+    host = make_host()
+    agent.list(host.address)
+    program = make_program()
+    program.start().socket.close()
+    seen = attack(program, shape, *options)
+    assert seen.longest_wait <= ANSWER_SECONDS and set(seen.answers) == {"+OK"}, seen
+    assert seen.peak <= seen.rest + SETTLED_MB, seen
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 
 import pytest
-from memory_rig import DISK_MB, ROWS, SETTLE_SECONDS, SOCKETS, attack, memory_of
+from memory_rig import ANSWER_SECONDS, DISK_MB, ROWS, SETTLED_MB, SETTLE_SECONDS, SOCKETS, attack, memory_of
 from test_command_budget import Turns, connect
 from test_crossings import RunningReactor, wait_until
 
@@ -17,10 +17,8 @@
 from limelatch.relay.ledger import Ledger
 from limelatch.relay.submission import MAX_ARGUMENTS, MAX_HEAD_SIZE, BadCommand, read_submit
 
-ANSWER_SECONDS = 0.4  # the longest wait of a client for its answer, by the protocol
 MEMORY_MB = 64
 LEAST_MB = 32  # the least memory that the platform gives a relay
-SETTLED_MB = 8  # above rest, to which the memory has to fall after a wave
 HEAVY_ROWS = [
     "stalled body",
     "short names",
