--- a/limelatch/memory_plan.py
+++ b/limelatch/memory_plan.py
@@ -65,15 +65,24 @@
     )
 
 
+def needed_memory(files: int, private: int) -> int:
+    """The least limit, in bytes, with which a relay can serve; the arguments as those of `plan_memory`."""
+    besides_files = private + RESERVE + MIN_LEFT
+    with_all_files = besides_files + files
+    if files <= with_all_files // MAX_FILE_SHARE:
+        return with_all_files
+    return -(-besides_files * MAX_FILE_SHARE // (MAX_FILE_SHARE - 1))
+
+
 def plan_memory(limit: int, files: int, resident: int, private: int) -> MemoryPlan:
     """Divide the limit. Sizes in bytes: `files` of the state directory count as memory; `resident` and
     `private` are the process's own at rest, with and without the pages of the program's files.
 
     Raises MemoryTooSmall."""
-    files = min(files, limit // MAX_FILE_SHARE)
-    needed = private + files + RESERVE + MIN_LEFT
+    needed = needed_memory(files, private)
     if needed > limit:
         raise MemoryTooSmall(limit, needed)
+    files = min(files, limit // MAX_FILE_SHARE)
     left = limit - resident - files - RESERVE
     if left >= MIN_LEFT:
         return divide(left)
--- a/tests/test_memory_plan.py
+++ b/tests/test_memory_plan.py
@@ -31,13 +31,14 @@
         assert plan.counts_program == (limit >= RESIDENT + FILES + RESERVE + MIN_LEFT)
 
 
-def test_a_limit_too_small_for_any_client_is_refused_with_the_figure_that_is_needed():
+@pytest.mark.parametrize("files", [FILES, 1000 * MEGABYTE])
+def test_a_limit_too_small_for_any_client_is_refused_with_the_figure_that_is_needed(files):
     with pytest.raises(MemoryTooSmall) as refused:
-        plan_memory(20 * MEGABYTE, FILES, RESIDENT, PRIVATE)
+        plan_memory(20 * MEGABYTE, files, RESIDENT, PRIVATE)
     needed = refused.value.needed
-    assert plan_memory(needed, FILES, RESIDENT, PRIVATE).connections >= MIN_CONNECTIONS
+    assert plan_memory(needed, files, RESIDENT, PRIVATE).connections >= MIN_CONNECTIONS
     with pytest.raises(MemoryTooSmall):
-        plan_memory(needed - 1, FILES, RESIDENT, PRIVATE)
+        plan_memory(needed - 1, files, RESIDENT, PRIVATE)
     assert f"{needed / MEGABYTE:.1f} MB" in str(refused.value) and "20.0 MB" in str(refused.value)
 
 
