Send on no request of a client that has closed the connection before its turn

Cause: commands behind the first wait in the relay or in the kernel, in front of the client's end of stream, which a read finds only once all of them have been worked through. Change: a submit that had to wait is accepted only if the kernel has not seen its client's end (TCP_INFO), else it gets -BUSY and the connection ends; event submits-dropped. One request that comes with its client's end is answered as before. Also, which command has held memory for longest is counted from its first byte: a wait for a turn no longer makes it young. Result: the first of 200 alone. Both cases fail without the change.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -279,6 +279,12 @@
             "left_out": LEFT_OUT + ", for the same reason",
         },
     ),
+    "submits-dropped": Event(
+        "clients",
+        INFO,
+        "texts that a client had sent were not accepted, because it closed the connection before their turn",
+        {"peer": PEER, "left_out": LEFT_OUT},
+    ),
     "accept-failed": Event(
         "clients",
         WARNING,
--- a/limelatch/memory_account.py
+++ b/limelatch/memory_account.py
@@ -13,7 +13,6 @@
 
     held_bytes: int  # allocated now
     charged_bytes: int  # of them, those in the account; written by the account alone
-    command_started_at: int  # of the relay's clock
 
     def may_be_shed(self) -> bool:
         """Whether its command can still be refused: nobody has taken it on or waits for its answer."""
@@ -28,15 +27,15 @@
 
     def __init__(self, limit: int) -> None:
         self.limit, self.total = limit, 0
-        self._holders: dict[AnyHolder, None] = {}
+        self._holders: dict[AnyHolder, int] = {}  # each with the time since when it holds any
 
-    def update(self, holder: AnyHolder) -> None:
+    def update(self, holder: AnyHolder, now: int) -> None:
         """Charge what the connection has allocated since the last call, or credit what it has released."""
         held = holder.held_bytes
         self.total += held - holder.charged_bytes
         holder.charged_bytes = held
         if held:
-            self._holders[holder] = None
+            self._holders.setdefault(holder, now)
         else:
             self._holders.pop(holder, None)
 
@@ -50,6 +49,6 @@
         candidates = [holder for holder in self._holders if holder.may_be_shed()]
         return max(
             candidates,
-            key=lambda holder: holder.charged_bytes * (1 + now - holder.command_started_at),
+            key=lambda holder: holder.charged_bytes * (1 + now - self._holders[holder]),
             default=None,
         )
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -16,7 +16,7 @@
 from limelatch.memory_account import MemoryAccount
 from limelatch.relay.client_log import ClientLog, ClientState
 from limelatch.relay.end_reason import EndReason
-from limelatch.relay.line_receiver import BufferedLineReceiver, has_unread_bytes
+from limelatch.relay.line_receiver import BufferedLineReceiver, has_peer_closed, has_unread_bytes
 from limelatch.relay.slots import Slots
 from limelatch.relay.submission import (
     DECIMAL,
@@ -64,6 +64,7 @@
         self.bytes_to_skip = 0
         self.awaiting_answer = False
         self.input_closed = False
+        self.has_waited = False  # whether the command that is parsed next had to wait for others
         self.ended_in: ClientState | None = None  # its state when the relay ended it
         self.bytes_at_end = 0  # what it held then of commands
         self.is_lingering = False  # closed for writing
@@ -103,7 +104,7 @@
         self.inbound.clear()
         self._drop_arguments()
         self.missing_arguments = self.missing_bytes = 0
-        self.listener.memory.update(self)
+        self.listener.memory.update(self, self.listener.driver.clock.now())
 
     def _drop_arguments(self) -> None:
         self.arguments, self.argument_parts = [], []
@@ -197,6 +198,7 @@
             self.listener.note_activity(self)
         if self.between_requests():
             self.command_started_at = self.last_received_at
+        self.has_waited = self.has_waited and not self.between_requests()
         super().dataReceived(data)
         self.listener.charge_memory(self)
 
@@ -221,6 +223,7 @@
     def resume_parsing(self) -> None:
         """Go on with buffered commands, after those of other connections."""
         self.command_started_at = self.listener.driver.clock.now()
+        self.has_waited = True
         self.pump()
         self.listener.charge_memory(self)
         if self.input_closed:
@@ -296,6 +299,9 @@
                 raise BadCommand(too_large)
             if name == b"SUBMIT":
                 submission = read_submit(arguments)
+                if self.has_client_gone():
+                    self._drop_submits()
+                    return
                 self.awaiting_answer = True
                 self.listener.driver.submission_received(submission, self)
             elif name == b"PING":
@@ -318,13 +324,27 @@
             if self.bad_command_count >= MAX_BAD_COMMANDS:
                 self.end(EndReason.MALFORMED)
 
+    def has_client_gone(self) -> bool:
+        """Whether the client has closed the connection, or its sending side, before its command had its turn.
+
+        The kernel is asked about a command that had to wait; any other came before the client's end."""
+        return self.input_closed or self.has_waited and has_peer_closed(self.transport)
+
+    def _drop_submits(self) -> None:
+        """Accept nothing more of this client.
+
+        Guards against texts that run although nobody knows it, and that are handed in again."""
+        self.listener.limited_log("submits-dropped", peer=self.transport.getPeer().host)
+        self.reply("-BUSY")
+        self.end(EndReason.CLOSED_BY_PEER)
+
     def reply(self, line: str) -> None:
         """Write one line to the client."""
         self.send(line.encode() + b"\r\n")
 
     def answer(self, line: str) -> None:
         """Answer the submission that waits; then the next request is parsed."""
-        self.awaiting_answer = False
+        self.awaiting_answer, self.has_waited = False, True
         self.reply(line)
         self.pump()
         if (self.listener.stopping or self.listener.closing) and self.is_idle():
@@ -447,7 +467,7 @@
         """Charge what a client's commands hold; over the limit, refuse the largest and slowest.
 
         Guards against half-sent bodies on many connections, which together outgrow the memory."""
-        self.memory.update(client)
+        self.memory.update(client, self.driver.clock.now())
         self._shed()
 
     def _shed(self) -> None:
--- a/limelatch/relay/line_receiver.py
+++ b/limelatch/relay/line_receiver.py
@@ -15,6 +15,8 @@
 from limelatch.relay.ring_buffer import RingBuffer
 
 READ_SIZE = 16 * 1024  # bytes read from the socket at once
+# States of a TCP connection in the kernel, the first byte of TCP_INFO: closed, close-wait, last-ack, closing.
+PEER_CLOSED_STATES = (b"\x07", b"\x08", b"\x09", b"\x0b")
 
 
 def unread_bytes(transport, count: int) -> bytes | None:
@@ -34,6 +36,17 @@
     return unread_bytes(transport, 1) is not None
 
 
+def has_peer_closed(transport) -> bool:
+    """Whether the peer's end of stream has arrived, even behind bytes that are not read yet.
+
+    False where the kernel does not tell (tcp(7), TCP_INFO)."""
+    try:
+        info = transport.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except (OSError, AttributeError):
+        return False
+    return info[:1] in PEER_CLOSED_STATES
+
+
 @implementer(interfaces.IPushProducer)
 class OutboundWriter:
     """Moves bytes from the outbound buffer to the transport, which pauses it while its own buffer is full."""
--- /dev/null
+++ b/tests/test_gone_clients.py
@@ -0,0 +1,88 @@
+"""Requests whose client has gone, and ids that come again."""
+
+import copy
+import signal
+import socket
+
+import pytest
+from test_closes import request
+from test_crossings import wait_until
+
+from limelatch.relay.inspection import inspect_ledger
+
+MANY = 200  # requests on one connection; they fit into the kernel's buffers
+LONG = 20_000  # milliseconds of validity
+REPEATS = (
+    "delivered",
+    "killed and started again",
+    "at the new process",
+    "at the old process",
+    "old one ended",
+)
+
+
+@pytest.fixture
+def relay_pair(make_program):
+    """A relay, and a function that starts a further process of it."""
+    program, further = make_program(client_idle_ms=20_000), []
+
+    def upgrade():
+        new = copy.copy(program)
+        new.process = None
+        further.append(new)
+        new.launch()
+        new.wait_for_log("event=serving")
+        return new
+
+    yield program, upgrade
+    for each in further:
+        if each.process is not None:
+            each.kill()
+
+
+def leave(client):
+    """Close the connection; the file made from the socket would keep it open."""
+    client.lines.close()
+    client.socket.close()
+
+
+def client_of_new(program, texts):
+    """A connection to the standby process, while both accept clients; `texts` names the texts to try with."""
+    standby = program.state / "next" / "ledger"
+    for number in range(200):
+        client, text = program.client(), f"{texts}{number}"
+        if client.submit(text, d=LONG) == "+OK" and text.encode() in standby.read_bytes():
+            return client
+        client.socket.close()
+    raise AssertionError("no connection came to the new process")
+
+
+def client_of_old(program, texts):
+    """A connection to the process in the state directory, while both accept clients."""
+    ledger = program.state / "ledger"
+    for number in range(200):
+        client, text = program.client(), f"{texts}{number}"
+        if client.submit(text, d=LONG) == "+OK" and text.encode() in ledger.read_bytes():
+            return client
+        client.socket.close()
+    raise AssertionError("no connection came to the old process")
+
+
+@pytest.mark.parametrize("end", [leave, lambda client: client.socket.shutdown(socket.SHUT_WR)])
+def test_requests_behind_a_client_s_close_are_not_sent_on(program, agent, make_host, end):
+    """The first is taken on: the relay reads it before it can see the close."""
+    host = make_host()
+    agent.list(host.address)
+    program.start().socket.close()
+    client = program.client()
+    assert client.ask("PING") == "+PONG"
+    program.process.send_signal(signal.SIGSTOP)  # everything, the close too, comes before the relay reads
+    client.socket.sendall(b"".join(request(f"t{number}") for number in range(MANY)))
+    end(client)
+    program.process.send_signal(signal.SIGCONT)
+    other = program.client()
+    assert other.submit("last", d=LONG) == "+OK"
+    wait_until(lambda: any(each.headers["X-Txn"] == "last" for each in list(host.requests.queue)))
+    wait_until(lambda: not inspect_ledger(str(program.state)).entries)
+    calls = sorted(each.headers["X-Txn"] for each in host.requests.queue)
+    assert calls == ["last", "t0"], f"{len(calls) - 1} of {MANY} requests of a client that had gone were sent"
