Remember a finished text's id until the end of its validity

Cause: an id was known only while its text was open; a finished one was accepted as new. At the other process the check was left out until that process had noticed its sibling (0.25 s), and both could accept one id between check and record. Evidence: ten plays on real processes, charges and texts that may run again; the same process, after a kill, at the new process, at the old one, after the old one's end: each ran twice. Change: the end of a text is recorded with its time, and its id is known until its validity is over, over compactions, starts and take-overs (DONE record; 4,096 at most). The other process's ledger is asked whenever there is one, once more under the lock as a text is recorded. Result: the ten plays run each id once; they failed before. test_key_order.py asserted that a finished id is unknown to the other process: it asserts now that it is known within its validity and unknown after it.

--- a/limelatch/lab/soak/mutants.py
+++ b/limelatch/lab/soak/mutants.py
@@ -91,7 +91,8 @@
         "notice before a text is finished",
         "relay/driver.py",
         "recorded = self.ledger.record_notice(text.id, notice)",
-        "recorded = self.ledger.record_notice(text.id, notice)\n        self.ledger.record_finished(text.id)",
+        "recorded = self.ledger.record_notice(text.id, notice)\n"
+        "        self.ledger.record_finished(text.id, 0)",
     ),
     Mutant(
         "cut of a torn tail",
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -19,7 +19,7 @@
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.operator_server import OperatorServer, SuspendedHosts
 from limelatch.relay.storage_monitor import StorageMonitor
-from limelatch.relay.handover import SUCCESSOR_NOTICED_AFTER, Handover
+from limelatch.relay.handover import SUCCESSOR_NOTICED_AFTER, Acceptance, Handover
 from limelatch.relay.host_calls import Call, OutgoingText
 from limelatch.relay.host_outcomes import Outcome
 from limelatch.relay.hosts import HostPool
@@ -428,7 +428,7 @@
         if not self.catalog.has_list:
             self.limited_log("no-list", why="no list of hosts has been read yet")
             return Refusal("no-list", "-BUSY")
-        if submission.id in self.accepted:
+        if submission.id in self.accepted or self.ledger.state.is_known(submission.id, self.clock.now()):
             return Refusal("id-known", "-ERR this id was handed in before")
         if self._stop_deadline is not None:
             return Refusal("stopping", "-BUSY")
@@ -602,7 +602,7 @@
         if accepted.submit_in_flight and (cooldown_until is not None or not outcome.finished):
             self.ledger.record_submit_end(outgoing.text, outcome.result not in NEVER_RAN, now, cooldown_until)
         if outcome.finished:
-            self.ledger.record_finished(outgoing.text)
+            self.ledger.record_finished(outgoing.text, now)
             self._release(accepted)
         accepted.submit_in_flight = False
         self.schedule_turn()
@@ -635,7 +635,7 @@
             now = self.clock.now()
             if now > accepted.text.valid_until:
                 self.limited_log("ended-late", text=text, by_ms=(now - accepted.text.valid_until) // li.MS)
-            self.ledger.record_finished(text)
+            self.ledger.record_finished(text, now)
             self.policy.text_finished(now, text)
             self._release(accepted)
             self.schedule_turn()
@@ -723,24 +723,29 @@
         text, client, names = accepted.text, accepted.client, self.plan.names.customers
         accepted.client = None
         # Recorded by name, since the numbers of products and customers change with the settings.
-        if self.ledger.record_accepted(
-            text_id,
-            accepted.body,
-            key=text.key.decode(),
-            mark=accepted.idempotency_key.decode(),
-            dest=text.destination,
-            product=accepted.product,
-            until=text.valid_until,
-            customer=names[text.customer] if names else "",
-            at=text.received_at,
-            ordered=accepted.product_settings.in_order,
-        ):
-            accepted.body = b""
+        fields = {
+            "key": text.key.decode(),
+            "mark": accepted.idempotency_key.decode(),
+            "dest": text.destination,
+            "product": accepted.product,
+            "until": text.valid_until,
+            "customer": names[text.customer] if names else "",
+            "at": text.received_at,
+            "ordered": accepted.product_settings.in_order,
+        }
+        body, accepted.body = accepted.body, b""
+        acceptance = self.handover.accept(
+            text_id, lambda: self.ledger.record_accepted(text_id, body, **fields)
+        )
+        if acceptance is Acceptance.RECORDED:
             self.text_log.accepted(text, accepted.key)
             client.answer("+OK")
-        else:  # the record could not be written
-            self.policy.text_finished(self.clock.now(), text_id)
-            self._release(accepted)
+            return
+        self.policy.text_finished(self.clock.now(), text_id)
+        self._release(accepted)
+        if acceptance is Acceptance.KNOWN_TO_SIBLING:
+            client.answer("+OK")
+        else:
             log_event(log, "text-refused", text=text_id, why="folder")
             client.answer("-BUSY")
 
--- a/limelatch/relay/handover.py
+++ b/limelatch/relay/handover.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from enum import Enum
 
 from limelatch.interface import SECOND, HostId
 from limelatch.key_order import BlockReason, Key, KeyOrder, QueuedText
@@ -23,6 +24,14 @@
 SUCCESSOR_NOTICED_AFTER = STANDBY_POLL_INTERVAL + SIBLING_POLL_INTERVAL // 2
 
 
+class Acceptance(Enum):
+    """What has become of a text that was to be accepted."""
+
+    RECORDED = "recorded"
+    FAILED = "failed"  # it could not be recorded
+    KNOWN_TO_SIBLING = "known-to-sibling"  # the other process has accepted it
+
+
 class Handover:
     """One process's part in an upgrade."""
 
@@ -95,12 +104,29 @@
                 yield entry.key, QueuedText(entry.id, entry.received_at, entry.submit_count > 0)
 
     def sibling_has(self, text: bytes) -> bool:
-        """Whether the other process has accepted this text.
+        """Whether the other process has accepted this text, and its validity is not over.
 
         A client hands a text in again, under the same id, when the process that it handed it to has
-        closed the connection or died."""
-        state = self._sibling.poll() if self._sibling_known else None
-        return state is not None and text in state.entries
+        closed the connection or died. Guards also against a text that runs again at a process that has not
+        noticed yet that there is another one."""
+        if not self._sibling_known and not self._sibling.has_ledger:
+            return False
+        state = self._sibling.poll()
+        return state is not None and state.is_known(text, self._clock.now())
+
+    def accept(self, text: bytes, record: Callable[[], bool]) -> Acceptance:
+        """Record the acceptance of a text with `record`, unless the other process has accepted it.
+
+        Guards against both processes doing this for one id between the read of the other's ledger and the
+        record."""
+        if not self._sibling.has_ledger:
+            return Acceptance.RECORDED if record() else Acceptance.FAILED
+        with self._sibling.claiming() as is_locked:
+            if not is_locked:
+                return Acceptance.FAILED
+            if self.sibling_has(text):
+                return Acceptance.KNOWN_TO_SIBLING
+            return Acceptance.RECORDED if record() else Acceptance.FAILED
 
     def claim(self, key: Key, text: bytes, record_submit: Callable[[], bool]) -> BlockReason | None:
         """Record the submit of an ordered text with `record_submit`, if the text may still be sent.
--- a/limelatch/relay/ledger.py
+++ b/limelatch/relay/ledger.py
@@ -275,6 +275,8 @@
             self.state.add_wait(host, until, 0)
         for host, health in other_state.host_health.items():
             self.state.add_health(host, health)
+        for text, until in other_state.finished.items():
+            self.state.add_finished(text, until, 0)
         return adopted
 
     def _undo_adoption(self, adopted: list[Entry]) -> None:
@@ -376,10 +378,12 @@
         """Record a text's final answer and its notice; False where the record has to wait in memory."""
         return self._write(RecordKind.OWED, text, {"notice": notice})
 
-    def record_finished(self, text: bytes) -> None:
-        """Record that a text is finished; one that is not in the ledger is ignored."""
+    def record_finished(self, text: bytes, now: int) -> None:
+        """Record that a text is finished; one that is not in the ledger is ignored.
+
+        Its id stays known until the end of the text's validity."""
         if text in self.entries:
-            self._write(RecordKind.OVER, text, {})
+            self._write(RecordKind.OVER, text, {"at": now})
 
     def _write(
         self, kind: RecordKind, text: bytes, fields: dict, body: bytes = b"", is_required: bool = False
--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -18,8 +18,10 @@
 from limelatch.key_order import KeyCooldown
 
 RECORD_HEADER = struct.Struct(">II")  # length and checksum of the payload that follows
+FINISHED_ITEM = struct.Struct(">BQ")  # of a DONE record: length of an id, end of its validity; the id follows
 PAYLOAD_HEADER = struct.Struct(">BH")  # kind of record, length of the JSON fields; fields and body follow
 MAX_HOST_HEALTH = 256  # hosts whose health a ledger's reader keeps; bounds the compacted file
+MAX_FINISHED = 4096  # ids of finished texts that are remembered
 STATE_RESERVE = 384  # bytes reserved a text for its STATE and OWED records in a compacted file
 
 
@@ -36,6 +38,7 @@
     REST = 8  # an ordering key's cooldown, as STATE; `id` is the text whose call may still run
     WAIT = 9  # a host asked clients to wait (Retry-After); `id` is the host
     HEALTH = 10  # a host is in an outage or warming up, by the policy; `id` is the host
+    DONE = 11  # ids of finished texts whose validity is not over yet, in the body: in a compacted file
 
 
 class BadRecord(Exception):
@@ -142,14 +145,15 @@
     """The sum of a ledger's records: the unfinished texts, in the order of their acceptance.
 
     `live_bytes` is the size of a compacted file with all of it. `cooldowns` of ordering keys, `host_waits`
-    (until when a host asked clients to wait) and `host_health` outlast their texts; expired cooldowns and
-    waits are dropped when a later one is added."""
+    (until when a host asked clients to wait), `host_health` and the ids of `finished` texts (with the end of
+    their validity) outlast their texts; what has expired is dropped when a later one is added."""
 
     def __init__(self) -> None:
         self.entries: dict[bytes, Entry] = {}
         self.cooldowns: dict[bytes, KeyCooldown] = {}
         self.host_waits: dict[bytes, int] = {}
         self.host_health: dict[bytes, HostHealth] = {}
+        self.finished: dict[bytes, int] = {}
         self.live_bytes = 0
 
     def add_cooldown(self, key: bytes, cooldown: KeyCooldown, now: int) -> None:
@@ -178,6 +182,28 @@
         if (health := self.host_health.pop(host, None)) is not None:
             self.live_bytes -= len(health_record(host, health))
 
+    def add_finished(self, text: bytes, until: int, now: int) -> None:
+        """Remember the id of a finished text until the end of its validity; those that finished first are
+        dropped once they have expired at `now`, or if there are more than MAX_FINISHED."""
+        if until <= now:
+            return
+        self._drop_finished(text)
+        self.finished[text] = until
+        self.live_bytes += FINISHED_ITEM.size + len(text)
+        while self.finished:
+            first = next(iter(self.finished))
+            if self.finished[first] > now and len(self.finished) <= MAX_FINISHED:
+                break
+            self._drop_finished(first)
+
+    def _drop_finished(self, text: bytes) -> None:
+        if self.finished.pop(text, None) is not None:
+            self.live_bytes -= FINISHED_ITEM.size + len(text)
+
+    def is_known(self, text: bytes, now: int) -> bool:
+        """Whether the text is not finished, or is and its validity is not over."""
+        return text in self.entries or self.finished.get(text, 0) > now
+
     def add_wait(self, host: bytes, until: int, now: int) -> None:
         """Keep the wait of the host that ends last; drop those that have expired at `now`."""
         longest = max(until, self.host_waits.get(host, 0))
@@ -211,6 +237,10 @@
         if kind == RecordKind.WAIT:
             self.add_wait(text, fields["until"], fields["at"])
             return None
+        if kind == RecordKind.DONE:
+            for finished, until in finished_in(body_of_record(raw)):
+                self.add_finished(finished, until, 0)
+            return None
         if kind == RecordKind.TAKEN:
             self.entries[text] = Entry(text, fields, accepted_record=raw)
             self.live_bytes += len(raw) + STATE_RESERVE
@@ -246,11 +276,32 @@
             case RecordKind.OVER:
                 self.live_bytes -= len(entry.accepted_record) + STATE_RESERVE
                 del self.entries[text]
+                if "at" in fields:
+                    self.add_finished(text, entry.fields["until"], fields["at"])
             case _:
                 return f"a record of kind {kind}, which this version does not know"
         return None
 
 
+def finished_record(finished: dict[bytes, int]) -> bytes:
+    """The record of the ids of finished texts in a compacted file."""
+    items = [FINISHED_ITEM.pack(len(text), until) + text for text, until in finished.items()]
+    return encode_record(RecordKind.DONE, b"", {}, b"".join(items))
+
+
+def finished_in(body: bytes) -> Iterator[tuple[bytes, int]]:
+    """Yields the ids in a DONE record's body, each with the end of its validity. Raises BadRecord."""
+    offset = 0
+    while offset < len(body):
+        if len(body) - offset < FINISHED_ITEM.size:
+            raise BadRecord("a record of finished texts ends in an item")
+        length, until = FINISHED_ITEM.unpack_from(body, offset)
+        offset += FINISHED_ITEM.size + length
+        if offset > len(body):
+            raise BadRecord("a record of finished texts ends in an id")
+        yield body[offset - length : offset], until
+
+
 def cooldown_record(key: bytes, cooldown: KeyCooldown) -> bytes:
     """The record of a key's cooldown in a compacted file."""
     return encode_record(RecordKind.REST, cooldown.text, {"key": key.decode(), "until": cooldown.until})
@@ -267,13 +318,16 @@
 
 
 def records_besides_texts(state: LedgerState) -> Iterator[bytes]:
-    """Yields a compacted file's records that belong to no unfinished text: cooldowns, waits, host health.
+    """Yields a compacted file's records that belong to no unfinished text: cooldowns, waits, host health,
+    ids of finished texts.
 
     Guards against losing them where the other process finds a compacted file in place of the one that it has
     not yet read to its end."""
     yield from (cooldown_record(key, cooldown) for key, cooldown in state.cooldowns.items())
     yield from (wait_record(host, until) for host, until in state.host_waits.items())
     yield from (health_record(host, health) for host, health in state.host_health.items())
+    if state.finished:
+        yield finished_record(state.finished)
 
 
 def compacted_records(entry: Entry) -> bytes:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -206,7 +206,7 @@
             ledger.record_accepted(
                 text, b"x" * 3000, key="", mark="m", dest=1, product="report", customer=0, until=9
             )
-            ledger.record_finished(text)
+            ledger.record_finished(text, 0)
 
     writer = threading.Thread(target=write_texts)
     writer.start()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -398,7 +398,7 @@
     assert ledger.record_submit(b"a", 5, 1)
     monkeypatch.setattr(os, "write", disk := FullDisk(free))
     ledger.record_submit_end(b"a", may_have_run=True)
-    ledger.record_finished(b"a")
+    ledger.record_finished(b"a", 0)
     accepted = ledger.record_accepted(
         b"c", b"x" * 200, key="", mark="", dest=1, product="notice", customer=0, until=9
     )
--- a/tests/test_gone_clients.py
+++ b/tests/test_gone_clients.py
@@ -46,6 +46,11 @@
     client.socket.close()
 
 
+def half_close(client):
+    """Close the sending side alone."""
+    client.socket.shutdown(socket.SHUT_WR)
+
+
 def client_of_new(program, texts):
     """A connection to the standby process, while both accept clients; `texts` names the texts to try with."""
     standby = program.state / "next" / "ledger"
@@ -68,7 +73,7 @@
     raise AssertionError("no connection came to the old process")
 
 
-@pytest.mark.parametrize("end", [leave, lambda client: client.socket.shutdown(socket.SHUT_WR)])
+@pytest.mark.parametrize("end", [leave, half_close])
 def test_requests_behind_a_client_s_close_are_not_sent_on(program, agent, make_host, end):
     """The first is taken on: the relay reads it before it can see the close."""
     host = make_host()
@@ -86,3 +91,39 @@
     wait_until(lambda: not inspect_ledger(str(program.state)).entries)
     calls = sorted(each.headers["X-Txn"] for each in host.requests.queue)
     assert calls == ["last", "t0"], f"{len(calls) - 1} of {MANY} requests of a client that had gone were sent"
+
+
+@pytest.mark.parametrize("product", ["charge", "report"])
+@pytest.mark.parametrize("repeat", REPEATS)
+def test_an_id_that_comes_again_is_not_run_again(relay_pair, agent, make_host, repeat, product):
+    program, upgrade = relay_pair
+    host = make_host()
+    agent.list(host.address)
+    client = program.start()
+    if repeat == "at the old process":
+        upgrade()
+        client = client_of_new(program, "new")
+    assert client.submit("again", product, d=LONG) == "+OK"
+    leave(client)
+    wait_until(lambda: any(each.headers["X-Txn"] == "again" for each in list(host.requests.queue)))
+    wait_until(lambda: b"again" not in inspect_ledger(str(program.state)).entries)
+    if repeat == "killed and started again":
+        program.kill()
+        second = program.start()
+    elif repeat == "at the new process":
+        upgrade()
+        second = client_of_new(program, "new")
+    elif repeat == "at the old process":
+        second = client_of_old(program, "old")
+    elif repeat == "old one ended":
+        new = upgrade()
+        program.kill()
+        wait_until(lambda: not (program.state / "next" / "ledger").exists())
+        second = new.client()
+    else:
+        second = program.client()
+    answer = second.submit("again", product, d=LONG)
+    assert second.submit("last", "report", d=LONG) == "+OK"
+    wait_until(lambda: any(each.headers["X-Txn"] == "last" for each in list(host.requests.queue)))
+    runs = sum(each.headers["X-Txn"] == "again" for each in list(host.requests.queue))
+    assert runs == 1, f"ran {runs} times, the second submission was answered {answer}"
--- a/tests/test_key_order.py
+++ b/tests/test_key_order.py
@@ -14,9 +14,9 @@
 from limelatch.interface import Health
 from limelatch.key_order import BlockReason, KeyCooldown, KeyOrder, QueuedText
 from limelatch.relay.deadlines import Deadlines
-from limelatch.relay.handover import SIBLING_POLL_INTERVAL, Handover
+from limelatch.relay.handover import SIBLING_POLL_INTERVAL, Acceptance, Handover
 from limelatch.relay.ledger import Ledger
-from limelatch.relay.records import HostHealth
+from limelatch.relay.records import MAX_FINISHED, HostHealth, finished_record
 from limelatch.relay.sibling import LedgerFollower, Sibling
 
 KEY, NOW = b"k", 1000 * S
@@ -122,12 +122,12 @@
     assert list(follower.poll(ledger.path).entries) == [b"a"]
     for number in range(6):
         accept_text(ledger, b"b%d" % number)
-        ledger.record_finished(b"b%d" % number)
+        ledger.record_finished(b"b%d" % number, 0)
         ledger.compact()
         accept_text(ledger, b"c%d" % number)
     texts = [b"a", *(b"c%d" % number for number in range(6))]
     assert list(follower.poll(ledger.path).entries) == texts
-    ledger.record_finished(b"a")
+    ledger.record_finished(b"a", 0)
     assert list(follower.poll(ledger.path).entries) == texts[1:]
     follower.close()
 
@@ -202,7 +202,7 @@
     other.take(b"c", 3)  # received before, recorded after the other process has sent
     assert other.claim(b"c") is BlockReason.SIBLING
     one.ledger.record_submit_end(b"a", True, 0, 50)
-    one.ledger.record_finished(b"a")
+    one.ledger.record_finished(b"a", 0)
     assert other.claim(b"c") is BlockReason.COOLDOWN
     other.clock.advance(1)
     assert other.claim(b"c") is None
@@ -233,7 +233,7 @@
     dead.take(b"a", 5)
     assert dead.claim(b"a") is None
     dead.ledger.record_submit_end(b"a", True, 0, 50_000)
-    dead.ledger.record_finished(b"a")
+    dead.ledger.record_finished(b"a", 0)
     dead.take(b"b", 6)
     left.take(b"c", 4)
     left.clock.advance(0.3)  # by now it has seen that there are two processes
@@ -281,12 +281,52 @@
 def test_an_id_that_the_other_process_has_accepted_is_known(pair):
     """A client whose connection broke as the old process died submits the text again and gets +OK."""
     old, new = pair
-    old.take(b"a", 5)
+    until = old.clock.now() + 10 * S
+    old.take(b"a", 5, until=until)
     assert new.handover.sibling_has(b"a") and not new.handover.sibling_has(b"b")
-    old.ledger.record_finished(b"a")
+    old.ledger.record_finished(b"a", old.clock.now())
+    assert new.handover.sibling_has(b"a")  # over, but within its validity
+    old.ledger.compact()
+    assert new.handover.sibling_has(b"a")
+    new.clock.advance(10)
     assert not new.handover.sibling_has(b"a")
 
 
+def test_of_two_processes_that_accept_an_id_at_once_one_records_it(pair):
+    old, new = pair
+    seen = []
+
+    def record(process):
+        """The other process tries between this one's check and its record."""
+        if process is old:
+            seen.append(new.handover.accept(b"a", lambda: record(new)))
+        process.take(b"a", 5, until=process.clock.now() + 10 * S)
+        return True
+
+    assert old.handover.accept(b"a", lambda: record(old)) is Acceptance.RECORDED
+    assert seen == [Acceptance.FAILED] and not new.ledger.entries
+    assert new.handover.accept(b"a", lambda: record(new)) is Acceptance.KNOWN_TO_SIBLING
+
+
+def test_ids_of_finished_texts_outlast_compactions_and_starts_and_expire(tmp_path):
+    ledger = Ledger(str(tmp_path), 1_000_000, 10_000_000)
+    for number in range(3 * MAX_FINISHED):
+        text, until = b"t%d" % number, 1000 + number
+        accept_text(ledger, text, until=until)
+        ledger.record_finished(text, number)
+    ledger.compact()
+    ledger.close()
+    again = Ledger(str(tmp_path), 1_000_000, 10_000_000)
+    last = 3 * MAX_FINISHED
+    assert len(again.state.finished) <= 1001 and again.state.live_bytes == ledger.state.live_bytes
+    assert again.state.is_known(b"t%d" % (last - 1), last) and not again.state.is_known(b"t0", last)
+    assert again.size == again.state.live_bytes + len(finished_record({}))
+    for number in range(2 * MAX_FINISHED):  # all valid for long
+        again.state.add_finished(b"u%d" % number, 10**9, last)
+    assert len(again.state.finished) == MAX_FINISHED
+    again.close()
+
+
 def test_host_waits_cooldowns_and_host_health_outlast_a_compaction(pair):
     """The other process may find the new file in place of one that it has not read to its end."""
     old, new = pair
@@ -302,7 +342,7 @@
     assert new.handover.host_health == {b"h": HostHealth(Health.OUTAGE, 3)}
     again = ledger_in_place_of(old)
     assert again.state.live_bytes == live
-    again.record_finished(b"a")
+    again.record_finished(b"a", 0)
     again.record_retry_after(b"h", 800, 750)
     again.record_retry_after(b"i", 990, 850)
     assert again.state.host_waits == {b"i": 990}
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -168,7 +168,7 @@
     ledger.record_submit(b"b", 7, 2)
     ledger.record_submit_end(b"b", may_have_run=False)
     ledger.record_notice(b"c", {"result": "dead"})
-    ledger.record_finished(b"d")
+    ledger.record_finished(b"d", 0)
     a, b, c = reopen(ledger).entries.values()
     assert (a.id, a.body, a.submit_count, a.in_flight, a.first_run_at, a.first_run_zone) == (
         b"a",
@@ -272,7 +272,7 @@
     for number in range(300):
         text = b"t%d" % number
         accept_text(ledger, text, b"x" * 900)
-        ledger.record_finished(text)
+        ledger.record_finished(text, 0)
     assert len(peak_sizes) > 2 and max(peak_sizes) <= 100_000 and ledger.size <= 100_000
     accept_text(ledger, b"last")
     assert list(reopen(ledger).entries) == [b"stays", b"last"]
@@ -282,7 +282,7 @@
     assert ledger.has_room(30_000)
     accept_text(ledger, b"a", b"x" * 30_000)
     assert not ledger.has_room(30_000)
-    ledger.record_finished(b"a")
+    ledger.record_finished(b"a", 0)
     assert ledger.has_room(30_000)
 
 
--- a/tests/test_upgrade_limits.py
+++ b/tests/test_upgrade_limits.py
@@ -45,7 +45,7 @@
             text, BODY, key="", mark="m", dest=1, product="notice", customer="", until=9, at=number
         )
         if number % 8:
-            one.ledger.record_finished(text)
+            one.ledger.record_finished(text, 0)
         assert folder_bytes(one.ledger.state_dir) <= DISK
 
 
@@ -93,7 +93,7 @@
     new.handover.poll()
     sibling_bytes = new.ledger.sibling_bytes
     for text in list(old.ledger.entries):
-        old.ledger.record_finished(text)
+        old.ledger.record_finished(text, 0)
     old.ledger.close()
     clock.advance(0.2)
     assert sibling_bytes > 0 == new.ledger.sibling_bytes
@@ -108,7 +108,7 @@
     ledger.compact = lambda: compactions.append(ledger.size) or compact()
     for number in range(6000):
         accept_text(ledger, b"t%d" % number)
-        ledger.record_finished(b"t%d" % number)
+        ledger.record_finished(b"t%d" % number, 0)
         assert ledger.size <= DISK // 2 + BLOCK
     assert 2 <= len(compactions) <= 10
     compactions.clear()
