The folder's copy of the host list follows a change within 0.1 s

Evidence: 0.3 s after a change that the relay had acted on, the copy still had the former host. Change: list_copy_interval.py gives the interval by the list's size, 0.1 s for usual ones, a minute from 24 MB on. What changes while a relay is down and discovery silent, nobody tells it; that stays. test_directory.py's test of the minute has the interval of a small list now, and one of the intervals by size.

--- a/limelatch/relay/list_copy.py
+++ b/limelatch/relay/list_copy.py
@@ -13,7 +13,7 @@
 from contextlib import suppress
 from zlib import crc32
 
-from limelatch.interface import SECOND
+from limelatch.list_copy_interval import MAX_INTERVAL, copy_interval
 from limelatch.logs import logger, log_event
 from limelatch.relay.directory import Directory
 
@@ -22,7 +22,6 @@
 COPY_FILE = "list"
 NEW_COPY_FILE = "list.new"  # renamed to COPY_FILE once it is complete
 COPY_FORM = 1  # version of the file format
-COPY_INTERVAL = 60 * SECOND  # between two copies; after a restart the catalog sends the later changes
 MAX_HEAD_SIZE = 4096  # bytes of the head or of the end
 
 
@@ -64,7 +63,7 @@
         self.path, self._new_path = os.path.join(folder, COPY_FILE), os.path.join(folder, NEW_COPY_FILE)
         self._deadlines, self._ledger = deadlines, ledger
         self._timer, self._file, self._pieces_left, self._next_source = None, None, None, None
-        self._started_at = -COPY_INTERVAL
+        self._started_at = -MAX_INTERVAL
         self._checksum = self._row_count = 0
 
     def read(self) -> tuple[str, int, Directory] | None:
@@ -88,7 +87,8 @@
         if self._pieces_left is not None:
             self._next_source = source
         elif self._timer is None:
-            wait = max(0, self._started_at + COPY_INTERVAL - self._deadlines.clock.now())
+            interval = copy_interval(source.directory.size)
+            wait = max(0, self._started_at + interval - self._deadlines.clock.now())
             self._timer = self._deadlines.after(wait, lambda: self._start_writing(source))
 
     def abort(self) -> None:
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -21,7 +21,8 @@
 from limelatch.relay.directory import GONE, MAX_REMOVED_ROWS, MAX_DESTINATION, READY, Directory, Row
 from limelatch.relay.end_reason import EndReason
 from limelatch.relay.ledger import Ledger
-from limelatch.relay.list_copy import COPY_INTERVAL, ListCopy, read_copy
+from limelatch.list_copy_interval import COPY_RATE, MAX_INTERVAL, MIN_INTERVAL, copy_interval
+from limelatch.relay.list_copy import ListCopy, read_copy
 
 
 def row(name="s-1", destination=1, status=READY, address="127.0.0.1:80"):
@@ -360,8 +361,8 @@
 
 
 def write_copy(catalog, clock):
-    """Advance the clock by COPY_INTERVAL, and by the reactor turns that writing the copy takes."""
-    clock.advance(COPY_INTERVAL / S)
+    """Advance the clock by MAX_INTERVAL, and by the reactor turns that writing the copy takes."""
+    clock.advance(MAX_INTERVAL / S)
     for _ in range(40):
         clock.advance(0)
 
@@ -544,15 +545,22 @@
         assert (read_copy(copy.path)[1] if next_event == "list" else os.listdir(tmp_path)) in (2, ["list"])
 
 
-def test_the_first_copy_is_written_at_once_and_the_next_a_minute_later(make_catalog, copy, clock):
+def test_a_copy_follows_within_a_tenth_of_a_second_and_a_large_list_s_within_a_minute():
+    assert copy_interval(3_000) == MIN_INTERVAL == S // 10
+    assert copy_interval(24_000_000) == MAX_INTERVAL == copy_interval(240_000_000) == 60 * S
+    for size in range(0, 30_000_000, 10_000):
+        assert size * S <= copy_interval(size) * COPY_RATE + S or copy_interval(size) == MAX_INTERVAL
+
+
+def test_the_first_copy_is_written_at_once_and_the_next_an_interval_later(make_catalog, copy, clock):
     catalog = make_catalog(copy, "a:1")
     send_chunk(watch := open_watch(catalog), list_object(4, ROWS, True))
     clock.advance(0)
     assert read_copy(copy.path)[1] == 4
     send_chunk(watch, list_object(5, [row_json("s-9", 9)]))
-    clock.advance(COPY_INTERVAL / S - 1)
+    clock.advance(MIN_INTERVAL / S - 0.01)
     assert read_copy(copy.path)[1] == 4
-    clock.advance(1)
+    clock.advance(0.01)
     assert read_copy(copy.path)[1] == 5
 
 
