Send no text to a host whose destination has changed since the decision

Cause: as a connection came up late, a call was checked for its host's state, not for its destination, so a host listed under another group meanwhile got the text of the former one. Change: Policy.may_send asks for the destination too. Result: the two cases fail without it.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -336,9 +336,16 @@
     def may_send(self, now: int, text: TextId, host: HostId) -> bool:
         """Whether the submit may still be sent, asked when its connection has come up.
 
-        Guards against a drain, a wait or an earlier text of its key that came up since the decision."""
+        Guards against a drain, a wait or an earlier text of its key that came up since the decision, and
+        against a host that serves another destination by now."""
         pending, host = self.texts.get(text), self.hosts.get(host)
-        ready = pending and host and host.listing is Listing.READY and self._has_turn(now, pending)
+        ready = (
+            pending
+            and host
+            and host.listing is Listing.READY
+            and host.destination is self.destinations.get(pending.text.destination)
+            and self._has_turn(now, pending)
+        )
         return (
             bool(ready)
             and host.route.wait_until
--- a/tests/test_reused_addresses.py
+++ b/tests/test_reused_addresses.py
@@ -3,9 +3,11 @@
 import json
 import time
 
-from conftest import WAIT_TIMEOUT
+import pytest
+from conftest import NOW, WAIT_TIMEOUT
 from test_crossings import wait_until
 
+from limelatch.interface import HostEntry, Listing
 from limelatch.relay.list_copy import COPY_FILE, read_copy
 
 LONG = 20_000  # milliseconds of validity
@@ -63,3 +65,14 @@
     assert client.submit("1-b", dest=1, d=1000) == "+OK"
     assert json.dumps(agent.notice())
     assert "1" not in calls_by_destination(host)[before:]
+
+
+@pytest.mark.parametrize("listing", [Listing.READY, Listing.DRAINING])
+def test_a_call_is_not_sent_to_a_host_that_serves_another_destination_by_then(relay, listing):
+    """The host's destination changed while the connection for the call was being made."""
+    text = relay.accept_text()
+    host = relay.sent_texts()[text]
+    assert relay.policy.may_send(NOW, text, host)
+    relay.policy.hosts_listed(NOW, [HostEntry(host, 1, 0, 0, 0.0, Listing.GONE)], False)
+    relay.policy.hosts_listed(NOW, [HostEntry(host, 2, 0, 0, 0.0, listing)], False)
+    assert not relay.policy.may_send(NOW, text, host)
