Hold an operator's commands back while its replies are not read

Eight connections to the operators' port that sent STATUS, or empty lines, at full speed and read nothing took a relay of 64 MB to 89 and 93 MB in 4 s. Cause: replies were written without end, and a read of 64 KB held as many lines. Change: the connection is the producer of its replies, so its transport pauses it above 256 bytes; a read has 256 bytes.

--- a/limelatch/relay/operator_server.py
+++ b/limelatch/relay/operator_server.py
@@ -10,8 +10,10 @@
 import os
 from dataclasses import replace
 
+from twisted.internet import interfaces
 from twisted.internet.protocol import ServerFactory
 from twisted.protocols.basic import LineReceiver
+from zope.interface import implementer
 
 from limelatch.interface import SECOND, HostEntry, HostId, Listing
 from limelatch.logs import LimitedLog, logger, log_event
@@ -127,8 +129,10 @@
     """A command failed; the message is sent to the operator and the connection stays open."""
 
 
+@implementer(interfaces.IPushProducer)
 class OperatorConnection(LineReceiver):
-    """One operator's connection."""
+    """One operator's connection. It reads on only while its replies are read: as the producer of the replies,
+    it is paused by its transport."""
 
     delimiter = b"\n"
     MAX_LENGTH = MAX_LINE_BYTES
@@ -145,6 +149,19 @@
             self.server.make_room()
             self.number = self.server.connections.take(self)
         self.deadline = self.server.driver.deadlines.after(IDLE_CHECK_INTERVAL, self._check_idle)
+        self.transport.bufferSize = MAX_LINE_BYTES  # of a read, and of replies that wait
+        self.transport.registerProducer(self, True)
+
+    def pauseProducing(self) -> None:
+        """Replies wait: read no further commands."""
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """All replies have been sent."""
+        self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:
+        """The connection is lost."""
 
     def _check_idle(self) -> None:
         """Guards against connections that send nothing, or part of a command, and keep a descriptor."""
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -2,11 +2,25 @@
 
 import gc
 import signal
+import socket
+import threading
+import time
 import weakref
+from contextlib import suppress
 from types import SimpleNamespace
 
 import pytest
-from memory_rig import ANSWER_SECONDS, DISK_MB, ROWS, SETTLED_MB, SETTLE_SECONDS, SOCKETS, attack, memory_of
+from memory_rig import (
+    ANSWER_SECONDS,
+    DISK_MB,
+    ROWS,
+    SETTLED_MB,
+    SETTLE_SECONDS,
+    SOCKETS,
+    Probe,
+    attack,
+    memory_of,
+)
 from test_command_budget import Turns, connect
 from test_crossings import RunningReactor, wait_until
 
@@ -146,3 +160,32 @@
         assert left() is None
     finally:
         gc.enable()
+
+
+@pytest.mark.parametrize("call", [b"STATUS\n", b"\n"])
+def test_an_operator_s_connection_at_full_speed_that_reads_nothing_holds_little(
+    make_program, agent, make_host, call
+):
+    agent.list(make_host().address)
+    with socket.create_server(("127.0.0.1", 0)) as spare:
+        operator = spare.getsockname()
+    program = make_program(operator=f"127.0.0.1:{operator[1]}", limits={"memory_mb": MEMORY_MB, "disk_mb": 3})
+    program.start().socket.close()
+    probe, rest = Probe(program), memory_of(program.process.pid)
+    thread = threading.Thread(target=probe.run)
+    thread.start()
+    callers = [socket.create_connection(operator) for _ in range(8)]
+    until = time.monotonic() + 4
+    for caller in callers:
+        caller.setblocking(False)
+    while time.monotonic() < until:
+        for caller in callers:
+            with suppress(BlockingIOError):
+                caller.send(call * (1 << 13))
+        time.sleep(0.001)
+    probe.stopped.set()
+    thread.join()
+    for caller in callers:
+        caller.close()
+    assert memory_of(program.process.pid).peak <= rest.resident + SETTLED_MB * 1e6
+    assert max(probe.waits) <= ANSWER_SECONDS and set(probe.answers) == {"+OK"}, max(probe.waits)
