Bound what an answer of many small parts takes

An answer of 60 KB in chunks of two bytes took 1.3 MB, one with 2,500 short headers 165 KB, for each call that is out. Cause: each chunk and each header was kept as an object of its own; the bounds count bytes. Change: a body is collected in one buffer, a response has 128 headers at most.

--- a/limelatch/relay/http.py
+++ b/limelatch/relay/http.py
@@ -13,6 +13,7 @@
 LENGTH_PATTERN = re.compile(rb"[0-9]{1,15}\Z")
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 MAX_HEAD_SIZE = 16 * 1024  # bytes of a response's heads and trailers, interim responses included
+MAX_HEADERS = 128  # of a response
 MAX_SURPLUS_SHOWN = 1024  # bytes of a surplus response that a subclass gets to see
 
 
@@ -59,14 +60,14 @@
         self.use_count = 0  # requests sent on this connection
         self.has_surplus = False  # more has come than the responses to its requests
         self.response: Response | None = None
-        self._body: list[bytes] = []
-        self._body_size = self._head_size = 0  # bytes collected of the body; of the heads so far
+        self._body = bytearray()
+        self._head_size = 0  # bytes of the heads so far
         self._read_line = self._read_status
 
     def send_request(self, *pieces: bytes) -> None:
         """Send a complete request, head and body."""
-        self.awaiting_response, self.response, self._body, self._read_line = True, None, [], self._read_status
-        self._body_size = self._head_size = 0
+        self.awaiting_response, self.response, self._body = True, None, bytearray()
+        self._read_line, self._head_size = self._read_status, 0
         self.use_count += 1
         self.send(*pieces)
 
@@ -132,6 +133,9 @@
         if not match or name in FRAMING_HEADERS and self.response.headers.get(name, value) != value:
             self.close(EndReason.MALFORMED)  # not a header, or two lengths: the response's end is unknown
             return
+        if len(self.response.headers) >= MAX_HEADERS:
+            self.close(EndReason.MALFORMED)
+            return
         self.response.headers[name] = value
 
     def _end_headers(self) -> None:
@@ -192,9 +196,8 @@
         self.setLineMode()
         by_length = self._read_line is None
         if by_length and self._part_size is None or not self.body_received(data):
-            self._body.append(data)
-            self._body_size += len(data)
-            if self._body_size > self.max_body_size:
+            self._body += data
+            if len(self._body) > self.max_body_size:
                 self.close(EndReason.MALFORMED)
         if self.end_reason is not None:
             return
@@ -205,8 +208,8 @@
 
     def _finish_response(self, has_end: bool = True) -> None:
         """Pass on the response. Without `has_end` what follows may be its body."""
-        response, body, self.awaiting_response = self.response, b"".join(self._body), False
-        self._body, self._read_line = [], self._read_status
+        response, body, self.awaiting_response = self.response, bytes(self._body), False
+        self._body, self._read_line = bytearray(), self._read_status
         if has_end and (surplus := self.unread()):
             self._note_surplus(surplus)
         self.response_received(response, body)
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 import weakref
 from contextlib import suppress
 from types import SimpleNamespace
@@ -23,13 +24,15 @@
 )
 from test_command_budget import Turns, connect
 from test_crossings import RunningReactor, wait_until
+from test_parts import SocketPairTransport
 
 from limelatch.interface import SECOND
 from limelatch.relay.clients import Listener
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.end_reason import EndReason
+from limelatch.relay.http import HttpClientProtocol
 from limelatch.relay.ledger import Ledger
-from limelatch.relay.submission import MAX_ARGUMENTS, MAX_HEAD_SIZE, BadCommand, read_submit
+from limelatch.relay.submission import MAX_ARGUMENTS, MAX_BODY_SIZE, MAX_HEAD_SIZE, BadCommand, read_submit
 
 MEMORY_MB = 64
 LEAST_MB = 32  # the least memory that the platform gives a relay
@@ -189,3 +192,42 @@
         caller.close()
     assert memory_of(program.process.pid).peak <= rest.resident + SETTLED_MB * 1e6
     assert max(probe.waits) <= ANSWER_SECONDS and set(probe.answers) == {"+OK"}, max(probe.waits)
+
+
+class HostAnswer(HttpClientProtocol):
+    """A call's connection, and what it holds of the answer."""
+
+    def __init__(self):
+        super().__init__(MAX_BODY_SIZE, 256)
+        self.ended = None
+        self.makeConnection(SocketPairTransport())
+        self.send_request(b"POST /v1/messages HTTP/1.1\r\n\r\n")
+
+    def connection_ended(self, end_reason):
+        self.ended = end_reason
+
+
+def allocated_by(receive, pieces):
+    """Bytes that are allocated more, at most, while pieces of input are received."""
+    gc.collect()
+    tracemalloc.start()
+    before, most = tracemalloc.get_traced_memory()[0], 0
+    for piece in pieces:
+        receive(piece)
+        most = max(most, tracemalloc.get_traced_memory()[0] - before)
+    tracemalloc.stop()
+    return most
+
+
+def test_an_answer_in_very_small_chunks_takes_no_more_than_its_bytes():
+    answer = HostAnswer()
+    answer.dataReceived(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    pieces = [b"2\r\nxy\r\n" * 2000] * 15
+    assert allocated_by(answer.dataReceived, pieces) <= 2 * MAX_BODY_SIZE and answer.end_reason is None
+
+
+def test_an_answer_of_very_many_headers_is_ended():
+    answer = HostAnswer()
+    pieces = [b"HTTP/1.1 200 OK\r\n"] + [b"%x:\r\n" % number for number in range(2500)]
+    assert allocated_by(answer.dataReceived, pieces) <= MAX_BODY_SIZE
+    assert answer.end_reason is EndReason.MALFORMED
