--- a/limelatch/lab/soak/plan.py
+++ b/limelatch/lab/soak/plan.py
@@ -14,6 +14,7 @@
 
 from limelatch.configuration.model import RepeatScope
 from limelatch.interface import MS, SECOND, Effect
+from limelatch.lab.soak.crowds import CrowdPlan, draw_crowds
 from limelatch.lab.soak.surplus import SurplusPlan, draw_surplus
 from limelatch.lab.scenario.model import (
     CatalogKeys,
@@ -86,6 +87,13 @@
     SIGNALS = "signals"  # several signals in quick succession, the last one SIGTERM; then a start
 
 
+UPGRADES = (
+    ActionKind.UPGRADE,
+    ActionKind.UPGRADE_KILL,
+    ActionKind.UPGRADE_NEW_DIES,
+    ActionKind.UPGRADE_BOTH_DIE,
+    ActionKind.UPGRADE_STOP_NEW_DIES,
+)
 ACTION_WEIGHTS = {
     ActionKind.KILL: 3,
     ActionKind.RESTART: 2,
@@ -149,6 +157,7 @@
     idle_clients: int
     faulty_client_rate: float
     surplus: SurplusPlan | None = None
+    crowds: CrowdPlan | None = None  # of bad clients
 
     def count(self) -> dict[str, int]:
         """The number of faults and actions of each kind."""
@@ -160,6 +169,8 @@
         if self.surplus is not None:
             kinds += [f"surplus-{form.value}" for form in self.surplus.forms]
             kinds += ["notices-unkept"] * bool(self.surplus.unkept)
+        if self.crowds is not None:
+            kinds += [f"bad-{crowd.shape.value}" for crowd in self.crowds.crowds]
         for kind in kinds + ["crowd"] * bool(self.idle_clients):
             found[kind] = found.get(kind, 0) + 1
         return dict(sorted(found.items()))
@@ -184,8 +195,13 @@
         surplus = draw_surplus(self.seed)
         if surplus is not None and surplus.is_alone:
             scenario, machine_faults = structs.replace(scenario, faults=[]), []
+        has_upgrades = any(action.kind in UPGRADES for action in actions)
+        crowds = draw_crowds(self.seed, self.seconds, self.relays, has_upgrades)
+        if crowds is not None:
+            relays = structs.replace(scenario.relays, memory=crowds.memory)
+            scenario = structs.replace(scenario, relays=relays)
         return SoakPlan(
-            self.seed, scenario, actions, machine_faults, idle_clients, faulty_client_rate, surplus
+            self.seed, scenario, actions, machine_faults, idle_clients, faulty_client_rate, surplus, crowds
         )
 
     def _machine_faults(self, actions: list[Action]) -> list[MachineFault]:
--- a/limelatch/lab/soak/relay.py
+++ b/limelatch/lab/soak/relay.py
@@ -18,6 +18,7 @@
 from limelatch.lab.checker import ENDED_DURING_UPGRADE
 from limelatch.lab.soak.plan import KILL_AFTER, Action, ActionKind
 from limelatch.lab.stages.sockets import RelayProcess, Sockets
+from limelatch.relay.process_memory import parse_status
 
 RESTART_DELAY = 0.6  # seconds from SIGKILL to the next start, as the protocol states
 MAX_READY_TIME = 10.0  # seconds within which a process has to serve
@@ -117,15 +118,17 @@
 
     def gauge(self) -> None:
         """Record the resource usage of the relay; a limit applies to the sum over all its processes."""
-        descriptors = memory = 0
+        descriptors = memory = peak = 0
         for instance in self.instances:
-            with contextlib.suppress(psutil.Error, ProcessLookupError):
+            with contextlib.suppress(psutil.Error, OSError):
                 usage = psutil.Process(instance.process.pid)
                 descriptors += usage.num_fds()
                 memory += usage.memory_info().rss
+                status = Path(f"/proc/{instance.process.pid}/status").read_bytes()
+                peak = max(peak, parse_status(status).peak)  # also between two measurements
         keys = self.stage.scenario.relays
         self._check_limit("descriptors", descriptors, keys.sockets)
-        self._check_limit("bytes of memory", memory, keys.memory)
+        self._check_limit("bytes of memory", max(memory, peak), keys.memory)
         self._check_limit("bytes of disk", size_of(self.state), keys.disk)
         self.stage.writer.add(rec.ResourceUsage(self.stage.clock.now(), self.number, memory, descriptors, 0))
 
--- a/limelatch/lab/soak/stage.py
+++ b/limelatch/lab/soak/stage.py
@@ -5,10 +5,12 @@
 import asyncio
 import contextlib
 import random
+import sys
 from pathlib import Path
 
 from limelatch.interface import SECOND
 from limelatch.lab.machine.faults import Faults
+from limelatch.lab.soak.crowds import Crowd
 from limelatch.lab.soak.plan import MachineFault, SoakPlan
 from limelatch.lab.soak.relay import SoakRelay
 from limelatch.lab.soak.surplus import SurplusServer
@@ -62,6 +64,25 @@
             if self.plan.faulty_client_rate:
                 self.spawn(self._run_faulty_clients(relay))
 
+        for crowd in self.plan.crowds.crowds if self.plan.crowds is not None else ():
+            self.clock.at(int(crowd.at * SECOND), self._start_crowd, crowd)
+
+    def _start_crowd(self, crowd: Crowd) -> None:
+        self.spawn(self._run_crowd(crowd))
+
+    async def _run_crowd(self, crowd: Crowd) -> None:
+        """Play bad clients against a relay, in a process of their own; it ends by itself or with the play."""
+        relay = self.relays[crowd.relay]
+        relay.note(f"crowd: {crowd.clients} {crowd.shape.value}")
+        command = [sys.executable, "-m", "limelatch.lab.bad_clients", *crowd.arguments(relay.listen)]
+        process = await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.DEVNULL)
+        try:
+            await process.wait()
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
     def _start_action(self, action) -> None:
         self.spawn(self.relays[action.relay].perform(action))
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 import pytest
 
 from limelatch.lab import record as rec
+from limelatch.lab.bad_clients import Shape
 from limelatch.lab.checker import Breach, Rule
 from limelatch.lab.play import head_of
 from limelatch.lab.soak import mutants, plan
@@ -48,6 +49,7 @@
     kinds = {kind for each in plans for kind in each.count()}
     wanted = {kind.value for kind in ACTION_WEIGHTS} | {what.value for what in DRAWN_FAULTS} | {"crowd"}
     wanted |= {f"surplus-{form.value}" for form in SurplusForm} | {"notices-unkept"}
+    wanted |= {f"bad-{shape.value}" for shape in Shape}
     assert wanted <= kinds and {"machine-step", "machine-write", "machine-recv"} <= kinds
     assert {each.scenario.relays.count for each in plans} == {1, 2, 3, 4, 6}
     assert all(action.pause <= MAX_PAUSE for each in plans for action in each.actions)
