--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -1,5 +1,6 @@
 """Hundreds of bad clients at once keep a relay process within its memory limit, and others are answered."""
 
+import copy
 import gc
 import signal
 import socket
@@ -35,6 +36,7 @@
 from limelatch.relay.submission import MAX_ARGUMENTS, MAX_BODY_SIZE, MAX_HEAD_SIZE, BadCommand, read_submit
 
 MEMORY_MB = 64
+UPGRADE_MB = 96
 LEAST_MB = 32  # the least memory that the platform gives a relay
 HEAVY_ROWS = [
     "stalled body",
@@ -231,3 +233,25 @@
     pieces = [b"HTTP/1.1 200 OK\r\n"] + [b"%x:\r\n" % number for number in range(2500)]
     assert allocated_by(answer.dataReceived, pieces) <= MAX_BODY_SIZE
     assert answer.end_reason is EndReason.MALFORMED
+
+
+@pytest.mark.parametrize("row", ["stalled body", "whole large, hosts silent"])
+def test_both_processes_of_an_upgrade_stay_within_the_limit_together(make_program, agent, make_host, row):
+    """The sum of their peaks counts, though these need not come at once. At rest both need 62 MB."""
+    shape, options, are_silent = ROWS[row]
+    host = make_host((lambda request: request.hang()) if are_silent else lambda request: (200,))
+    agent.list(host.address)
+    program = make_program(limits={"memory_mb": UPGRADE_MB, "sockets": SOCKETS, "disk_mb": DISK_MB})
+    program.start().socket.close()
+    new = copy.copy(program)
+    new.process = None
+    try:
+        new.launch()
+        new.wait_for_log("event=serving")
+        seen = attack(program, shape, *options)
+        peaks = [memory_of(each.process.pid).peak / 1e6 for each in (program, new)]
+        assert seen.exit_code is None and new.process.poll() is None
+        assert sum(peaks) <= UPGRADE_MB, peaks
+        assert seen.longest_wait <= ANSWER_SECONDS, seen
+    finally:
+        new.kill()
