--- a/limelatch/lab/soak/mutants.py
+++ b/limelatch/lab/soak/mutants.py
@@ -72,8 +72,10 @@
     Mutant(
         "check for a drain when a connection is established",
         "policy.py",
-        "ready = pending and host and host.listing is Listing.READY and self._has_turn(now, pending)",
-        "ready = pending and host",
+        "and host.listing is Listing.READY\n"
+        "            and host.destination is self.destinations.get(pending.text.destination)\n"
+        "            and self._has_turn(now, pending)\n",
+        "",
     ),
     Mutant(
         "check for a drain in the decision",
