A call sent before a refused one does not end its host's outage

Cause: any delivery ended an outage, also of a call sent before the one that was refused. Change: a delivery ends an outage only if its call was sent after the last one that was refused. An outage found by time-outs ends as before.

--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -473,9 +473,12 @@
             if route.record_duration(report.took):
                 self._halve_window(now, route, call)
             host.failure_share *= 1 - FAILURE_STEP
-            if host.in_outage:  # an outage mostly affects all hosts of a route, and so does its end
+            # An outage mostly affects all hosts of a route, and so does its end. A call that was sent before
+            # one that was refused says nothing of the time since.
+            if host.in_outage and call.sent_at > route.refused_call_sent_at:
                 self._end_outage(now, route)
         elif result is Result.FULL and is_call_done:
+            route.refused_call_sent_at = max(route.refused_call_sent_at, call.sent_at)
             self._record_refusal(now, host, report.retry_after, report.limit_left)
         elif (
             result not in (Result.FULL, Result.NOT_SENT, Result.CANCELLED) and is_call_done and not is_excused
--- a/limelatch/policy_state.py
+++ b/limelatch/policy_state.py
@@ -113,6 +113,7 @@
         self.wait_until = 0  # end of the wait that the host asked for
         # First refusal since the last delivery, and the end of the time for which calls are refused.
         self.refused_since = self.refused_until = NEVER
+        self.refused_call_sent_at = -NEVER  # when the latest call that was refused had been sent
         # Its outage and trials.
         self.outage_since = 0
         self.trial_count = 0
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -397,3 +397,19 @@
     assert {fleet_relay.accept_text(REPORT, now=NOW + 60 * S) for _ in range(2)} == set(
         fleet_relay.sent_texts(NOW + 60 * S)
     )
+
+
+def test_a_delivery_of_a_call_sent_before_a_refused_one_does_not_end_the_outage(relay):
+    """A closed host still answers what it took before: the warm-up would be over at its true return."""
+    early, refused = relay.accept_text(REPORT), relay.accept_text(REPORT)
+    assert set(relay.sent_texts()) == {early, refused}
+    relay.end_submit(refused, Result.FULL, NOW + 500, retry_after=3 * S)
+    assert relay.host().in_outage
+    relay.end_submit(early, Result.DELIVERED, NOW + 900, finished=True)
+    assert relay.host().in_outage
+    now = NOW + 500
+    while not (sent := relay.sent_texts(now)):
+        now += S // 10
+    trial = next(iter(sent))
+    relay.end_submit(trial, Result.DELIVERED, now + 900, finished=True)
+    assert not relay.host().in_outage and relay.host().recovered_at == now + 900
