Fewer calls a text in the account, ids and acceptance

Change: short arguments are taken whole as before, the account is asked only when what is held changes, ids are pruned every 64, a body up to 4 KB stays beside its record, and the lock of an upgrade is asked for only while there is one.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -16,12 +16,13 @@
 from limelatch.memory_account import MemoryAccount
 from limelatch.relay.client_log import ClientLog, ClientState
 from limelatch.relay.end_reason import EndReason
-from limelatch.relay.line_receiver import BufferedLineReceiver, has_peer_closed, has_unread_bytes
+from limelatch.relay.line_receiver import READ_SIZE, BufferedLineReceiver, has_peer_closed, has_unread_bytes
 from limelatch.relay.slots import Slots
 from limelatch.relay.submission import (
     DECIMAL,
     MAX_ARGUMENTS,
     MAX_COMMAND_SIZE,
+    MAX_HEAD_SIZE,
     BadCommand,
     max_argument_size,
     read_submit,
@@ -198,9 +199,10 @@
             self.listener.note_activity(self)
         if self.between_requests():
             self.command_started_at = self.last_received_at
-        self.has_waited = self.has_waited and not self.between_requests()
+            self.has_waited = False
         super().dataReceived(data)
-        self.listener.charge_memory(self)
+        if self.inbound.allocated + self.received_size != self.charged_bytes:
+            self.listener.charge_memory(self)
 
     def is_parsing_paused(self) -> bool:
         """Whether a text awaits its answer, the next reply might not fit into the outbound buffer, or the
@@ -217,8 +219,10 @@
 
         Behind a command that waits for its answer or its turn one read is kept, the rest stays with the
         kernel."""
-        has_to_wait = self.awaiting_answer or self in self.listener.budget
-        return super().may_read() and not (self.inbound and has_to_wait)
+        free = self.inbound.free
+        if free == self.inbound.bound:
+            return True
+        return free >= READ_SIZE and not (self.awaiting_answer or self in self.listener.budget)
 
     def resume_parsing(self) -> None:
         """Go on with buffered commands, after those of other connections."""
@@ -234,24 +238,28 @@
         if self.missing_arguments:
             if not line.startswith(b"$") or not DECIMAL.match(line[1:]):
                 self._protocol_error("a bulk string is wanted")
-            elif (size := int(line[1:])) > max_argument_size(
-                self.arguments, self.missing_arguments, self.arguments_size
-            ):
-                self._skip(size + 2)
             else:
-                self.arguments_size += size
-                self.missing_bytes = size + 2
-                self.expect_parts(size + 2)
+                self._expect_argument(int(line[1:]))
         elif line.startswith(b"*"):
             if not DECIMAL.match(line[1:]) or not 1 <= int(line[1:]) <= MAX_ARGUMENTS:
                 self._protocol_error("an array of 1 to 16 bulk strings is wanted")
             else:
                 self.missing_arguments = int(line[1:])
-                self._drop_arguments()
-                self.too_large = ""
         elif line.strip():  # an inline command, as typed by hand
             self._run_command(line.split(None, MAX_ARGUMENTS))
 
+    def _expect_argument(self, size: int) -> None:
+        """The next argument has this size. A large one is collected in parts, or skipped."""
+        if size + self.arguments_size <= MAX_HEAD_SIZE:
+            self.arguments_size += size
+            self.expect(size + 2)
+        elif size <= max_argument_size(self.arguments, self.missing_arguments, self.arguments_size):
+            self.arguments_size += size
+            self.missing_bytes = size + 2
+            self.expect_parts(size + 2)
+        else:
+            self._skip(size + 2)
+
     def _skip(self, size: int) -> None:
         """Skip an oversized bulk string, so that the connection stays and its answer is a single error."""
         if size > MAX_SKIPPED_SIZE:
@@ -272,21 +280,27 @@
             if self.bytes_to_skip:
                 return
         else:
-            self.argument_parts.append(data)
-            self.received_size += len(data)
-            self.missing_bytes -= len(data)
             if self.missing_bytes:
-                return
-            argument, self.argument_parts = b"".join(self.argument_parts), []
-            if not argument.endswith(b"\r\n"):
+                self._collect_part(data)
+                if self.missing_bytes:
+                    return
+                data, self.argument_parts = b"".join(self.argument_parts), []
+            else:
+                self.received_size += len(data)
+            if not data.endswith(b"\r\n"):
                 self._protocol_error("a bulk string's end is missing")
                 return
-            self.arguments.append(argument[:-2])
+            self.arguments.append(data[:-2])
         self.setLineMode()
         self.missing_arguments -= 1
         if not self.missing_arguments:
             self._run_command(self.arguments)
 
+    def _collect_part(self, part: bytes) -> None:
+        self.argument_parts.append(part)
+        self.received_size += len(part)
+        self.missing_bytes -= len(part)
+
     def _run_command(self, arguments: list[bytes]) -> None:
         name = arguments[0].upper() if arguments else b""
         self.listener.count_command(self)
@@ -299,7 +313,7 @@
                 raise BadCommand(too_large)
             if name == b"SUBMIT":
                 submission = read_submit(arguments)
-                if self.has_client_gone():
+                if self.input_closed or self.has_waited and has_peer_closed(self.transport):
                     self._drop_submits()
                     return
                 self.awaiting_answer = True
@@ -324,14 +338,9 @@
             if self.bad_command_count >= MAX_BAD_COMMANDS:
                 self.end(EndReason.MALFORMED)
 
-    def has_client_gone(self) -> bool:
-        """Whether the client has closed the connection, or its sending side, before its command had its turn.
-
-        The kernel is asked about a command that had to wait; any other came before the client's end."""
-        return self.input_closed or self.has_waited and has_peer_closed(self.transport)
-
     def _drop_submits(self) -> None:
-        """Accept nothing more of this client.
+        """Accept nothing more of this client: it has closed the connection, or its sending side, before its
+        command had its turn. The kernel is asked about a command that had to wait.
 
         Guards against texts that run although nobody knows it, and that are handed in again."""
         self.listener.limited_log("submits-dropped", peer=self.transport.getPeer().host)
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -37,6 +37,7 @@
 
 log, policy_log = logger("driver"), logger("policy")
 NEVER_RAN = (li.Result.FULL, li.Result.CONNECT, li.Result.NOT_SENT)  # the submit certainly did not run
+MAX_KEPT_BODY_SIZE = 4096  # bytes of a text's body that is held beside the ledger's record
 COUNTS_INTERVAL = 60 * li.SECOND  # between two lines with the counts of connections
 IDLE_CHECK_INTERVAL = 20 * li.MS  # between two checks for requests of clients, before an early end
 
@@ -47,7 +48,7 @@
 
     text: li.Text
     idempotency_key: bytes
-    body: bytes  # until it is accepted; then the ledger has it
+    body: bytes  # empty if it is large and accepted; then the ledger has it
     product_settings: li.Product  # as of its arrival; a later configuration doesn't change them
     product: str  # name of the product
     client: Client | None = None  # while it waits for the answer to its submission
@@ -733,7 +734,9 @@
             "at": text.received_at,
             "ordered": accepted.product_settings.in_order,
         }
-        body, accepted.body = accepted.body, b""
+        body = accepted.body
+        if len(body) > MAX_KEPT_BODY_SIZE:  # the ledger has it from now on
+            accepted.body = b""
         acceptance = self.handover.accept(
             text_id, lambda: self.ledger.record_accepted(text_id, body, **fields)
         )
@@ -764,7 +767,7 @@
             OutgoingText(
                 text,
                 accepted.idempotency_key,
-                self.ledger.entries[text].body,
+                accepted.body or self.ledger.entries[text].body,
                 deadline,
                 idle_limit,
                 once_only=accepted.product_settings.effect is li.Effect.ONCE_ONLY,
--- a/limelatch/relay/handover.py
+++ b/limelatch/relay/handover.py
@@ -109,17 +109,19 @@
         A client hands a text in again, under the same id, when the process that it handed it to has
         closed the connection or died. Guards also against a text that runs again at a process that has not
         noticed yet that there is another one."""
-        if not self._sibling_known and not self._sibling.has_ledger:
-            return False
+        if not self._sibling_known:
+            if not self._sibling.has_ledger:
+                return False
+            self._sibling_started()
         state = self._sibling.poll()
         return state is not None and state.is_known(text, self._clock.now())
 
     def accept(self, text: bytes, record: Callable[[], bool]) -> Acceptance:
         """Record the acceptance of a text with `record`, unless the other process has accepted it.
 
-        Guards against both processes doing this for one id between the read of the other's ledger and the
-        record."""
-        if not self._sibling.has_ledger:
+        To be called in the turn after `sibling_has`: a process that has started since does not serve yet.
+        Guards against both processes accepting one id between a read of the other's ledger and the record."""
+        if not self._sibling_known:
             return Acceptance.RECORDED if record() else Acceptance.FAILED
         with self._sibling.claiming() as is_locked:
             if not is_locked:
--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -22,6 +22,7 @@
 PAYLOAD_HEADER = struct.Struct(">BH")  # kind of record, length of the JSON fields; fields and body follow
 MAX_HOST_HEALTH = 256  # hosts whose health a ledger's reader keeps; bounds the compacted file
 MAX_FINISHED = 4096  # ids of finished texts that are remembered
+FINISHED_PRUNE_INTERVAL = 64  # expired ones are looked for each time their number is a multiple of this
 STATE_RESERVE = 384  # bytes reserved a text for its STATE and OWED records in a compacted file
 
 
@@ -187,9 +188,14 @@
         dropped once they have expired at `now`, or if there are more than MAX_FINISHED."""
         if until <= now:
             return
-        self._drop_finished(text)
+        if text in self.finished:
+            self._drop_finished(text)
         self.finished[text] = until
         self.live_bytes += FINISHED_ITEM.size + len(text)
+        if len(self.finished) > MAX_FINISHED or not len(self.finished) % FINISHED_PRUNE_INTERVAL:
+            self._prune_finished(now)
+
+    def _prune_finished(self, now: int) -> None:
         while self.finished:
             first = next(iter(self.finished))
             if self.finished[first] > now and len(self.finished) <= MAX_FINISHED:
--- a/limelatch/relay/ring_buffer.py
+++ b/limelatch/relay/ring_buffer.py
@@ -14,6 +14,7 @@
 
     def __init__(self, bound: int) -> None:
         self.bound = bound
+        self.allocated = 0  # bytes of its storage
         self._cells = bytearray()
         self._head = 0
         self._length = 0
@@ -26,11 +27,6 @@
         """Bytes that can still be written."""
         return self.bound - self._length
 
-    @property
-    def allocated(self) -> int:
-        """Bytes of its storage."""
-        return len(self._cells)
-
     def write(self, data: bytes) -> None:
         """Append all of `data`, or raise RingBufferFull and append nothing."""
         if not data:
@@ -51,6 +47,7 @@
             size *= 2
         content = self.peek(self._length)
         self._cells = bytearray(min(size, self.bound))
+        self.allocated = len(self._cells)
         self._cells[: len(content)] = content
         self._head = 0
 
@@ -71,12 +68,12 @@
         self._length -= len(data)
         self._head = (self._head + len(data)) % len(self._cells) if self._length else 0
         if not self._length and len(self._cells) > FIRST_SIZE:
-            self._cells = bytearray()  # one large block must not keep its memory
+            self._cells, self.allocated = bytearray(), 0  # one large block must not keep its memory
         return data
 
     def clear(self) -> None:
         """Remove all bytes, and release the storage."""
-        self._cells, self._head, self._length = bytearray(), 0, 0
+        self._cells, self.allocated, self._head, self._length = bytearray(), 0, 0, 0
 
     def find(self, pattern: bytes) -> int:
         """Offset of `pattern` from the next byte to read; -1 if it is not in the buffer."""
