Collect a large argument in one buffer, counted as allocated

What callers saw: found by the fuzzer. A body sent in pieces of two bytes took 28 times its bytes, which the account did not count, so slow clients could take a process over its limit within the bound. Cause: since the parts of a large argument were kept as objects of their own. Change: one buffer, and its allocated size is charged.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -57,10 +57,11 @@
         super().__init__(self.MAX_LENGTH, 2 * MAX_REPLY_SIZE)
         self.listener, self.slot = listener, None
         self.arguments: list[bytes] = []
-        self.argument_parts: list[bytes] = []  # of the argument that is being received
+        self.partial = bytearray()  # a large argument that is being received
+        self.partial_size = 0  # bytes allocated for it
         self.missing_arguments = self.missing_bytes = 0  # arguments, and bytes of this one, still to come
         self.arguments_size = 0  # bytes that the arguments begun so far have or will have
-        self.received_size = 0  # bytes received of them
+        self.received_size = 0  # bytes of those that are complete
         self.too_large = ""  # the error for an argument of this command that is skipped
         self.bytes_to_skip = 0
         self.awaiting_answer = False
@@ -92,7 +93,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes allocated for commands that are being received or wait."""
-        return self.inbound.allocated + self.received_size
+        return self.inbound.allocated + self.received_size + self.partial_size
 
     def may_be_shed(self) -> bool:
         """Whether its command can be refused.
@@ -108,8 +109,8 @@
         self.listener.memory.update(self, self.listener.driver.clock.now())
 
     def _drop_arguments(self) -> None:
-        self.arguments, self.argument_parts = [], []
-        self.arguments_size = self.received_size = 0
+        self.arguments, self.partial = [], bytearray()
+        self.arguments_size = self.received_size = self.partial_size = 0
 
     def idle_deadline(self) -> int:
         """When this connection is closed as idle; a first or incomplete command has a limit of its own."""
@@ -201,7 +202,7 @@
             self.command_started_at = self.last_received_at
             self.has_waited = False
         super().dataReceived(data)
-        if self.inbound.allocated + self.received_size != self.charged_bytes:
+        if self.held_bytes != self.charged_bytes:
             self.listener.charge_memory(self)
 
     def is_parsing_paused(self) -> bool:
@@ -284,9 +285,8 @@
                 self._collect_part(data)
                 if self.missing_bytes:
                     return
-                data, self.argument_parts = b"".join(self.argument_parts), []
-            else:
-                self.received_size += len(data)
+                data, self.partial, self.partial_size = bytes(self.partial), bytearray(), 0
+            self.received_size += len(data)
             if not data.endswith(b"\r\n"):
                 self._protocol_error("a bulk string's end is missing")
                 return
@@ -297,8 +297,9 @@
             self._run_command(self.arguments)
 
     def _collect_part(self, part: bytes) -> None:
-        self.argument_parts.append(part)
-        self.received_size += len(part)
+        """One buffer, since each of very many small parts would be an object of its own."""
+        self.partial += part
+        self.partial_size = self.partial.__alloc__()
         self.missing_bytes -= len(part)
 
     def _run_command(self, arguments: list[bytes]) -> None:
--- a/tests/test_memory_fuzz.py
+++ b/tests/test_memory_fuzz.py
@@ -135,3 +135,21 @@
     turns.run()
     assert listener.memory.total <= 1024
     client.connectionLost(None)
+
+
+def test_a_body_in_very_small_pieces_takes_no_more_than_its_bytes():
+    listener, turns = make_listener()
+    client = listener.buildProtocol(None)
+    client.makeConnection(DiscardingTransport())
+    client.dataReceived(lines("*5|$6|SUBMIT|$1|0|$2|t1|$19|c=report,d=9,dest=1|$60000|"))
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        for _ in range(20_000):
+            client.dataReceived(b"xy")
+        held = tracemalloc.get_traced_memory()[0] - before
+    finally:
+        tracemalloc.stop()
+    assert held <= listener.memory.total <= 2 * 40_000
+    client.connectionLost(None)
