The clients' port in a file of its own, beside the client's connection

Tests import from the new places; the fixture that counts checks for unread requests covers both files.

--- a/limelatch/logs.py
+++ b/limelatch/logs.py
@@ -84,7 +84,7 @@
 
 class LimitedLog:
     """Limits the rate of events that outsiders can cause: at most `max_per_second` lines of each event, or of
-    each of its reasons with `by_reason`, for reasons that are a few fixed words.
+    each of its reasons for the events in `by_reason`, whose reasons are a few fixed words.
 
     The next second's first line says in `left_out` how many were suppressed. `clock.now()` is in tenths of a
     millisecond.
@@ -97,7 +97,7 @@
 
     def __call__(self, event: str, **fields: object) -> None:
         """Log an event, or only count it if there were too many in this second."""
-        key = (event, fields.get("why") if self.by_reason else None)
+        key = (event, fields.get("why") if event in self.by_reason else None)
         now, count = self.clock.now(), self._count.get(key, 0) + 1
         if now - self._second_started_at.get(key, 0) >= SECOND:
             left_out = (
--- a/limelatch/relay/client_log.py
+++ b/limelatch/relay/client_log.py
@@ -1,4 +1,4 @@
-"""The log lines about connections of clients that the relay has ended."""
+"""The log lines about clients' connections and commands, at a limited rate."""
 
 from __future__ import annotations
 
@@ -29,10 +29,18 @@
 
 
 class ClientLog:
-    """Logs connections that the relay has ended, at a limited rate for each reason."""
+    """Logs what clients cause; ends of connections at a limited rate for each reason."""
 
     def __init__(self, clock) -> None:
-        self.limited_log = LimitedLog(log, clock, by_reason=True)
+        self.limited_log = LimitedLog(log, clock, by_reason=("client-ended",))
+
+    def command_bad(self, why: Exception, peer: str) -> None:
+        """A command could not be carried out; the client got an error."""
+        self.limited_log("command-bad", why=why, peer=peer)
+
+    def submits_dropped(self, peer: str) -> None:
+        """Texts were not accepted, because their client had closed the connection."""
+        self.limited_log("submits-dropped", peer=peer)
 
     def ended(
         self, end_reason: EndReason, peer: str, state: ClientState, held_bytes: int = 0, age: int = 0
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -14,7 +14,8 @@
 from limelatch.policy import Policy
 from limelatch.relay.anchor_file import AnchorFile
 from limelatch.relay.catalog import BadList, Catalog
-from limelatch.relay.clients import Client, Listener
+from limelatch.relay.client_listener import Listener
+from limelatch.relay.clients import Client
 from limelatch.relay.clock import Clock
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.operator_server import OperatorServer, SuspendedHosts
--- a/tests/test_command_budget.py
+++ b/tests/test_command_budget.py
@@ -14,7 +14,7 @@
 from test_parts import SocketPairTransport
 
 from limelatch.interface import SECOND
-from limelatch.relay.clients import Listener
+from limelatch.relay.client_listener import Listener
 from limelatch.command_budget import (
     MAX_COMMANDS_IN_A_ROW,
     MAX_COMMANDS_PER_TURN,
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -34,7 +34,7 @@
 from limelatch.relay import __main__ as entry
 from limelatch.relay.clock import Anchor, Resumption
 from limelatch.relay.catalog import Catalog
-from limelatch.relay.clients import Listener
+from limelatch.relay.client_listener import Listener
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.driver import Driver
 from limelatch.relay.end_reason import EndReason
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -12,8 +12,8 @@
 from test_crossings import RunningReactor, wait_until
 from test_parts import SocketPairTransport
 
-from limelatch.relay import clients
-from limelatch.relay.clients import (
+from limelatch.relay import client_listener, clients
+from limelatch.relay.client_listener import (
     FULL_TABLE_CHECK_INTERVAL,
     MAX_ACCEPTS_PER_TURN,
     MAX_UNREAD_CHECKS,
@@ -31,11 +31,12 @@
 def unread_checks(monkeypatch):
     """The transports that were checked for unread bytes, each a system call."""
     checked, has_unread_bytes = [], clients.has_unread_bytes
-    monkeypatch.setattr(
-        clients,
-        "has_unread_bytes",
-        lambda transport: checked.append(transport) or has_unread_bytes(transport),
-    )
+    for module in (clients, client_listener):
+        monkeypatch.setattr(
+            module,
+            "has_unread_bytes",
+            lambda transport: checked.append(transport) or has_unread_bytes(transport),
+        )
     return checked
 
 
--- a/tests/test_failing_calls.py
+++ b/tests/test_failing_calls.py
@@ -9,7 +9,7 @@
 from conftest import WAIT_TIMEOUT
 from faults.flow import Flow, drain
 
-from limelatch.relay.clients import MAX_ACCEPTS_PER_TURN
+from limelatch.relay.client_listener import MAX_ACCEPTS_PER_TURN
 
 SPAN = 0.25  # seconds for which a call fails, with each errno in turn
 LONG = 5.0  # seconds
--- a/tests/test_memory_fuzz.py
+++ b/tests/test_memory_fuzz.py
@@ -15,7 +15,7 @@
 
 from limelatch.interface import SECOND
 from limelatch.memory_plan import CONNECTION_SIZE
-from limelatch.relay.clients import Listener
+from limelatch.relay.client_listener import Listener
 
 EXAMPLES = int(os.environ.get("LIMELATCH_FUZZ_EXAMPLES", "60"))
 LIMIT = 100_000  # bytes of the account
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -28,7 +28,7 @@
 from test_parts import SocketPairTransport
 
 from limelatch.interface import SECOND
-from limelatch.relay.clients import Listener
+from limelatch.relay.client_listener import Listener
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.end_reason import EndReason
 from limelatch.relay.http import HttpClientProtocol
--- a/tests/test_resource_monitor.py
+++ b/tests/test_resource_monitor.py
@@ -65,7 +65,10 @@
 
 def test_lines_are_limited_by_reason_and_each_reason_tells_its_own_count(caplog):
     clock = SimpleNamespace(now=lambda: now[0])
-    now, limited = [SECOND], LimitedLog(logger("clients"), clock, max_per_second=2, by_reason=True)
+    now, limited = (
+        [SECOND],
+        LimitedLog(logger("clients"), clock, max_per_second=2, by_reason=("client-ended",)),
+    )
     caplog.set_level(logging.INFO, logger="limelatch.clients")
     for _ in range(9):
         limited("client-ended", why="silent")
--- a/tests/test_terms_descriptors.py
+++ b/tests/test_terms_descriptors.py
@@ -18,7 +18,7 @@
 from limelatch.configuration import plan_of
 from limelatch.configuration.plan import RESERVED_DESCRIPTORS, MIN_SOCKETS, DescriptorShares
 from limelatch.configuration.platform_form import read_platform
-from limelatch.relay.clients import Listener
+from limelatch.relay.client_listener import Listener
 from limelatch.relay.operator_server import OperatorServer
 
 MAX_CHANGE_DELAY = 6.0  # seconds within which a change of the list has to be known
