A limited log line of any event works again

What callers saw: since each limited line but those on ended clients raised an exception, in the turn that wanted to log: answers were not taken in, texts ended late. Change: the default is the empty tuple.

--- a/limelatch/logs.py
+++ b/limelatch/logs.py
@@ -90,7 +90,9 @@
     millisecond.
     """
 
-    def __init__(self, log: logging.Logger, clock, max_per_second: int = 5, by_reason: bool = False) -> None:
+    def __init__(
+        self, log: logging.Logger, clock, max_per_second: int = 5, by_reason: tuple[str, ...] = ()
+    ) -> None:
         self.log, self.clock, self.max_per_second, self.by_reason = log, clock, max_per_second, by_reason
         self._second_started_at: dict[tuple[str, object], int] = {}  # by event and reason
         self._count: dict[tuple[str, object], int] = {}  # of each of them since then
--- a/tests/test_resource_monitor.py
+++ b/tests/test_resource_monitor.py
@@ -114,3 +114,11 @@
     sizes[0] = 60 * MB
     clock.pump([0.25] * 20)
     assert len(trims) == 1 and monitor.memory.resident == 38 * MB
+
+
+def test_lines_of_other_events_are_limited_by_the_event_alone(caplog):
+    limited = LimitedLog(logger("clients"), SimpleNamespace(now=lambda: SECOND), max_per_second=2)
+    caplog.set_level(logging.INFO, logger="limelatch.clients")
+    for number in range(9):
+        limited("command-bad", why=f"reason {number}")
+    assert len(caplog.records) == 2
