A client at work gives way after all others in a full table

What callers saw: with 480 clients that wrote lines of 3,900 words and connected again at once, a client with a text each 0.1 s was closed again and again, since its last activity was longer ago than theirs. Cause: the table gave way by last activity alone. Change: connection_eviction.py keeps two groups; a connection whose text was accepted, and that has sent nothing bad since, gives way after the others. The test fails without the change.

--- /dev/null
+++ b/limelatch/connection_eviction.py
@@ -0,0 +1,52 @@
+"""Decides in which order clients' connections give way while the table of connections is full. Does no I/O.
+
+Connections whose last text was accepted give way after all others: a crowd of clients that send nothing, or
+what can't be used, closes no connection of a client at work.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from itertools import chain
+from typing import Generic, TypeVar
+
+Connection = TypeVar("Connection")
+
+
+class EvictionOrder(Generic[Connection]):
+    """The connections of a table, those that give way first at the beginning: by their last activity, the
+    longest ago first, and those with an accepted text behind the others."""
+
+    def __init__(self) -> None:
+        self._others: OrderedDict[Connection, None] = OrderedDict()
+        self._proven: OrderedDict[Connection, None] = OrderedDict()
+
+    def __iter__(self) -> Iterator[Connection]:
+        return chain(self._others, self._proven)
+
+    def __len__(self) -> int:
+        return len(self._others) + len(self._proven)
+
+    def note_activity(self, connection: Connection) -> None:
+        """The connection is new, or has just sent something."""
+        group = self._proven if connection in self._proven else self._others
+        group[connection] = None
+        group.move_to_end(connection)
+
+    def note_accepted(self, connection: Connection) -> None:
+        """A text of the connection has been accepted."""
+        if connection in self._others:
+            del self._others[connection]
+            self._proven[connection] = None
+
+    def note_refused(self, connection: Connection) -> None:
+        """The connection has sent what can't be used."""
+        if connection in self._proven:
+            del self._proven[connection]
+            self._others[connection] = None
+
+    def remove(self, connection: Connection) -> None:
+        """Forget a connection that has left the table."""
+        self._others.pop(connection, None)
+        self._proven.pop(connection, None)
--- a/limelatch/relay/client_listener.py
+++ b/limelatch/relay/client_listener.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import socket
-from collections import OrderedDict
 
 from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import ServerFactory
 
 from limelatch.command_budget import CommandBudget
+from limelatch.connection_eviction import EvictionOrder
 from limelatch.interface import SECOND
 from limelatch.logs import logger, log_event
 from limelatch.memory_account import MemoryAccount
@@ -39,7 +39,7 @@
         """`max_connections`: size of the table; `max_open`: with those that are still closing."""
         self.driver = driver
         self.connections = Slots(max_connections)
-        self._by_last_activity: OrderedDict[Client, None] = OrderedDict()  # the longest idle first
+        self.eviction_order: EvictionOrder[Client] = EvictionOrder()
         self.open = 0  # open connections, including those that are closing
         self.max_open = max_open
         self._accept_update_due = False  # the port's limit of accepts is about to be updated
@@ -153,14 +153,13 @@
 
     def note_activity(self, client: Client) -> None:
         """The connection is new, or has just sent something."""
-        self._by_last_activity[client] = None
-        self._by_last_activity.move_to_end(client)
+        self.eviction_order.note_activity(client)
 
     def remove(self, client: Client) -> None:
         """Free the client's slot in the table."""
         self.connections.release(client.slot)
         client.slot = None
-        del self._by_last_activity[client]
+        self.eviction_order.remove(client)
 
     def make_room(self, newest: Client | None = None) -> None:
         """The table is full: close the longest idle connection; pause accepting if none is idle."""
@@ -191,13 +190,13 @@
         self.count_open(0)
 
     def _longest_idle(self, newest: Client | None) -> Client | None:
-        """The idle connection with the earliest last activity.
+        """The idle connection that gives way first.
 
         Only the first few are checked for an unread request, which is a system call each: guards against a
         crowd of idle clients that reconnect at once, for each of which the whole table was checked, until the
         relay did nothing else."""
         unread, found = [], None
-        for each in self._by_last_activity:
+        for each in self.eviction_order:
             if each is newest or each.awaiting_answer or each.end_reason is not None or each in self.budget:
                 continue
             if not has_unread_bytes(each.transport):
@@ -207,7 +206,7 @@
             if len(unread) == MAX_UNREAD_CHECKS:
                 break
         for each in unread:  # they have sent something, which is read in the reactor's next turn
-            self._by_last_activity.move_to_end(each)
+            self.eviction_order.note_activity(each)
         return found
 
     def _check_room(self) -> None:
--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -32,6 +32,7 @@
 MAX_SKIPPED_SIZE = (
     1024 * 1024
 )  # bytes of an oversized bulk string that are skipped; beyond it the connection ends
+ACCEPTED = "+OK"  # the answer to a submission that is accepted
 MAX_REPLY_SIZE = 256  # bytes
 
 
@@ -321,6 +322,7 @@
             else:
                 raise BadCommand(f"unknown command {name[:20].decode(errors='replace')!r}")
         except BadCommand as error:
+            self.listener.eviction_order.note_refused(self)
             self.awaiting_answer, self.bad_command_count = False, self.bad_command_count + 1
             self.listener.client_log.command_bad(error, self.transport.getPeer().host)
             self.reply(f"-ERR {error}")
@@ -343,6 +345,8 @@
     def answer(self, line: str) -> None:
         """Answer the submission that waits; then the next request is parsed."""
         self.awaiting_answer, self.has_waited = False, True
+        if line == ACCEPTED:
+            self.listener.eviction_order.note_accepted(self)
         self.reply(line)
         self.pump()
         if (self.listener.stopping or self.listener.closing) and self.is_idle():
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -143,7 +143,7 @@
     for each in connect_clients(listener, 60):
         each.connectionLost(None)
     clock.advance(0)  # the port's limit of accepts is updated
-    assert not len(listener.connections) and not listener._by_last_activity
+    assert not len(listener.connections) and not len(listener.eviction_order)
     assert not any(deadline.call for _, _, deadline in listener.driver.deadlines._heap)
 
 
@@ -224,3 +224,16 @@
     finally:
         crowd.end()
     assert agent.notices.empty()
+
+
+def test_a_connection_at_work_gives_way_after_all_others(listener, clock):
+    """Guards against a crowd that connects again and again, for which the clients at work were closed."""
+    at_work, bad, *others = connect_clients(listener, 39)
+    for each in (at_work, bad):
+        listener.driver.submission_received = lambda submission, client: client.answer("+OK")
+        each.dataReceived(SUBMIT_COMMAND)
+    bad.dataReceived(b"NONSENSE\r\n")
+    clock.advance(0.1)
+    others += connect_clients(listener, 60)
+    assert at_work.end_reason is None and bad.end_reason is EndReason.NO_SLOT
+    assert sum(each.end_reason is EndReason.NO_SLOT for each in others) == 59
