A connection whose submits are dropped closes without a reset

A client that half closed behind its requests could lose its -BUSY to a reset, where the relay's buffer was empty and the kernel's was not. Change: such a close lingers always.

--- a/limelatch/relay/clients.py
+++ b/limelatch/relay/clients.py
@@ -125,12 +125,14 @@
                 min(max(due, now + SECOND // 10), now + MAX_CHECK_INTERVAL), self._check_idle
             )
 
-    def end(self, end_reason: EndReason) -> None:
-        """Close the connection after what was written; abort it if that takes longer than LINGER_TIMEOUT."""
+    def end(self, end_reason: EndReason, has_unread_input: bool = False) -> None:
+        """Close the connection after what was written; abort it if that takes longer than LINGER_TIMEOUT.
+
+        `has_unread_input`: more of the client's input may be with the kernel."""
         if self.end_reason is not None:
             return
         self.ended_in, self.bytes_at_end = self.state(), self.held_bytes
-        if self.between_requests():
+        if self.between_requests() and not has_unread_input:
             self.close(end_reason, finish_writing=True)
         else:
             self._close_lingering(end_reason)
@@ -336,7 +338,7 @@
         Guards against texts that run although nobody knows it, and that are handed in again."""
         self.listener.client_log.submits_dropped(self.transport.getPeer().host)
         self.reply("-BUSY")
-        self.end(EndReason.CLOSED_BY_PEER)
+        self.end(EndReason.CLOSED_BY_PEER, has_unread_input=True)
 
     def reply(self, line: str) -> None:
         """Write one line to the client."""
--- a/tests/test_gone_clients.py
+++ b/tests/test_gone_clients.py
@@ -127,3 +127,15 @@
     wait_until(lambda: any(each.headers["X-Txn"] == "last" for each in list(host.requests.queue)))
     runs = sum(each.headers["X-Txn"] == "again" for each in list(host.requests.queue))
     assert runs == 1, f"ran {runs} times, the second submission was answered {answer}"
+
+
+def test_a_client_that_half_closes_behind_many_requests_reads_answers_and_an_end(program, agent, make_host):
+    """A close over unread bytes would reset the connection, and the answers with it."""
+    agent.list(make_host().address)
+    program.start().socket.close()
+    client = program.client()
+    program.process.send_signal(signal.SIGSTOP)
+    client.socket.sendall(b"".join(request(f"t{number}", bytes(300)) for number in range(MANY)))
+    half_close(client)
+    program.process.send_signal(signal.SIGCONT)
+    assert client.lines.read() == b"+OK\r\n-BUSY\r\n"
