--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -237,7 +237,7 @@
 
 @pytest.mark.parametrize("row", ["stalled body", "whole large, hosts silent"])
 def test_both_processes_of_an_upgrade_stay_within_the_limit_together(make_program, agent, make_host, row):
-    """The sum of their peaks counts, though these need not come at once. At rest both need 62 MB."""
+    """The sum of their peaks counts, though these need not come at once. At rest both need 58 MB."""
     shape, options, are_silent = ROWS[row]
     host = make_host((lambda request: request.hang()) if are_silent else lambda request: (200,))
     agent.list(host.address)
