--- a/tests/test_gone_clients.py
+++ b/tests/test_gone_clients.py
@@ -51,26 +51,22 @@
     client.socket.shutdown(socket.SHUT_WR)
 
 
-def client_of_new(program, texts):
-    """A connection to the standby process, while both accept clients; `texts` names the texts to try with."""
-    standby = program.state / "next" / "ledger"
+def client_of(ledger, program, texts):
+    """A connection to the process with this ledger, while two accept clients; `texts`: ids to try with."""
     for number in range(200):
         client, text = program.client(), f"{texts}{number}"
-        if client.submit(text, d=LONG) == "+OK" and text.encode() in standby.read_bytes():
+        if client.submit(text, d=LONG) == "+OK" and text.encode() in ledger.read_bytes():
             return client
         client.socket.close()
-    raise AssertionError("no connection came to the new process")
+    raise AssertionError(f"no connection came to the process of {ledger}")
+
+
+def client_of_new(program, texts):
+    return client_of(program.state / "next" / "ledger", program, texts)
 
 
 def client_of_old(program, texts):
-    """A connection to the process in the state directory, while both accept clients."""
-    ledger = program.state / "ledger"
-    for number in range(200):
-        client, text = program.client(), f"{texts}{number}"
-        if client.submit(text, d=LONG) == "+OK" and text.encode() in ledger.read_bytes():
-            return client
-        client.socket.close()
-    raise AssertionError("no connection came to the old process")
+    return client_of(program.state / "ledger", program, texts)
 
 
 @pytest.mark.parametrize("end", [leave, half_close])
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -56,13 +56,24 @@
     return Listener(SimpleNamespace(clock=turns.clock, deadlines=turns, plan=plan), 500, 8_000_000)
 
 
+@pytest.fixture
+def start_relay(make_program, agent, make_host):
+    """A function that starts a relay with a memory limit in MB, and a host that may be silent."""
+
+    def start(memory_mb, is_silent):
+        host = make_host((lambda request: request.hang()) if is_silent else lambda request: (200,))
+        agent.list(host.address)
+        program = make_program(limits={"memory_mb": memory_mb, "sockets": SOCKETS, "disk_mb": DISK_MB})
+        program.start().socket.close()
+        return program
+
+    return start
+
+
 @pytest.mark.parametrize("row", HEAVY_ROWS)
-def test_bad_clients_take_no_process_over_its_memory_limit(make_program, agent, make_host, row):
-    shape, options, are_silent = ROWS[row]
-    host = make_host((lambda request: request.hang()) if are_silent else lambda request: (200,))
-    agent.list(host.address)
-    program = make_program(limits={"memory_mb": MEMORY_MB, "sockets": SOCKETS, "disk_mb": DISK_MB})
-    program.start().socket.close()
+def test_bad_clients_take_no_process_over_its_memory_limit(start_relay, row):
+    shape, options, is_silent = ROWS[row]
+    program = start_relay(MEMORY_MB, is_silent)
     seen = attack(program, shape, *options)
     assert seen.exit_code is None and seen.peak <= MEMORY_MB, seen
     assert max(seen.lags) < ANSWER_SECONDS and seen.longest_wait <= ANSWER_SECONDS, seen
@@ -72,13 +83,10 @@
 
 
 @pytest.mark.parametrize("row", ["stalled body", "inline words", "pipelined, hosts silent"])
-def test_with_the_least_memory_bad_clients_add_no_more_than_is_left(make_program, agent, make_host, row):
+def test_with_the_least_memory_bad_clients_add_no_more_than_is_left(start_relay, row):
     """At 32 MB the pages of the program's files have no room; what the process adds has."""
-    shape, options, are_silent = ROWS[row]
-    host = make_host((lambda request: request.hang()) if are_silent else lambda request: (200,))
-    agent.list(host.address)
-    program = make_program(limits={"memory_mb": LEAST_MB, "sockets": SOCKETS, "disk_mb": DISK_MB})
-    program.start().socket.close()
+    shape, options, is_silent = ROWS[row]
+    program = start_relay(LEAST_MB, is_silent)
     seen = attack(program, shape, *options)
     assert any("event=memory-short" in line for line in program.log_lines)
     assert seen.exit_code is None and seen.private_rest + (seen.peak - seen.rest) <= LEAST_MB - DISK_MB, seen
@@ -236,13 +244,10 @@
 
 
 @pytest.mark.parametrize("row", ["stalled body", "whole large, hosts silent"])
-def test_both_processes_of_an_upgrade_stay_within_the_limit_together(make_program, agent, make_host, row):
+def test_both_processes_of_an_upgrade_stay_within_the_limit_together(start_relay, row):
     """The sum of their peaks counts, though these need not come at once. At rest both need 58 MB."""
-    shape, options, are_silent = ROWS[row]
-    host = make_host((lambda request: request.hang()) if are_silent else lambda request: (200,))
-    agent.list(host.address)
-    program = make_program(limits={"memory_mb": UPGRADE_MB, "sockets": SOCKETS, "disk_mb": DISK_MB})
-    program.start().socket.close()
+    shape, options, is_silent = ROWS[row]
+    program = start_relay(UPGRADE_MB, is_silent)
     new = copy.copy(program)
     new.process = None
     try:
