A turn has 64 commands, two in a row of one client while others wait

Cause: each of 300 clients had 8 commands before the next one's turn, and a turn of 128 took some 25 ms. Change: 64 commands and 704 lines a turn, 2 and 32 in a row, which is less work between two answers; a client alone goes on within the turn as before.

--- a/limelatch/command_budget.py
+++ b/limelatch/command_budget.py
@@ -9,10 +9,10 @@
 from collections import OrderedDict
 from typing import Generic, TypeVar
 
-MAX_COMMANDS_PER_TURN = 128  # of all connections in one turn of the reactor
-MAX_COMMANDS_IN_A_ROW = 8  # of one connection, while others wait
-MAX_LINES_PER_TURN = 1408  # lines and parts of arguments, of all connections; a SUBMIT has eleven
-MAX_LINES_IN_A_ROW = 128  # of one connection, while others wait
+MAX_COMMANDS_PER_TURN = 64  # of all connections in one turn of the reactor
+MAX_COMMANDS_IN_A_ROW = 2  # of one connection, while others wait
+MAX_LINES_PER_TURN = 704  # lines and parts of arguments, of all connections; a SUBMIT has eleven
+MAX_LINES_IN_A_ROW = 32  # of one connection, while others wait
 
 Connection = TypeVar("Connection")
 
--- a/tests/memory_rig.py
+++ b/tests/memory_rig.py
@@ -145,5 +145,10 @@
         ("--clients", 60, "--seconds", 6, "--reconnect"),
         False,
     ),
+    "unknown classes, 300 clients": (
+        Shape.UNKNOWN_CLASSES,
+        ("--clients", 300, "--seconds", 6, "--reconnect", "--pace", 200),
+        False,
+    ),
     "broken lengths": (Shape.BROKEN_LENGTHS, ("--clients", 200, "--reconnect"), False),
 }
