Keep a successor's first descriptors free while clients fill the table

Cause: a process alone divides all descriptors, and halves its shares only when it has noticed the new process (0.25 s), which has 14 to 16 at its start. Change: as many are kept free, of those for clients' connections that are closing; up to two thirds of these where there are fewer.

--- a/limelatch/configuration/plan.py
+++ b/limelatch/configuration/plan.py
@@ -24,6 +24,7 @@
 
 SEED_BYTES = 8
 MIN_SOCKETS = 64  # with so few descriptors, each use still gets some
+SUCCESSOR_DESCRIPTORS = 16  # of a new process beside this one, until this one has reduced its shares
 RESERVED_DESCRIPTORS = 20  # for output, pipes, ledger, ports, catalog, platform and temporary files
 
 
@@ -71,7 +72,9 @@
         left = sockets - clients - 2 * operators - RESERVED_DESCRIPTORS
         hosts = min(sockets // 4, left * 6 // 10)
         closing = min(sockets // 16, (left - hosts) // 2)
-        return cls(hosts, closing, operators, clients, clients + left - hosts - closing)
+        closing_clients = left - hosts - closing
+        closing_clients -= min(SUCCESSOR_DESCRIPTORS, closing_clients * 2 // 3)
+        return cls(hosts, closing, operators, clients, clients + closing_clients)
 
     @classmethod
     def during_upgrade(cls, sockets: int) -> DescriptorShares:
--- a/tests/test_terms_descriptors.py
+++ b/tests/test_terms_descriptors.py
@@ -16,7 +16,12 @@
 from test_parts import VALID_CONFIG, SocketPairTransport
 
 from limelatch.configuration import plan_of
-from limelatch.configuration.plan import RESERVED_DESCRIPTORS, MIN_SOCKETS, DescriptorShares
+from limelatch.configuration.plan import (
+    MIN_SOCKETS,
+    RESERVED_DESCRIPTORS,
+    SUCCESSOR_DESCRIPTORS,
+    DescriptorShares,
+)
 from limelatch.configuration.platform_form import read_platform
 from limelatch.relay.client_listener import Listener
 from limelatch.relay.operator_server import OperatorServer
@@ -36,6 +41,16 @@
         assert sockets < 400 or shares.hosts == sockets // 4
 
 
+def test_a_new_process_s_first_descriptors_fit_beside_those_of_a_full_old_one():
+    """The old process learns of the new one within 0.25 s; 256 is the least limit that the platform gives."""
+    for sockets in (*range(256, 2000), 4096, 1 << 20):
+        shares = DescriptorShares.of(sockets)
+        used = (
+            shares.max_clients + shares.hosts + shares.closing + 2 * shares.operators + RESERVED_DESCRIPTORS
+        )
+        assert used + SUCCESSOR_DESCRIPTORS <= sockets, sockets
+
+
 def test_a_burst_in_one_turn_stays_within_the_clients_descriptors():
     """Connections that make room are closed only after the reactor turn."""
     listener, connections = Listener(ListenerDriver(RunningReactor()), 10, 10_000, 14), []
