--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -564,6 +564,7 @@
     record("begin", trouble=int(trouble))
 
     async def main() -> list[str]:
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         platform = Platform(record)
         rig = Rig(record, folder, platform)
         rig.settings = small_settings()
@@ -577,7 +578,7 @@
 
     try:
         broken = asyncio.run(main())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record("not run", why=repr(error))
         traceback.print_exc()
         for log in sorted(folder.glob("relay*.log")):
