--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -555,7 +555,7 @@
     }  # fmt: skip
 
 
-def play(case_file: str, scene: Callable[[Rig, bool], Awaitable[list[str]]], limit: float = 110.0) -> int:
+def play(case_file: str, scene: Callable[[Rig, bool], Awaitable[list[str]]], limit: float = 100.0) -> int:
     """Play a scene and return the exit code. The scene gets the rig and whether there is trouble, and returns
     what broke the rule, a line each."""
     folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -564,7 +564,8 @@
     record("begin", trouble=int(trouble))
 
     async def main() -> list[str]:
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):  # all that was started ends then too
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         platform = Platform(record)
         rig = Rig(record, folder, platform)
         rig.settings = small_settings()
