Open texts keep the terms under which they were accepted, in every later process

Cause: the ledger's record TAKEN names the product, and says whether it is in order, but not its effect, repeat window, nor which hosts know a repeat. `Driver._restore`, which serves restarts and both adoptions, took these from the row of that name in its own settings.

Change: TAKEN has the product's terms as an array (relay/text_terms.py), and a restored text is decided on by these. Compaction and adoption copy the record as it is. `TextHistory.in_order` becomes `TextHistory.product`, so the policy has one way to be told what a text was promised; the test that passed `in_order=True` for a product that is in order passes that product.

Weighed: a record for each distinct set of terms, referred to by number.

--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -142,14 +142,15 @@
 
     `first_run_at` and `first_run_zone`: when and where the first submit that may have run was sent.
     `in_flight`: one submit had no outcome yet. `is_answered`: the final answer has been given and only waits
-    to be acknowledged."""
+    to be acknowledged. `product`: the product as it was when the text was accepted, whatever the settings say
+    of it now; None: as in the settings."""
 
     submit_count: int = 0
     first_run_at: int | None = None
     first_run_zone: int | None = None
     in_flight: bool = False
     is_answered: bool = False
-    in_order: bool | None = None  # what its product said when it was accepted; None: as it says now
+    product: Product | None = None
 
 
 @dataclass(slots=True)
--- a/limelatch/policy.py
+++ b/limelatch/policy.py
@@ -221,7 +221,8 @@
         """A client submitted a text, or a text comes from an earlier process of this relay, with its history.
 
         Texts of earlier processes are passed in the order in which they were received."""
-        pending = self.texts[text.id] = PendingText(text, self.settings.products[text.product], history)
+        product = history.product or self.settings.products[text.product]
+        pending = self.texts[text.id] = PendingText(text, product, history)
         if pending.key:
             received_at = now if text.received_at is None else text.received_at
             self.key_order.add(pending.key, QueuedText(text.id, received_at, history.submit_count > 0))
--- a/limelatch/policy_state.py
+++ b/limelatch/policy_state.py
@@ -61,7 +61,7 @@
         self.submit_count = history.submit_count
         self.due_at = 0
         self.is_recovered = history is not NO_HISTORY
-        self.key = text.key if (product.in_order if history.in_order is None else history.in_order) else 0
+        self.key = text.key if product.in_order else 0
         # When and to which zone the first submit that may have run was sent.
         self.first_run_at = self.first_run_zone = None
         self.call = self.final_action = None  # its Call in flight, its final Action
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -34,6 +34,7 @@
 from limelatch.relay.slots import Slots
 from limelatch.relay.submission import Submission
 from limelatch.relay.text_log import TextLog
+from limelatch.relay.text_terms import encode_terms, product_of_terms
 from limelatch.relay.wall_clock_monitor import WallClockMonitor
 
 log, policy_log = logger("driver"), logger("policy")
@@ -216,6 +217,17 @@
         names = self.plan.names.products
         return product not in names or self.plan.settings.products[names.index(product)].in_order
 
+    def _product_of(self, entry: Entry) -> li.Product:
+        """The product under whose terms a text was accepted.
+
+        For a record of an earlier version, which has no terms: the product of that name in the settings."""
+        names, name = self.plan.names.products, entry.fields["product"]
+        in_order = self._is_ordered(name) if entry.in_order is None else entry.in_order
+        if entry.terms is not None:
+            return product_of_terms(entry.terms, in_order)
+        known = self.plan.settings.products[names.index(name) if name in names else 0]
+        return replace(known, in_order=in_order)
+
     def _restore(self, now: int, entry: Entry) -> None:
         """Restore a text of an earlier process: send its notice, or have the policy decide on it."""
         fields, names, customer_name = entry.fields, self.plan.names, entry.fields["customer"]
@@ -225,8 +237,7 @@
         text = li.Text(entry.id, fields["dest"], product, fields["until"], customer, entry.key)
         text.received_at = entry.received_at
         self._last_received_at = max(self._last_received_at, entry.received_at)
-        in_order = self._is_ordered(fields["product"]) if entry.in_order is None else entry.in_order
-        product_settings = replace(self.plan.settings.products[product], in_order=in_order)
+        product_settings = self._product_of(entry)
         accepted = self._register(
             AcceptedText(text, fields["mark"].encode(), b"", product_settings, fields["product"])
         )
@@ -236,7 +247,12 @@
             # Nobody knows how long ago it ran, so its retry window counts as over.
             first_run_at = min(first_run_at, now - product_settings.retry_window)
         history = li.TextHistory(
-            entry.submit_count, first_run_at, entry.first_run_zone, entry.in_flight, answered, in_order
+            entry.submit_count,
+            first_run_at,
+            entry.first_run_zone,
+            entry.in_flight,
+            answered,
+            product_settings,
         )
         self.text_log.adopted(entry, accepted.key, first_run_at is not None, answered)
         self._list_hosts_of(now, text.destination)
@@ -734,6 +750,7 @@
             "customer": names[text.customer] if names else "",
             "at": text.received_at,
             "ordered": accepted.product_settings.in_order,
+            "terms": encode_terms(accepted.product_settings),
         }
         body = accepted.body
         if len(body) > MAX_KEPT_BODY_SIZE:  # the ledger has it from now on
--- a/limelatch/relay/records.py
+++ b/limelatch/relay/records.py
@@ -16,6 +16,7 @@
 
 from limelatch.interface import Health
 from limelatch.key_order import KeyCooldown
+from limelatch.relay.text_terms import TextTerms, decode_terms
 
 RECORD_HEADER = struct.Struct(">II")  # length and checksum of the payload that follows
 FINISHED_ITEM = struct.Struct(">BQ")  # of a DONE record: length of an id, end of its validity; the id follows
@@ -59,6 +60,7 @@
     first_run_zone: int | None = None
     notice: dict | None = None
     accepted_record: bytes = b""  # the record that accepted the text, as written
+    terms: TextTerms | None = None  # None in a record of an earlier version
 
     @property
     def body(self) -> bytes:
@@ -248,7 +250,8 @@
                 self.add_finished(finished, until, 0)
             return None
         if kind == RecordKind.TAKEN:
-            self.entries[text] = Entry(text, fields, accepted_record=raw)
+            terms = decode_terms(fields.pop("terms")) if "terms" in fields else None
+            self.entries[text] = Entry(text, fields, accepted_record=raw, terms=terms)
             self.live_bytes += len(raw) + STATE_RESERVE
             return None if entry is None else "accepted a second time"
         if entry is None:
--- /dev/null
+++ b/tests/test_recorded_terms.py
@@ -0,0 +1,118 @@
+"""An accepted text keeps the terms of its product in each later process, whatever the settings say."""
+
+from __future__ import annotations
+
+import pytest
+from conftest import S
+from test_terms_restart import CHARGE, NOTICE, SHORT, RelayLife
+
+from limelatch.relay.handover import STANDBY_POLL_INTERVAL
+from limelatch.relay.ledger import IncompatibleLedger
+from limelatch.relay.records import RecordKind, encode_record
+
+START = 1_000 * S  # when the first process of a test starts
+PASSAGES = pytest.mark.parametrize("passage", ["restart", "old process dies", "new process dies"])
+
+
+class RelayOfTwo:
+    """A relay whose text is accepted by one process and finished by another one with other settings."""
+
+    def __init__(self, state_dir):
+        self.state_dir, self.made = state_dir, []
+
+    def process(self, beside=None, **more):
+        """Starts a process; the hosts are those of the process that runs beside it."""
+        life = RelayLife(self.state_dir)
+        if beside is not None:
+            life.clock.rightNow = beside.clock.rightNow
+            life.sent, life.ran, life.effects = beside.sent, beside.ran, beside.effects
+        life.start(**more)
+        self.made.append(life)
+        return life
+
+    def pass_on(self, passage, submit, delay, settings, zones=("a",)):
+        """A process with SHORT settings accepts texts by `submit` and is killed `delay` later; returns the
+        process that has them afterwards, which has the given settings and hosts."""
+        if passage == "new process dies":
+            last = self.process(settings=settings, zones=zones)
+            first = self.process(beside=last)
+            last.sent, last.ran, last.effects = first.sent, first.ran, first.effects
+        else:
+            first = self.process()
+            last = None
+        submit(first)
+        if passage == "old process dies":
+            last = self.process(beside=first, settings=settings, zones=zones)
+        first.driver.ledger.close()
+        if passage == "restart":
+            first.clock.rightNow += delay / S
+            return self.process(beside=first, settings=settings, zones=zones)
+        last.clock.rightNow = first.clock.rightNow + delay / S
+        last.clock.advance(1.1 * STANDBY_POLL_INTERVAL / S)
+        last.driver.turn()
+        return last
+
+    def close(self):
+        for life in self.made:
+            life.driver.ledger.close()
+
+
+@pytest.fixture
+def relay(tmp_path):
+    relay = RelayOfTwo(tmp_path)
+    yield relay
+    relay.close()
+
+
+def settings_with(*changed):
+    """SHORT with these classes in place of those of the same names, behind the others."""
+    names = [each["name"] for each in changed]
+    return SHORT | {"classes": [*(each for each in SHORT["classes"] if each["name"] not in names), *changed]}
+
+
+@PASSAGES
+@pytest.mark.parametrize(
+    "text, product, changed, delay, zones",
+    [
+        pytest.param(b"c", b"charge", CHARGE | {"effect": "pure"}, S // 10, ("a",), id="effect"),
+        pytest.param(b"n", b"notice", NOTICE | {"dedupWindow": 60_000}, 11 * S // 10, ("a",), id="window"),
+        pytest.param(b"n", b"notice", NOTICE | {"group": "all"}, S // 10, ("b",), id="group"),
+    ],
+)
+def test_a_text_in_flight_is_not_repeated_by_the_rules_of_a_new_class_of_its_name(
+    relay, passage, text, product, changed, delay, zones
+):
+    """Guards against a charge that runs twice because the next process knows its class as `pure`."""
+    last = relay.pass_on(
+        passage, lambda first: first.submit(text, product), delay, settings_with(changed), zones
+    )
+    last.clock.advance(1.2)  # until its own window is over
+    last.driver.turn()
+    assert last.calls(text) == [b"a"]
+    assert last.ended == {text: "dead"}
+
+
+def earlier_record(relay, **fields):
+    """A ledger as earlier versions wrote it, without terms, of a text whose call is out."""
+    common = {"key": "", "mark": "", "dest": 1, "until": START + 8 * S, "customer": "acme", "at": START}
+    accepted = encode_record(RecordKind.TAKEN, b"t", common | fields, b"x")
+    submit = encode_record(RecordKind.GOING, b"t", {"at": START, "zone": 0})
+    (relay.state_dir / "ledger").write_bytes(accepted + submit)
+
+
+@pytest.mark.parametrize("product, ended", [("charge", {b"t": "dead"}), ("report", {})])
+def test_a_record_of_an_earlier_version_has_the_terms_of_the_class_of_its_name(relay, product, ended):
+    """Guards against an update of the relay that does not read, or misreads, what the last version left."""
+    earlier_record(relay, product=product, ordered=False)
+    life = relay.process()
+    assert life.ended == ended
+    assert life.calls(b"t") == ([] if ended else [b"a"])
+
+
+def test_a_record_with_terms_of_a_later_version_is_not_taken_for_a_torn_one(relay):
+    """Guards against a start that cuts off accepted texts whose terms it does not understand."""
+    earlier_record(relay, product="charge", ordered=True, terms=["twice-a-day", 1])
+    before = (relay.state_dir / "ledger").read_bytes()
+    with pytest.raises(IncompatibleLedger, match="terms"):
+        relay.process()
+    assert (relay.state_dir / "ledger").read_bytes() == before
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -253,7 +253,7 @@
     assert relay.sent_texts() == {}  # the old process has an earlier text of the key
     relay.policy.key_order.set_sibling_texts([])
     text = Text(earlier, 1, CHARGE, NOW + 20 * S, 0, 5, received_at=NOW - 1)
-    relay.policy.text_accepted(NOW, text, TextHistory(in_order=True))
+    relay.policy.text_accepted(NOW, text, TextHistory(product=relay.policy.settings.products[CHARGE]))
     assert relay.sent_texts() == {earlier: HOST}
     relay.end_submit(earlier, Result.DELIVERED, finished=True)
     relay.policy.text_finished(NOW, earlier)
--- a/tests/test_terms_restart.py
+++ b/tests/test_terms_restart.py
@@ -55,9 +55,9 @@
         self.sent, self.ran, self.effects = [], {}, Counter()
         self.connect_delay = 0  # until a connection comes up
 
-    def start(self, zones=("a",)):
+    def start(self, zones=("a",), settings=SHORT):
         """Starts a process that has the host list at once, with one host in each zone."""
-        plan = plan_of(read_platform(VALID_CONFIG | {"settings": SHORT, "state": str(self.state_dir)})[0])
+        plan = plan_of(read_platform(VALID_CONFIG | {"settings": settings, "state": str(self.state_dir)})[0])
         self.driver = driver = Driver(plan, self.clock, self.clock)
         self.calls_in_flight, self.ended = [], {}
         driver.pool.send = self.send
