Texts of a class that a restart's settings lack are delivered by their recorded terms

Cause: `Driver._restore`, which serves restarts and both adoptions, looked the product up in the settings of its process and gave up what it did not find there.

The number of its product is UNKNOWN_PRODUCT, so that no other product's failures are laid to it. A record of an earlier version has no terms: without a product of its name it counts as once-only and in order. `product-unknown` is logged for these alone.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -142,7 +142,7 @@
     "product-unknown": Event(
         "driver",
         WARNING,
-        "the product of an accepted text is no longer configured; the text ends as undeliverable",
+        "neither the record nor the configuration has the product of an accepted text; it is never repeated",
         {"product": "its name"},
     ),
     "text-taken": Event(
--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -15,6 +15,9 @@
 MS = 10
 SECOND = 10_000
 UNKNOWN_ZONE = -1  # the number of a host's zone where nobody has told it
+UNKNOWN_PRODUCT = (
+    -1
+)  # the number of a text's product that the settings don't have; its history has the product
 
 
 class Effect(Enum):
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -34,7 +34,7 @@
 from limelatch.relay.slots import Slots
 from limelatch.relay.submission import Submission
 from limelatch.relay.text_log import TextLog
-from limelatch.relay.text_terms import encode_terms, product_of_terms
+from limelatch.relay.text_terms import UNKNOWN_TERMS_PRODUCT, encode_terms, product_of_terms
 from limelatch.relay.wall_clock_monitor import WallClockMonitor
 
 log, policy_log = logger("driver"), logger("policy")
@@ -220,19 +220,26 @@
     def _product_of(self, entry: Entry) -> li.Product:
         """The product under whose terms a text was accepted.
 
-        For a record of an earlier version, which has no terms: the product of that name in the settings."""
-        names, name = self.plan.names.products, entry.fields["product"]
+        For a record of an earlier version, which has no terms: the product of that name in the settings, or
+        one whose texts are never repeated."""
+        name, number = entry.fields["product"], self._product_number(entry)
         in_order = self._is_ordered(name) if entry.in_order is None else entry.in_order
         if entry.terms is not None:
             return product_of_terms(entry.terms, in_order)
-        known = self.plan.settings.products[names.index(name) if name in names else 0]
-        return replace(known, in_order=in_order)
+        if number == li.UNKNOWN_PRODUCT:
+            log_event(log, "product-unknown", product=name)
+            return replace(UNKNOWN_TERMS_PRODUCT, in_order=in_order)
+        return replace(self.plan.settings.products[number], in_order=in_order)
+
+    def _product_number(self, entry: Entry) -> int:
+        """The number of a text's product in the settings of this process."""
+        names, name = self.plan.names.products, entry.fields["product"]
+        return names.index(name) if name in names else li.UNKNOWN_PRODUCT
 
     def _restore(self, now: int, entry: Entry) -> None:
         """Restore a text of an earlier process: send its notice, or have the policy decide on it."""
         fields, names, customer_name = entry.fields, self.plan.names, entry.fields["customer"]
-        is_known = fields["product"] in names.products
-        product = names.products.index(fields["product"]) if is_known else 0
+        product = self._product_number(entry)
         customer = names.customers.index(customer_name) if customer_name in names.customers else 0
         text = li.Text(entry.id, fields["dest"], product, fields["until"], customer, entry.key)
         text.received_at = entry.received_at
@@ -241,7 +248,7 @@
         accepted = self._register(
             AcceptedText(text, fields["mark"].encode(), b"", product_settings, fields["product"])
         )
-        answered = entry.notice is not None or not is_known
+        answered = entry.notice is not None
         first_run_at = entry.first_run_at
         if first_run_at is not None and first_run_at < self.clock.certain_from:
             # Nobody knows how long ago it ran, so its retry window counts as over.
@@ -261,9 +268,6 @@
             self.ledger.record_submit_end(entry.id, True, now, self._cooldown_until(accepted, now))
         if entry.notice is not None:
             self.notifier.add_notice(entry.id, entry.notice)
-        elif not is_known:
-            log_event(log, "product-unknown", product=fields["product"])
-            self._finish_with_notice(accepted, {"result": "dead"})
 
     def serve(self) -> None:
         """Listen for clients; PING is answered from now on."""
--- a/tests/test_recorded_terms.py
+++ b/tests/test_recorded_terms.py
@@ -6,6 +6,7 @@
 from conftest import S
 from test_terms_restart import CHARGE, NOTICE, SHORT, RelayLife
 
+from limelatch.interface import Result
 from limelatch.relay.handover import STANDBY_POLL_INTERVAL
 from limelatch.relay.ledger import IncompatibleLedger
 from limelatch.relay.records import RecordKind, encode_record
@@ -92,12 +93,37 @@
     assert last.ended == {text: "dead"}
 
 
-def earlier_record(relay, **fields):
-    """A ledger as earlier versions wrote it, without terms, of a text whose call is out."""
+@PASSAGES
+@pytest.mark.parametrize(
+    "classes", [[NOTICE], [NOTICE, CHARGE | {"name": "payment"}]], ids=["dropped", "renamed"]
+)
+def test_texts_of_a_class_that_the_settings_lack_are_still_delivered(relay, passage, classes):
+    """Guards against texts that are given up untried because the next process does not know their class."""
+
+    def submit(first):
+        first.submit(b"c1", b"charge", key=b"7")  # in flight at the end of its process
+        first.submit(b"c2", b"charge", key=b"7")  # untried, since c1 goes first
+        first.submit(b"r", b"report")
+
+    last = relay.pass_on(passage, submit, S // 10, SHORT | {"classes": classes})
+    assert last.ended == {b"c1": "dead"}
+    assert last.calls(b"r") == [b"a", b"a"]
+    last.answer_calls(Result.DELIVERED)
+    assert last.calls(b"c2") == []
+    last.driver.notice_answered(b"c1")
+    last.clock.advance(1.1 * last.driver.plan.settings.key_cooldown / S)
+    last.driver.turn()
+    assert last.calls(b"c1") == last.calls(b"c2") == [b"a"]
+    last.answer_calls(Result.DELIVERED)
+    assert not last.driver.accepted and last.ended == {b"c1": "dead"}
+
+
+def earlier_record(relay, is_in_flight=True, **fields):
+    """A ledger as earlier versions wrote it, without terms, of a text whose call is out or has not begun."""
     common = {"key": "", "mark": "", "dest": 1, "until": START + 8 * S, "customer": "acme", "at": START}
     accepted = encode_record(RecordKind.TAKEN, b"t", common | fields, b"x")
     submit = encode_record(RecordKind.GOING, b"t", {"at": START, "zone": 0})
-    (relay.state_dir / "ledger").write_bytes(accepted + submit)
+    (relay.state_dir / "ledger").write_bytes(accepted + submit * is_in_flight)
 
 
 @pytest.mark.parametrize("product, ended", [("charge", {b"t": "dead"}), ("report", {})])
@@ -109,6 +135,20 @@
     assert life.calls(b"t") == ([] if ended else [b"a"])
 
 
+@pytest.mark.parametrize("is_in_flight", [True, False])
+def test_a_record_of_an_earlier_version_without_a_class_of_its_name_is_sent_once(relay, is_in_flight):
+    """Nothing is known of what a repeat would do, so it counts as once-only."""
+    earlier_record(relay, is_in_flight, product="gone", key="7")
+    life = relay.process()
+    assert life.ended == ({b"t": "dead"} if is_in_flight else {})
+    assert life.calls(b"t") == ([] if is_in_flight else [b"a"])
+    life.answer_calls(Result.RESET)
+    life.clock.advance(2)
+    life.driver.turn()
+    assert life.calls(b"t") == ([] if is_in_flight else [b"a"])
+    assert life.ended == {b"t": "dead"}
+
+
 def test_a_record_with_terms_of_a_later_version_is_not_taken_for_a_torn_one(relay):
     """Guards against a start that cuts off accepted texts whose terms it does not understand."""
     earlier_record(relay, product="charge", ordered=True, terms=["twice-a-day", 1])
