A drain by PAUSE holds for every process of the relay until RESUME

Cause: the drain was a flag of one process (`Listener.paused`), kept nowhere.

Change: it is an empty file `drained` in the state directory (relay/drain_state.py), made before the +OK of PAUSE and removed by RESUME. Each process looks for it before its first PING; the two of an upgrade look each turn, so that either takes PAUSE and RESUME for both. What can't be stored is answered `-ERR not done`, as for SUSPEND.

--- a/limelatch/events.py
+++ b/limelatch/events.py
@@ -435,7 +435,8 @@
     "paused": Event(
         "clients",
         INFO,
-        "PAUSE: PING is answered with an error; connections are closed between requests",
+        "PAUSE, at this process or another one of the relay: PING is answered with an error; connections are "
+        "closed between requests",
         {"owed": OWED},
     ),
     "resumed": Event("clients", INFO, "RESUME: PING is answered normally again", {"owed": OWED}),
--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -18,6 +18,7 @@
 from limelatch.relay.clients import Client
 from limelatch.relay.clock import Clock
 from limelatch.relay.deadlines import Deadlines
+from limelatch.relay.drain_state import DrainState
 from limelatch.relay.operator_server import OperatorServer, SuspendedHosts
 from limelatch.relay.storage_monitor import StorageMonitor
 from limelatch.relay.handover import SUCCESSOR_NOTICED_AFTER, Acceptance, Handover
@@ -79,7 +80,8 @@
         self.initial_values = plan.source.installation
         self.deadlines = Deadlines(reactor, clock)
         self.policy = Policy(plan.settings, clock.now())
-        self.suspended_hosts = SuspendedHosts(plan.state_dir)  # read before the state directory is locked
+        # Both are read before the state directory is locked, since either may fail.
+        self.suspended_hosts, self.drain_state = SuspendedHosts(plan.state_dir), DrainState(plan.state_dir)
         self.storage_monitor = StorageMonitor(clock, self.deadlines, self._notify, self.schedule_turn)
         self.ledger = Ledger(
             plan.state_dir, plan.max_disk_bytes, plan.memory.text_bytes, self.storage_monitor.on_write_result
@@ -133,7 +135,7 @@
         )
         shares = plan.shares.within(plan.memory.connections)
         self.listener = Listener(self, shares.clients, plan.memory.command_bytes, shares.max_clients)
-        self.operations = Operations(self, self.suspended_hosts)
+        self.operations = Operations(self, self.suspended_hosts, self.drain_state)
         self.operator_server = OperatorServer(self, self.operations, plan.shares.operators)
         listen, operator = plan.listen, plan.operator_address
         self._client_port = PortOpening(
@@ -275,6 +277,7 @@
             self.deadlines.at(self._serve_at, self.serve)
             return
         if not self.ready and self._stop_deadline is None and not self.failed:
+            self.operations.refresh_drain()  # before the first PING
             is_operator_port_open = self._operator_port is None or self._operator_port.is_open
             if not is_operator_port_open or not self._open_port(self._client_port):
                 self.deadlines.after(PORT_RETRY_INTERVAL, self.serve)
@@ -682,7 +685,7 @@
             return  # restored texts wait for the host list too
         if self.handover.has_host_data:
             self._poll_sibling()
-            self.operations.refresh_suspended()
+            self.operations.refresh()
         now = self.clock.now()
         actions = self.policy.decide(now, self.storage_monitor.gate.may_submit)
         # Answering a client may bring in its next text, which is for a later turn.
--- a/limelatch/relay/operations.py
+++ b/limelatch/relay/operations.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from limelatch import interface as li
+from limelatch.relay.drain_state import DrainState
 from limelatch.relay.operator_server import OperatorError, SuspendedHosts
 
 
 class Operations:
     """Carries out the operators' commands on the driver of one relay."""
 
-    def __init__(self, driver, suspended: SuspendedHosts) -> None:
-        self._driver, self.suspended = driver, suspended
+    def __init__(self, driver, suspended: SuspendedHosts, drain_state: DrainState) -> None:
+        self._driver, self.suspended, self._drain_state = driver, suspended, drain_state
 
     def members(self) -> str:
         """Summarize the states of all members. Raises OperatorError if membership is off."""
@@ -33,15 +36,26 @@
         )
 
     def pause(self) -> str:
-        """Turn clients away; work on accepted texts continues."""
+        """Turn clients away until RESUME, also in later processes; work on accepted texts continues.
+
+        Raises OperatorError if the change can't be stored."""
+        self._store(self._drain_state.begin)
         self._driver.listener.pause()
         return f"+OK paused owed={len(self._driver.accepted)}"
 
     def resume(self) -> str:
-        """Serve clients again."""
+        """Serve clients again. Raises OperatorError if the change can't be stored."""
+        self._store(self._drain_state.end)
         self._driver.listener.resume()
         return "+OK serving" if self._driver.ready else "+OK starting"
 
+    @staticmethod
+    def _store(change: Callable[[], None]) -> None:
+        try:
+            change()
+        except OSError as error:
+            raise OperatorError(f"not done, the folder does not keep it: {error.strerror}") from None
+
     def knows(self, host: li.HostId) -> bool:
         """Whether the host is in the catalog's list, or suspended."""
         return host in self.suspended.counts or self._driver.catalog.directory.find(host) is not None
@@ -62,7 +76,20 @@
             self._driver.refresh_host(host)
         return f"+OK {host.decode()} back"
 
-    def refresh_suspended(self) -> None:
+    def refresh(self) -> None:
         """Apply the changes that operators have made at the other process of an upgrade."""
+        self.refresh_suspended()
+        if self._driver.handover.has_host_data:
+            self.refresh_drain()
+
+    def refresh_drain(self) -> None:
+        """Begin or end a drain as an earlier process, or the other one of an upgrade, was told."""
+        if self._drain_state.refresh():
+            self._driver.listener.pause()
+        else:
+            self._driver.listener.resume()
+
+    def refresh_suspended(self) -> None:
+        """Apply the changes to suspended hosts that the other process of an upgrade was told."""
         for host in self.suspended.refresh() if self._driver.handover.has_host_data else ():
             self._driver.refresh_host(host)
--- a/tests/test_failing_folder.py
+++ b/tests/test_failing_folder.py
@@ -1,8 +1,10 @@
 """The state directory fails for a time, also over kills; accepted texts are still finished."""
 
 import errno
+import os
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 from conftest import WAIT_TIMEOUT
@@ -11,6 +13,8 @@
 from limelatch.storage_gate import StorageGate
 from limelatch.interface import SECOND
 from limelatch.relay import operator_server
+from limelatch.relay.drain_state import DrainState
+from limelatch.relay.operations import Operations
 from limelatch.relay.operator_server import SuspendedHosts
 from limelatch.relay.ledger import FILE, STANDBY_DIR, Ledger
 
@@ -264,6 +268,35 @@
     assert suspended.counts == {}
 
 
+@pytest.mark.parametrize("command, call", [("pause", "open"), ("resume", "remove")])
+def test_a_drain_begins_and_ends_only_if_that_can_be_stored(tmp_path, monkeypatch, command, call):
+    """Guards against a confirmed command that the next process knows nothing of."""
+    drain_state = DrainState(str(tmp_path))
+    listener = SimpleNamespace(pause=lambda: pytest.fail("paused"), resume=lambda: pytest.fail("resumed"))
+    if command == "resume":
+        drain_state.begin()
+
+    def refuse(path, *more):
+        raise OSError(errno.EIO, "Input/output error", path)
+
+    monkeypatch.setattr(os, call, refuse)
+    operations = Operations(SimpleNamespace(listener=listener, accepted={}), None, drain_state)
+    with pytest.raises(operator_server.OperatorError, match="not done"):
+        getattr(operations, command)()
+    assert DrainState(str(tmp_path)).is_drained is drain_state.is_drained is (command == "resume")
+
+
+def test_a_state_directory_that_cannot_tell_of_a_drain_ends_the_start(tmp_path, monkeypatch):
+    """Guards against a drained relay that serves clients; the start tries again."""
+
+    def refuse(path):
+        raise OSError(errno.EIO, "Input/output error", path)
+
+    monkeypatch.setattr(os, "stat", refuse)
+    with pytest.raises(OSError, match="drained"):
+        DrainState(str(tmp_path))
+
+
 def test_the_gate_blocks_submits_from_the_first_failure_to_the_next_success():
     gate = StorageGate()
     assert gate.may_submit and gate.write_succeeded(0) is None
--- a/tests/test_operator_server.py
+++ b/tests/test_operator_server.py
@@ -136,6 +136,85 @@
     assert relay.client().ask("PING") == "+PONG"
 
 
+def add_operator_port(program):
+    """Give the program's next process an operators' address of its own, and return it."""
+    with socket.create_server((program.address, 0)) as spare:
+        address = program.address, spare.getsockname()[1]
+    program.configure_file(operator="{}:{}".format(*address))
+    return address
+
+
+@pytest.fixture
+def upgrade(relay, agent, make_host):
+    """A function that starts a new process beside the relay's; returns an operator's client of it."""
+    agent.list(make_host().address, "s-1")
+    started = []
+
+    def start():
+        standby = copy.copy(relay)
+        standby.process = None
+        standby.operator_address = add_operator_port(standby)
+        started.append(standby)
+        standby.start()
+        return standby, OperatorClient(standby.operator_address)
+
+    yield start
+    for each in started:
+        if each.process is not None:
+            each.kill()
+
+
+def pings(program):
+    """The answers to PING on so many connections that both processes of an upgrade are asked."""
+    return {program.client().ask("PING") for _ in range(30)}
+
+
+def wait_for_pings(program, answer):
+    """Wait until every process gives this answer; AssertionError after WAIT_TIMEOUT seconds."""
+    until = time.monotonic() + WAIT_TIMEOUT
+    while (answers := pings(program)) != {answer}:
+        assert time.monotonic() < until, answers
+
+
+def test_a_drained_relay_stays_drained_over_an_upgrade(relay, upgrade):
+    """Guards against a new process that says yes to PING, for a relay that an operator has drained."""
+    relay.start()
+    assert OperatorClient(relay.operator_address).call("PAUSE").startswith("+OK paused")
+    standby, operator = upgrade()
+    assert pings(relay) == {"-ERR paused"}
+    assert "paused=yes" in operator.call("STATUS")
+    relay.terminate()
+    assert relay.process.wait(WAIT_TIMEOUT) == 0
+    standby.wait_for_log("event=taken-over")
+    assert pings(relay) == {"-ERR paused"}
+    assert operator.call("RESUME") == "+OK serving"
+    assert pings(relay) == {"+PONG"}
+
+
+@pytest.mark.parametrize("told", [0, 1])
+def test_a_drain_begun_or_ended_at_one_process_of_an_upgrade_holds_for_both(relay, upgrade, told):
+    """Guards against a drain that half of the new connections do not meet."""
+    relay.start()
+    operators = OperatorClient(relay.operator_address), upgrade()[1]
+    assert operators[told].call("PAUSE").startswith("+OK paused")
+    wait_for_pings(relay, "-ERR paused")
+    assert operators[1 - told].call("RESUME") == "+OK serving"
+    wait_for_pings(relay, "+PONG")
+
+
+def test_a_drain_outlasts_both_processes_until_it_is_ended(relay, upgrade):
+    relay.start()
+    standby, operator = upgrade()
+    assert operator.call("PAUSE").startswith("+OK paused")
+    relay.kill()
+    standby.kill()
+    assert relay.start().ask("PING") == "-ERR paused"
+    assert OperatorClient(standby.operator_address).call("RESUME") == "+OK serving"
+    assert relay.client().ask("PING") == "+PONG"
+    relay.kill()
+    assert relay.start().ask("PING") == "+PONG"
+
+
 def test_a_new_process_serves_alongside_the_old_and_takes_over_its_open_texts(program, agent, make_host):
     called = []
 
