A request that comes in pieces keeps its connection in a crowd, or hears -BUSY

Cause: the search for a connection that makes room passed over those that await an answer, but not over those in the middle of a command, and ended them without the -BUSY that a command refused for memory gets.

Change: a connection in the middle of a command keeps its place for 0.25 s after its last bytes, as one whose text was accepted does, while such are at most a quarter of the table; what has to give way all the same hears -BUSY, also where the table shrinks for an upgrade. The decision is `EvictionOrder.giving_way`. The quarter is there since half commands by the hundreds would fill the table for 0.25 s at a time.

--- a/limelatch/relay/client_listener.py
+++ b/limelatch/relay/client_listener.py
@@ -8,7 +8,7 @@
 from twisted.internet.protocol import ServerFactory
 
 from limelatch.command_budget import CommandBudget
-from limelatch.connection_eviction import EvictionOrder
+from limelatch.connection_eviction import Candidate, EvictionOrder
 from limelatch.interface import SECOND
 from limelatch.logs import logger, log_event
 from limelatch.memory_account import MemoryAccount
@@ -162,11 +162,10 @@
         self.eviction_order.remove(client)
 
     def make_room(self, newest: Client | None = None) -> None:
-        """The table is full: close the longest idle connection; pause accepting if none is idle."""
+        """The table is full: close the connection that gives way first; pause accepting if none does."""
         idle = self._longest_idle(newest)
         if idle is not None:
-            idle.end(EndReason.NO_SLOT)
-            self.remove(idle)
+            self._end_for_room(idle)
             self.resume_accepting()
         elif self.port is not None:
             if not self._accepting_paused:
@@ -175,14 +174,20 @@
             if self._room_check is None:
                 self._room_check = self.driver.deadlines.after(FULL_TABLE_CHECK_INTERVAL, self._check_room)
 
+    def _end_for_room(self, client: Client) -> None:
+        """End a connection that gives way; a command that it has sent in part is refused."""
+        if not client.between_requests():
+            client.reply("-BUSY")
+        client.end(EndReason.NO_SLOT)
+        self.remove(client)
+
     def set_limits(self, max_connections: int, max_open: int, max_buffered_bytes: int) -> None:
         """Change the limits. Idle connections beyond them are closed now, the others once they are idle."""
         self.connections.size, self.max_open = max_connections, max_open
         self.memory.limit = max_buffered_bytes
         self._shed()
         while len(self.connections) > max_connections and (idle := self._longest_idle(None)) is not None:
-            idle.end(EndReason.NO_SLOT)
-            self.remove(idle)
+            self._end_for_room(idle)
         self._refuse_waiting()
         if self.connections.is_full:
             self.make_room()
@@ -208,17 +213,18 @@
             self.remove(each)
 
     def _longest_idle(self, newest: Client | None) -> Client | None:
-        """The idle connection that gives way first.
+        """The connection that gives way first, of those that await no answer and have no unread request.
 
         Only the first few are checked for an unread request, which is a system call each: guards against a
         crowd of idle clients that reconnect at once, for each of which the whole table was checked, until the
         relay did nothing else."""
         unread, found, now = [], None, self.driver.clock.now()
-        for each in self.eviction_order:
-            if each is newest or each.awaiting_answer or each.end_reason is not None or each in self.budget:
-                continue
-            if not self.eviction_order.may_give_way(each, now - each.last_received_at):
-                continue
+        candidates = (
+            Candidate(each, now - each.last_received_at, not each.between_requests())
+            for each in self.eviction_order
+            if not (each is newest or each.awaiting_answer or each.end_reason or each in self.budget)
+        )
+        for each in self.eviction_order.giving_way(candidates, self.connections.size):
             if not has_unread_bytes(each.transport):
                 found = each
                 break
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -5,6 +5,7 @@
 import selectors
 import socket
 import threading
+from contextlib import suppress
 from types import SimpleNamespace
 
 import pytest
@@ -266,6 +267,67 @@
     )
 
 
+def test_a_command_received_in_part_keeps_its_place_for_a_time_and_is_then_refused(listener, clock):
+    """Guards against requests in two pieces that a crowd of silent clients has closed without an answer."""
+    writing, *others = connect_clients(listener, 39)
+    writing.dataReceived(SUBMIT_COMMAND[:9])
+    clock.advance(0.2)
+    others += connect_clients(listener, 100)
+    assert writing.end_reason is None and sum(each.end_reason is EndReason.NO_SLOT for each in others) == 100
+    clock.advance(0.1)
+    connect_clients(listener, 40)
+    assert writing.end_reason is EndReason.NO_SLOT and writing.transport.value() == b"-BUSY\r\n"
+
+
+def test_commands_received_in_part_keep_no_more_than_a_share_of_the_table(listener):
+    """Guards against clients that send half a command and fill the table, so that no other is accepted."""
+    connected_clients = connect_clients(listener, 39)
+    for each in connected_clients:
+        each.dataReceived(SUBMIT_COMMAND[:9])
+    for _ in range(100):
+        connected_clients += connect_clients(listener)
+        connected_clients[-1].dataReceived(SUBMIT_COMMAND[:9])
+    ended = [each for each in connected_clients if each.end_reason is EndReason.NO_SLOT]
+    assert len(ended) == 100 and listener.port.reading
+    assert all(each.transport.value() == b"-BUSY\r\n" for each in ended)
+
+
+def test_a_table_that_shrinks_for_an_upgrade_refuses_commands_received_in_part(listener):
+    """Guards against requests that are closed without an answer as a new process takes its half."""
+    listener.memory.limit = 10_000_000
+    connected_clients = connect_clients(listener, 39)
+    for each in connected_clients:
+        each.dataReceived(SUBMIT_COMMAND[:9])
+    listener.set_limits(20, 24, 10_000_000)
+    ended = [each for each in connected_clients if each.end_reason is EndReason.NO_SLOT]
+    assert len(ended) == 20 and all(each.transport.value() == b"-BUSY\r\n" for each in ended)
+
+
+def test_requests_in_two_pieces_beside_a_crowd_are_answered(descriptors, make_program, agent, make_host):
+    """Guards against a request whose second piece is read, and whose connection is then closed unanswered."""
+    agent.list(make_host().address)
+    program = make_program(limits={"disk_mb": 3, "sockets": 256})
+    program.start().socket.close()
+    crowd, answers, number = Crowd(program, 200), [], 0
+    try:
+        wait_until(lambda: crowd.opened > 800, BACKOFF_TIMEOUT)
+        while len(answers) < 15:
+            number += 1
+            assert number < 300, answers
+            with suppress(ConnectionError):
+                client = program.client()
+                with client.socket:
+                    if client.ask("PING") != "+PONG":
+                        continue  # a new connection may be closed unread
+                    client.socket.sendall(b"SUBMIT 0 t%d c=report," % number)
+                    crowd.stopped.wait(0.1)  # a client whose network is slow
+                    client.socket.sendall(b"d=9000,dest=1 x\r\n")
+                    answers.append(client.lines.readline())
+    finally:
+        crowd.end()
+    assert set(answers) <= {b"+OK\r\n", b"-BUSY\r\n"}
+
+
 def test_a_table_of_clients_that_write_all_the_time_shrinks_for_an_upgrade(listener):
     listener.memory.limit = 10_000_000
     connected_clients = connect_clients(listener, 39)
