--- a/limelatch/lab/record.py
+++ b/limelatch/lab/record.py
@@ -175,13 +175,13 @@
 class RouteOverloaded(Event, tag=13):
     """A cold route went down by overload.
 
-    `load`: texts of each relay in the window that caused it; `max_load`: texts that it could bear.
+    `load`: work of each relay in the window that caused it, in texts; `max_load`: what it could bear.
     """
 
     at: int
     route: int
     max_load: float
-    load: dict[int, int]
+    load: dict[int, float]
 
 
 class CallFailed(Event, tag=14):
--- a/limelatch/lab/stages/fleet.py
+++ b/limelatch/lab/stages/fleet.py
@@ -692,7 +692,7 @@
                         Result.RESET,
                     )
 
-    def route_overloaded(self, route: Route, max_load: float, load: dict[int, int]) -> None:
+    def route_overloaded(self, route: Route, max_load: float, load: dict[int, float]) -> None:
         """A cold route went down by overload."""
         self.note(rec.RouteOverloaded(self.clock.now(), route.number, max_load, load))
 
--- a/limelatch/lab/stages/sockets.py
+++ b/limelatch/lab/stages/sockets.py
@@ -659,7 +659,7 @@
         if endpoint.number in self.servers_by_endpoint:
             self.servers_by_endpoint[endpoint.number].reachable()
 
-    def route_overloaded(self, route: Route, max_load: float, load: dict[int, int]) -> None:
+    def route_overloaded(self, route: Route, max_load: float, load: dict[int, float]) -> None:
         """A cold route went down by overload."""
         self.writer.add(rec.RouteOverloaded(self.clock.now(), route.number, max_load, load))
 
--- a/limelatch/lab/world/world.py
+++ b/limelatch/lab/world/world.py
@@ -38,8 +38,8 @@
     def reachable(self, endpoint: Endpoint) -> None:
         """Whether a host accepts connections has changed."""
 
-    def route_overloaded(self, route: Route, max_load: float, load: dict[int, int]) -> None:
-        """A cold route went down by overload; `load` is the texts of each relay."""
+    def route_overloaded(self, route: Route, max_load: float, load: dict[int, float]) -> None:
+        """A cold route went down by overload; `load` is the work of each relay, in texts."""
 
     def listed(self, endpoint: Endpoint, listing: Listing) -> None:
         """The list of hosts has changed; the stage passes it on to each relay after its lag."""
@@ -130,7 +130,7 @@
     def reachable(self, endpoint: Endpoint) -> None:
         self.listener.reachable(endpoint)
 
-    def route_overloaded(self, route: Route, max_load: float, load: dict[int, int]) -> None:
+    def route_overloaded(self, route: Route, max_load: float, load: dict[int, float]) -> None:
         self.listener.route_overloaded(route, max_load, load)
 
     # Faults over time.
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -223,6 +223,22 @@
     assert stage.world.endpoints[0].available_capacity(stage.clock.time) == 0
 
 
+def calls_until_overload(texts_in_call):
+    """How many calls with so many texts each a cold route takes at once, until it goes down."""
+    stage = Stage('[[faults]]\nwhat = "down"\nat = "1s"\nlasts = "1s"\npartners = ["portal-1"]\n').at(2.1)
+    for number in range(60):
+        if stage.listener.falls:
+            return number
+        stage.call(*(f"t{number}-{each}" for each in range(texts_in_call)), host=number % 3)
+    raise AssertionError("the route did not go down")
+
+
+def test_further_texts_of_a_call_count_towards_an_overload_by_their_work():
+    """Guards against a call with three texts that counts as three, where the service takes it as two."""
+    assert Stage().world.endpoints[0].destination.group.batch_work == 0.5
+    assert calls_until_overload(3) == (calls_until_overload(1) - 1) // 2 + 1
+
+
 def test_overlapping_faults_combine_and_end_independently():
     stage = Stage(
         '[[faults]]\nwhat = "slow"\nat = "1s"\nlasts = "4s"\ntimes = 3.0\n[[faults]]\nwhat = '
