The product table, suspended hosts and accepted texts have modules of their own

Change: limelatch/product_table.py (under `policy` in the deploy file) decides by the settings what binds a text whose record lacks its terms; relay/accepted_text.py, relay/suspended_hosts.py and relay/operator_error.py take what stood in driver.py and operator_server.py. Products are found by a table in place of a search through the list of names. The test of suspended hosts patches the module in which the file is written now; what the code does is as it was.

--- a/limelatch/relay/driver.py
+++ b/limelatch/relay/driver.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from limelatch import interface as li
 from limelatch.configuration import RelayPlan
@@ -12,6 +12,8 @@
 from limelatch.logs import LimitedLog, logger, log_event
 from limelatch.logs import start as start_logs
 from limelatch.policy import Policy
+from limelatch.product_table import ProductTable
+from limelatch.relay.accepted_text import AcceptedText, Refusal
 from limelatch.relay.anchor_file import AnchorFile
 from limelatch.relay.catalog import BadList, Catalog
 from limelatch.relay.client_listener import Listener
@@ -19,7 +21,7 @@
 from limelatch.relay.clock import Clock
 from limelatch.relay.deadlines import Deadlines
 from limelatch.relay.drain_state import DrainState
-from limelatch.relay.operator_server import OperatorServer, SuspendedHosts
+from limelatch.relay.operator_server import OperatorServer
 from limelatch.relay.storage_monitor import StorageMonitor
 from limelatch.relay.handover import SUCCESSOR_NOTICED_AFTER, Acceptance, Handover
 from limelatch.relay.host_calls import Call, OutgoingText
@@ -34,8 +36,9 @@
 from limelatch.relay.resource_monitor import Holdings, ResourceMonitor
 from limelatch.relay.slots import Slots
 from limelatch.relay.submission import Submission
+from limelatch.relay.suspended_hosts import SuspendedHosts
 from limelatch.relay.text_log import TextLog
-from limelatch.relay.text_terms import UNKNOWN_TERMS_PRODUCT, encode_terms, product_of_terms
+from limelatch.relay.text_terms import encode_terms, product_of_terms
 from limelatch.relay.wall_clock_monitor import WallClockMonitor
 
 log, policy_log = logger("driver"), logger("policy")
@@ -45,33 +48,6 @@
 IDLE_CHECK_INTERVAL = 20 * li.MS  # between two checks for requests of clients, before an early end
 
 
-@dataclass(slots=True)
-class AcceptedText:
-    """One text, from its arrival until the client or the platform has its final answer."""
-
-    text: li.Text
-    idempotency_key: bytes
-    body: bytes  # empty if it is large and accepted; then the ledger has it
-    product_settings: li.Product  # as of its arrival; a later configuration doesn't change them
-    product: str  # name of the product
-    client: Client | None = None  # while it waits for the answer to its submission
-    submit_in_flight: bool = False  # a submit was recorded and has no outcome yet
-    slot: int = 0  # in the driver's table of slots
-
-    @property
-    def key(self) -> bytes | None:
-        """The ordering key; None where it has none or its product is not in order."""
-        return self.text.key or None if self.product_settings.in_order else None
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a submission is refused: the reason for the log, in a word, and the answer to the client."""
-
-    why: str
-    answer: str
-
-
 class Driver:
     """One relay process: the policy, the ledger, and the connections to clients, hosts and platform."""
 
@@ -80,6 +56,7 @@
         self.initial_values = plan.source.installation
         self.deadlines = Deadlines(reactor, clock)
         self.policy = Policy(plan.settings, clock.now())
+        self.products = ProductTable(plan.names.products, plan.settings.products)
         # Both are read before the state directory is locked, since either may fail.
         self.suspended_hosts, self.drain_state = SuspendedHosts(plan.state_dir), DrainState(plan.state_dir)
         self.storage_monitor = StorageMonitor(clock, self.deadlines, self._notify, self.schedule_turn)
@@ -216,32 +193,23 @@
 
     def _is_ordered(self, product: str) -> bool:
         """Whether a product is delivered in order, by the settings; an unknown product counts as such."""
-        names = self.plan.names.products
-        return product not in names or self.plan.settings.products[names.index(product)].in_order
+        return self.products.product(product).in_order
 
     def _product_of(self, entry: Entry) -> li.Product:
-        """The product under whose terms a text was accepted.
-
-        For a record of an earlier version, which has no terms: the product of that name in the settings, or
-        one whose texts are never repeated."""
-        name, number = entry.fields["product"], self._product_number(entry)
+        """The product under whose terms a text was accepted; for a record of an earlier version, which has no
+        terms, the one that the settings give it."""
+        name = entry.fields["product"]
         in_order = self._is_ordered(name) if entry.in_order is None else entry.in_order
         if entry.terms is not None:
             return product_of_terms(entry.terms, in_order)
-        if number == li.UNKNOWN_PRODUCT:
+        if name not in self.products:
             log_event(log, "product-unknown", product=name)
-            return replace(UNKNOWN_TERMS_PRODUCT, in_order=in_order)
-        return replace(self.plan.settings.products[number], in_order=in_order)
-
-    def _product_number(self, entry: Entry) -> int:
-        """The number of a text's product in the settings of this process."""
-        names, name = self.plan.names.products, entry.fields["product"]
-        return names.index(name) if name in names else li.UNKNOWN_PRODUCT
+        return replace(self.products.product(name), in_order=in_order)
 
     def _restore(self, now: int, entry: Entry) -> None:
         """Restore a text of an earlier process: send its notice, or have the policy decide on it."""
         fields, names, customer_name = entry.fields, self.plan.names, entry.fields["customer"]
-        product = self._product_number(entry)
+        product = self.products.number(fields["product"])
         customer = names.customers.index(customer_name) if customer_name in names.customers else 0
         text = li.Text(entry.id, fields["dest"], product, fields["until"], customer, entry.key)
         text.received_at = entry.received_at
@@ -327,6 +295,7 @@
             names=replace(self.plan.names, products=plan.names.products),
             source=plan.source,
         )
+        self.products = ProductTable(plan.names.products, settings.products)
         self.policy.settings = settings  # pending texts keep the product settings of their arrival
         self.catalog.change_address(plan.catalog_address)
         self.notifier.change_address(plan.catalog_address)
@@ -416,20 +385,19 @@
             client.answer(refusal.answer)
         else:
             customer_index = names.customers.index(customer) if customer in names.customers else 0
-            product_index = names.products.index(product)
-            max_validity = self.plan.settings.products[product_index].validity_period or submission.valid_for
+            product_settings = self.products.product(product)
+            max_validity = product_settings.validity_period or submission.valid_for
             valid_until = now + min(submission.valid_for, max_validity)
             self._last_received_at = max(now, self._last_received_at + 1)  # unique, since it orders texts
             text = li.Text(
                 submission.id,
                 submission.destination,
-                product_index,
+                self.products.number(product),
                 valid_until,
                 customer_index,
                 submission.key,
             )
             text.received_at = self._last_received_at
-            product_settings = self.plan.settings.products[product_index]
             self.new_texts[submission.id] = self._register(
                 AcceptedText(
                     text, submission.idempotency_key, submission.body, product_settings, product, client
@@ -443,7 +411,7 @@
     def _refusal_of(self, submission: Submission, product: str, customer: str) -> Refusal | None:
         """Why a text is refused without asking the policy; None where it is not."""
         names = self.plan.names
-        if product not in names.products:
+        if product not in self.products:
             return Refusal("product", f"-ERR unknown class {product[:40]!r}")
         if names.customers and customer and customer not in names.customers:
             return Refusal("customer", f"-ERR unknown tenant {customer[:40]!r}")
--- a/limelatch/relay/operations.py
+++ b/limelatch/relay/operations.py
@@ -6,7 +6,8 @@
 
 from limelatch import interface as li
 from limelatch.relay.drain_state import DrainState
-from limelatch.relay.operator_server import OperatorError, SuspendedHosts
+from limelatch.relay.operator_error import OperatorError
+from limelatch.relay.suspended_hosts import SuspendedHosts
 
 
 class Operations:
--- a/limelatch/relay/text_terms.py
+++ b/limelatch/relay/text_terms.py
@@ -13,16 +13,6 @@
 from limelatch import interface as li
 
 MAX_CACHED_TERMS = 256  # distinct terms whose products are shared by the texts that were read
-# Of a text of which neither its record nor the settings say what a repeat would do.
-UNKNOWN_TERMS_PRODUCT = li.Product(
-    li.Effect.ONCE_ONLY,
-    sla_time=0,
-    validity_period=0,
-    revenue=0.0,
-    late_share=0.0,
-    by_halves=False,
-    in_order=True,
-)
 
 
 class TextTerms(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_failing_folder.py
+++ b/tests/test_failing_folder.py
@@ -12,10 +12,11 @@
 
 from limelatch.storage_gate import StorageGate
 from limelatch.interface import SECOND
-from limelatch.relay import operator_server
+from limelatch.relay import suspended_hosts
 from limelatch.relay.drain_state import DrainState
 from limelatch.relay.operations import Operations
-from limelatch.relay.operator_server import SuspendedHosts
+from limelatch.relay.operator_error import OperatorError
+from limelatch.relay.suspended_hosts import SuspendedHosts
 from limelatch.relay.ledger import FILE, STANDBY_DIR, Ledger
 
 SPANS = [0.4, 3.0]  # seconds
@@ -257,13 +258,13 @@
 
 
 def test_a_host_is_suspended_only_if_that_can_be_stored(tmp_path, monkeypatch):
-    suspended = operator_server.SuspendedHosts(str(tmp_path))
+    suspended = SuspendedHosts(str(tmp_path))
 
     def refuse(path, content):
         raise OSError(errno.ENOSPC, "No space left on device", path)
 
-    monkeypatch.setattr(operator_server, "replace_file", refuse)
-    with pytest.raises(operator_server.OperatorError, match="not done"):
+    monkeypatch.setattr(suspended_hosts, "replace_file", refuse)
+    with pytest.raises(OperatorError, match="not done"):
         suspended.suspend(b"s-1")
     assert suspended.counts == {}
 
@@ -281,7 +282,7 @@
 
     monkeypatch.setattr(os, call, refuse)
     operations = Operations(SimpleNamespace(listener=listener, accepted={}), None, drain_state)
-    with pytest.raises(operator_server.OperatorError, match="not done"):
+    with pytest.raises(OperatorError, match="not done"):
         getattr(operations, command)()
     assert DrainState(str(tmp_path)).is_drained is drain_state.is_drained is (command == "resume")
 
