A process that starts drained leaves no second of grace to connections

Cause: the grace of a drain is for connections that were sent before the front heard a no.

Change: where the clients' port is not open yet, a drain closes each connection after its answer from the start on.

Measured: the new test in tests/test_crowd.py failed before and passes now.

--- a/limelatch/relay/client_listener.py
+++ b/limelatch/relay/client_listener.py
@@ -293,10 +293,15 @@
                 client.end(EndReason.STOPPING)
 
     def pause(self) -> None:
-        """Start a drain: PING is refused at once; after PAUSE_GRACE idle connections are closed."""
+        """Start a drain: PING is refused at once; after PAUSE_GRACE idle connections are closed.
+
+        Where the port is not open yet an earlier process was told of the drain, and no grace is left."""
         if not self.paused:
             self.paused = True
             log_event(log, "paused", owed=len(self.driver.accepted))
+            if self.port is None:
+                self.closing = True
+                return
             self._grace = self.driver.deadlines.after(PAUSE_GRACE, self._start_closing)
 
     def _start_closing(self) -> None:
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -292,6 +292,17 @@
     assert all(each.transport.value() == b"-BUSY\r\n" for each in ended)
 
 
+def test_a_process_that_starts_drained_closes_each_connection_after_its_answer(listener):
+    """Guards against connections held idle by a new process, a second longer than by the drained one."""
+    listener.driver.accepted, listener.port = {}, None
+    listener.driver.submission_received = lambda submission, client: client.answer("+OK")
+    listener.pause()
+    listener.port = FakePort()
+    client = connect_clients(listener)[0]
+    client.dataReceived(SUBMIT_COMMAND)
+    assert client.transport.value() == b"+OK\r\n" and client.end_reason is EndReason.STOPPING
+
+
 def test_a_table_that_shrinks_for_an_upgrade_refuses_commands_received_in_part(listener):
     """Guards against requests that are closed without an answer as a new process takes its half."""
     listener.memory.limit = 10_000_000
