Texts with equal terms share them in memory

Cause: each open text's record was read into an object of its own for the terms, some 0.1 KB that the account of held texts does not count.

Change: equal terms are one object, and so is their product; at most 256 different ones are shared.

--- a/limelatch/relay/text_terms.py
+++ b/limelatch/relay/text_terms.py
@@ -12,7 +12,7 @@
 
 from limelatch import interface as li
 
-MAX_CACHED_TERMS = 256  # distinct terms whose products are shared by the texts that were read
+MAX_CACHED_TERMS = 256  # distinct terms that are shared, with their products, by the texts that were read
 
 
 class TextTerms(msgspec.Struct, frozen=True, array_like=True):
@@ -46,13 +46,20 @@
 
 
 def decode_terms(recorded: object) -> TextTerms:
-    """The terms out of a record's JSON. Raises ValueError for those of another version."""
+    """The terms out of a record's JSON; equal ones are one object. Raises ValueError for those of another
+    version."""
     try:
-        return msgspec.convert(recorded, TextTerms)
+        return _shared(msgspec.convert(recorded, TextTerms))
     except msgspec.ValidationError as error:
         raise ValueError(f"terms: {error}") from None
 
 
+@lru_cache(MAX_CACHED_TERMS)
+def _shared(terms: TextTerms) -> TextTerms:
+    """Guards against an object for each of very many open texts, where few products have all of them."""
+    return terms
+
+
 @lru_cache(MAX_CACHED_TERMS)
 def product_of_terms(terms: TextTerms, in_order: bool) -> li.Product:
     """The product that the decision module gets for a text with these terms."""
--- a/tests/test_recorded_terms.py
+++ b/tests/test_recorded_terms.py
@@ -6,10 +6,11 @@
 from conftest import S
 from test_terms_restart import CHARGE, NOTICE, SHORT, RelayLife
 
-from limelatch.interface import Result
+from limelatch.interface import Effect, Result
 from limelatch.relay.handover import STANDBY_POLL_INTERVAL
 from limelatch.relay.ledger import IncompatibleLedger
-from limelatch.relay.records import RecordKind, encode_record
+from limelatch.relay.records import LedgerState, RecordKind, encode_record, split_records
+from limelatch.relay.text_terms import product_of_terms
 
 START = 1_000 * S  # when the first process of a test starts
 PASSAGES = pytest.mark.parametrize("passage", ["restart", "old process dies", "new process dies"])
@@ -135,6 +136,19 @@
     assert life.calls(b"t") == ([] if ended else [b"a"])
 
 
+def test_texts_with_equal_terms_share_them_and_their_product(relay):
+    """Guards against a start with very many open texts that holds the terms of each apart."""
+    life = relay.process()
+    for text in (b"r1", b"r2"):
+        life.submit(text, b"report")
+    state = LedgerState()
+    for record in split_records((relay.state_dir / "ledger").read_bytes()):
+        state.apply(record)
+    first, second = (state.entries[text].terms for text in (b"r1", b"r2"))
+    assert first is second and first.effect is Effect.RESENDABLE
+    assert product_of_terms(first, True) is product_of_terms(second, True)
+
+
 @pytest.mark.parametrize("is_in_flight", [True, False])
 def test_a_record_of_an_earlier_version_without_a_class_of_its_name_is_sent_once(relay, is_in_flight):
     """Nothing is known of what a repeat would do, so it counts as once-only."""
