--- a/tests/test_recorded_terms.py
+++ b/tests/test_recorded_terms.py
@@ -119,6 +119,26 @@
     assert not last.driver.accepted and last.ended == {b"c1": "dead"}
 
 
+@PASSAGES
+def test_open_texts_keep_the_order_and_the_deadline_of_a_class_that_comes_back_with_others(relay, passage):
+    """Guards against a text of a key that overtakes, and against one given up by a new class's deadline."""
+    changed = CHARGE | {"effect": "pure", "oneAtATime": False, "deadline": 1000}
+
+    def submit(first):
+        first.submit(b"c1", b"charge", key=b"7")  # refused: it waits for its next submit
+        first.answer_calls(Result.FULL)
+        first.submit(b"c2", b"charge", key=b"7")
+
+    last = relay.pass_on(passage, submit, 2 * S, settings_with(changed))
+    for _ in range(50):
+        last.clock.advance(0.1)
+        last.driver.turn()
+    assert last.calls(b"c1") == [b"a", b"a"] and last.calls(b"c2") == []
+    last.answer_calls(Result.DELIVERED)
+    last.driver.turn()
+    assert last.calls(b"c2") == [b"a"] and not last.ended
+
+
 def earlier_record(relay, is_in_flight=True, **fields):
     """A ledger as earlier versions wrote it, without terms, of a text whose call is out or has not begun."""
     common = {"key": "", "mark": "", "dest": 1, "until": START + 8 * S, "customer": "acme", "at": START}
