The constant of an unknown product stands on a line of its own

Cause: the formatter had broken the line, since its comment was too long.

Change: the comment stands above it. Measured: lint and format are clean; nothing else changes.

--- a/limelatch/interface.py
+++ b/limelatch/interface.py
@@ -15,9 +15,8 @@
 MS = 10
 SECOND = 10_000
 UNKNOWN_ZONE = -1  # the number of a host's zone where nobody has told it
-UNKNOWN_PRODUCT = (
-    -1
-)  # the number of a text's product that the settings don't have; its history has the product
+# The number of a product that the settings don't have; the history of its text has the product.
+UNKNOWN_PRODUCT = -1
 
 
 class Effect(Enum):
